--- /dev/null
+++ b/packages/common/src/clock.ts
@@ -0,0 +1,65 @@
+/** Time and timers as functions, so that tests drive them by hand. */
+export interface Clock {
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  now(): number;
+  /** Monotonic time in milliseconds; only differences mean anything. */
+  monotonic(): number;
+  /** Runs `fn` once after `ms` milliseconds; the returned function cancels it. */
+  after(ms: number, fn: () => void): () => void;
+}
+
+/** The clock of this process. */
+export const systemClock: Clock = {
+  now: () => Date.now(),
+  monotonic: () => performance.now(),
+  after: (ms, fn) => {
+    const timer = setTimeout(fn, ms);
+    return () => clearTimeout(timer);
+  },
+};
+
+/** Resolves after `ms` milliseconds of the given clock. */
+export const sleep = (clock: Clock, ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    clock.after(ms, resolve);
+  });
+
+/** A clock that stands still until `advance` is called. */
+export interface ManualClock extends Clock {
+  /** Moves time forward, running due timers in order, and lets their promises settle. */
+  advance(ms: number): Promise<void>;
+}
+
+/** Creates a clock for tests, starting at `start` milliseconds. */
+export const createManualClock = (start = 0): ManualClock => {
+  let time = start;
+  let serial = 0;
+  const timers = new Map<number, { due: number; fn: () => void }>();
+
+  const nextDue = (limit: number): [number, { due: number; fn: () => void }] | undefined =>
+    [...timers].filter(([, timer]) => timer.due <= limit).sort((a, b) => a[1].due - b[1].due)[0];
+
+  return {
+    now: () => time,
+    monotonic: () => time,
+    after: (ms, fn) => {
+      serial += 1;
+      const id = serial;
+      timers.set(id, { due: time + ms, fn });
+      return () => timers.delete(id);
+    },
+    advance: async (ms) => {
+      const limit = time + ms;
+      for (let next = nextDue(limit); next; next = nextDue(limit)) {
+        const [id, timer] = next;
+        timers.delete(id);
+        time = Math.max(time, timer.due);
+        timer.fn();
+        await new Promise((resolve) => {
+          setImmediate(resolve);
+        });
+      }
+      time = limit;
+    },
+  };
+};
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,6 @@
+export * from './clock.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './random.js';
+export * from './result.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/intent/src/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js';
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,2 @@
+export * from './messages.js';
+export * from './types.js';
--- /dev/null
+++ b/scripts/counting-reporter.cjs
@@ -0,0 +1,13 @@
+const { reporters } = require('mocha');
+
+/** The spec reporter, closed by one line that counts the results. */
+class CountingReporter extends reporters.Spec {
+  epilogue() {
+    super.epilogue();
+    const { passes = 0, failures = 0, pending = 0 } = this.stats;
+    const skipped = pending > 0 ? `, ${pending} skipped` : '';
+    process.stdout.write(`${passes} passed, ${failures} failed${skipped}\n`);
+  }
+}
+
+module.exports = CountingReporter;
