--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,11 @@
   },
   {
     files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: false, project: ['./tsconfig.test.json'] },
+    },
     rules: {
+      '@typescript-eslint/prefer-destructuring': 'off',
       '@typescript-eslint/promise-function-async': 'off',
       '@typescript-eslint/no-floating-promises': 'off',
     },
