Intent reader's interface; a query says how much of the answer arrived

Cause: entry, agent and intent reader are written side by side and need one interface. After a lost link, chunks that were in flight are gone, so a query names the bytes held and the agent can send the rest; the flow-control window is a constant that both ends share. Ruled out: each side's own default window.

--- a/packages/intent/src/types.ts
+++ b/packages/intent/src/types.ts
@@ -74,3 +74,55 @@
   at: number;
   changes: IntentChange[];
 }
+
+/** The intent in force at one node. */
+export interface IntentView {
+  document: IntentDocument;
+  /** Offset of the last record read; -1 before the first. */
+  offset: number;
+  /** Version of each key: the offset of the record that last changed it. */
+  versions: Readonly<Record<string, number>>;
+}
+
+/** What an operator sends; `id` and `author` are the operator's. */
+export type IntentSubmission = Pick<IntentRecord, 'id' | 'author' | 'changes'>;
+
+/** A key whose version was no longer the one that a change was made from. */
+export interface IntentConflict {
+  key: string;
+  base: number;
+  /** The version that won; -1 when the key does not exist. */
+  version: number;
+  /** Who made the version that won, where it is still known. */
+  author?: string;
+}
+
+/** What became of a submission; `accepted` only once the record is read back and valid on replay. */
+export type SubmitOutcome =
+  | { outcome: 'accepted'; version: number }
+  | { outcome: 'conflict'; conflicts: IntentConflict[] }
+  | { outcome: 'invalid'; faults: string[] }
+  | { outcome: 'unknown'; id: string };
+
+/** Whether a node knows that its intent is the newest. */
+export interface IntentFreshness {
+  /** The log's end, or a peer's offset, has been reached at least once since the start. */
+  caughtUp: boolean;
+  /** Milliseconds since the log or a peer last confirmed the offset; undefined when never. */
+  confirmedMsAgo?: number;
+  /** Records known to exist beyond the node's offset. */
+  behind: number;
+}
+
+/** Keeps one node's intent up to date. */
+export interface IntentReader {
+  current(): IntentView;
+  freshness(): IntentFreshness;
+  /** Runs `fn` after every change of the view; the returned function ends that. */
+  onChange(fn: (view: IntentView) => void): () => void;
+  /** Appends a change and waits until it is read back. Asking again with the same id is safe. */
+  submit(submission: IntentSubmission): Promise<SubmitOutcome>;
+  /** Resolves once `freshness().caughtUp` holds. */
+  ready(): Promise<void>;
+  close(): Promise<void>;
+}
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -76,8 +76,13 @@
 export interface Query {
   t: 'query';
   id: AttemptId;
+  /** Bytes of the answer that the entry holds; what was sent beyond them was lost with the link. */
+  received: number;
 }
 
+/** Bytes of an answer that an agent may send before the first `credit`. */
+export const INITIAL_CREDIT_BYTES = 262_144;
+
 /** Entry to agent: `bytes` more of the answer may be sent. */
 export interface Credit {
   t: 'credit';
