--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './log.js';
