Links over TCP: framing, hello, heartbeat, calls, reconnect

Cause: entries and agents need one transport with bounded memory, before anything else can be built. Ruled out: time-based silence detection; a process frozen and woken would end healthy links before reading what waits in its socket, so missed beats are counted instead. Change: length-framed cbor-x links, a server, and a client that reconnects with full jitter.

--- /dev/null
+++ b/packages/link/src/client.ts
@@ -0,0 +1,124 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import type { Random } from '@plantaindrum/common';
+import type { Connection } from './connection.js';
+import { createConnection } from './connection.js';
+import type { LinkOptions } from './options.js';
+import type { Link, LinkCloseReason } from './types.js';
+
+/** Waits between tries to connect, in milliseconds. */
+export interface Backoff {
+  firstMs: number;
+  maxMs: number;
+}
+
+/** Backoff that reaches its longest wait after six failures. */
+export const defaultBackoff: Backoff = { firstMs: 100, maxMs: 5_000 };
+
+/** Options of a link client. */
+export interface LinkClientOptions extends LinkOptions {
+  /** The peer's link address. */
+  connect: { host: string; port: number };
+  backoff: Backoff;
+  random: Random;
+  /** Told when a try or a link has ended. */
+  onDown?: (reason: LinkCloseReason) => void;
+}
+
+/** Keeps one peer connected until it is closed. */
+export interface LinkClient {
+  /** The current link, if there is one. */
+  link(): Link | undefined;
+  /** Ends the link after its sent frames and stops reconnecting. */
+  close(): Promise<void>;
+}
+
+/**
+ * The longest wait before the next try, doubled with each failure. The wait itself is uniform
+ * between nothing and this ("full jitter"): after a data centre comes back its peers then arrive
+ * spread over the interval and not all at once.
+ */
+export const backoffCeiling = ({ firstMs, maxMs }: Backoff, failures: number): number =>
+  Math.min(maxMs, firstMs * 2 ** Math.min(failures, 30));
+
+/** Starts to keep a peer connected; each connection is a new link given to `onLink`. */
+export const createLinkClient = (options: LinkClientOptions): LinkClient => {
+  const { clock, metrics, random, backoff } = options;
+  let current: Link | undefined;
+  let connection: Connection | undefined;
+  let connecting: Socket | undefined;
+  let stopped = false;
+  let failures = 0;
+  let endWait = (): void => {};
+
+  const linkOptions: LinkOptions = {
+    ...options,
+    onLink: (link) => {
+      current = link;
+      failures = 0;
+      return options.onLink(link);
+    },
+  };
+
+  const open = (): Promise<Socket | undefined> =>
+    new Promise((resolve) => {
+      const socket = connect(options.connect.port, options.connect.host);
+      connecting = socket;
+      const stopTimer = clock.after(options.limits.helloTimeoutMs, () => socket.destroy());
+      socket.on('error', () => {});
+      socket.once('close', () => resolve(undefined));
+      socket.once('connect', () => {
+        stopTimer();
+        resolve(socket);
+      });
+      socket.once('close', stopTimer);
+    });
+
+  const connectOnce = async (): Promise<LinkCloseReason> => {
+    const socket = await open();
+    connecting = undefined;
+    if (!socket) {
+      metrics.count('link_connect_failed');
+      return 'connect-failed';
+    }
+    connection = createConnection(socket, linkOptions);
+    if (stopped) connection.close();
+    const reason = await connection.run();
+    connection = undefined;
+    current = undefined;
+    return reason;
+  };
+
+  const wait = (ms: number): Promise<void> =>
+    new Promise((resolve) => {
+      const cancel = clock.after(ms, resolve);
+      endWait = () => {
+        cancel();
+        resolve();
+      };
+    });
+
+  const keepConnected = async (): Promise<void> => {
+    while (!stopped) {
+      const reason = await connectOnce();
+      options.onDown?.(reason);
+      if (stopped) return;
+      metrics.count('link_reconnect', { reason });
+      await wait(random() * backoffCeiling(backoff, failures));
+      failures += 1;
+    }
+  };
+
+  const task = keepConnected();
+
+  return {
+    link: () => current,
+    close: async () => {
+      stopped = true;
+      endWait();
+      connecting?.destroy();
+      connection?.close();
+      await task;
+    },
+  };
+};
--- /dev/null
+++ b/packages/link/src/connection.ts
@@ -0,0 +1,191 @@
+/** One TCP connection as a link: hello both ways, then frames until either side ends it. */
+
+import type { Socket } from 'node:net';
+import { createLinkCalls } from './calls.js';
+import { decodeFrame, decodeHello, encodeFrame } from './codec.js';
+import { createFrameSplitter } from './framing.js';
+import type { Frame, Hello } from './messages.js';
+import type { FrameHandler, LinkOptions } from './options.js';
+import type { Link, LinkCloseReason } from './types.js';
+
+const FLUSH_MS = 1_000;
+
+const frameKind = (frame: Frame): 'control' | 'data' =>
+  frame.t === 'chunk' || frame.t === 'dispatch' ? 'data' : 'control';
+
+/** A connection before and after its hello. */
+export interface Connection {
+  /** Runs the connection to its end; never rejects. */
+  run(): Promise<LinkCloseReason>;
+  close(): void;
+}
+
+/** Creates the connection that runs over an open socket. */
+export const createConnection = (socket: Socket, options: LinkOptions): Connection => {
+  const { clock, limits, metrics, log } = options;
+  const splitter = createFrameSplitter(limits.frameBytes);
+  let reason: LinkCloseReason | undefined;
+  let settleClosed: (value: LinkCloseReason) => void;
+  const closed = new Promise<LinkCloseReason>((resolve) => {
+    settleClosed = resolve;
+  });
+  let waitingForDrain: (() => void)[] = [];
+  let heartbeatSeq = 0;
+  let silentHeartbeats = 0;
+  let handlerBusy = false;
+  let stopTimer = (): void => {};
+
+  const releaseDrainWaiters = (): void => {
+    const waiters = waitingForDrain;
+    waitingForDrain = [];
+    waiters.forEach((resume) => resume());
+  };
+
+  const finish = (why: LinkCloseReason): void => {
+    if (reason) return;
+    reason = why;
+    stopTimer();
+    releaseDrainWaiters();
+    if (why !== 'closed-here') {
+      socket.destroy();
+      return;
+    }
+    // What was sent before the close still goes out, unless the peer has stopped reading.
+    socket.end();
+    const stopFlush = clock.after(FLUSH_MS, () => socket.destroy());
+    socket.once('close', stopFlush);
+  };
+
+  const write = (frame: Frame | Hello, kind: 'control' | 'data'): boolean => {
+    if (reason) return false;
+    const bytes = encodeFrame(frame);
+    metrics.count('link_bytes_sent', { kind }, bytes.length);
+    socket.write(bytes);
+    // A peer that stops reading must not fill this process's memory: the link ends instead.
+    if (socket.writableLength > limits.sendBufferMaxBytes) finish('send-buffer-full');
+    return true;
+  };
+
+  const send = (frame: Frame): boolean => write(frame, frameKind(frame));
+  const calls = createLinkCalls({ ...options, send });
+
+  const drained = async (): Promise<void> => {
+    if (reason || socket.writableLength <= limits.sendBufferBytes) return;
+    await new Promise<void>((resolve) => {
+      waitingForDrain.push(resolve);
+    });
+  };
+
+  const sayHello = (): void => {
+    const { identity, intentOffset } = options;
+    write({ t: 'hello', v: 1, ...identity, intentOffset: intentOffset() }, 'control');
+  };
+
+  const makeLink = (peer: Hello): Link => ({
+    peer,
+    send,
+    drained,
+    call: calls.start,
+    close: () => finish('closed-here'),
+    closed,
+  });
+
+  const noteOffset = (link: Link, offset: number): void => {
+    if (offset > options.intentOffset()) options.onPeerOffset?.(link, offset);
+  };
+
+  /** Counts beats, not time: a process that was frozen gives its peer a beat to be heard first. */
+  const beat = (): void => {
+    if (!handlerBusy) silentHeartbeats += 1;
+    if (silentHeartbeats > limits.heartbeatsMissed) {
+      finish('heartbeat-missed');
+      return;
+    }
+    heartbeatSeq += 1;
+    send({ t: 'ping', seq: heartbeatSeq, intentOffset: options.intentOffset() });
+    if (!reason) stopTimer = clock.after(limits.heartbeatMs, beat);
+  };
+
+  const pong = (seq: number): void => {
+    const load = options.load?.();
+    const intentOffset = options.intentOffset();
+    send({ t: 'pong', seq, intentOffset, ...(load && { load }) });
+  };
+
+  const take = async (frame: Frame, link: Link, onFrame: FrameHandler): Promise<void> => {
+    if (frame.t === 'ping') {
+      pong(frame.seq);
+      noteOffset(link, frame.intentOffset);
+      return;
+    }
+    if (frame.t === 'call') {
+      void calls.serve(frame, link);
+      return;
+    }
+    if (frame.t === 'reply') {
+      calls.onReply(frame);
+      return;
+    }
+    if (frame.t === 'pong') noteOffset(link, frame.intentOffset);
+    const pending = onFrame(frame);
+    if (!pending) return;
+    handlerBusy = true;
+    await pending;
+    handlerBusy = false;
+  };
+
+  async function* payloads(): AsyncGenerator<Buffer, LinkCloseReason> {
+    for await (const bytes of socket as AsyncIterable<Buffer>) {
+      silentHeartbeats = 0;
+      metrics.count('link_bytes_received', {}, bytes.length);
+      const split = splitter.push(bytes);
+      if (!split.ok) return split.err;
+      yield* split.value;
+    }
+    return 'closed-by-peer';
+  }
+
+  const receive = async (): Promise<LinkCloseReason> => {
+    sayHello();
+    stopTimer = clock.after(limits.helloTimeoutMs, () => finish('hello-timeout'));
+    const stream = payloads();
+    const first = await stream.next();
+    if (first.done) return first.value;
+    const hello = decodeHello(first.value);
+    if (!hello.ok) return hello.err;
+    if (reason) return reason;
+    stopTimer();
+    metrics.count('link_opened', { role: hello.value.role });
+    const link = makeLink(hello.value);
+    const onFrame = options.onLink(link);
+    noteOffset(link, hello.value.intentOffset);
+    beat();
+    for (let next = await stream.next(); ; next = await stream.next()) {
+      if (next.done) return next.value;
+      // Frames that were read before this side closed belong to nobody any more.
+      if (reason) return reason;
+      const frame = decodeFrame(next.value);
+      if (!frame.ok) return frame.err;
+      await take(frame.value, link, onFrame);
+    }
+  };
+
+  const run = async (): Promise<LinkCloseReason> => {
+    socket.setNoDelay(true);
+    socket.on('drain', releaseDrainWaiters);
+    socket.on('error', () => {});
+    try {
+      finish(await receive());
+    } catch (err) {
+      if (!reason) log.debug(`link broke: ${String(err)}`);
+      finish('socket-error');
+    }
+    const why = reason ?? 'socket-error';
+    calls.end();
+    metrics.count('link_closed', { reason: why });
+    settleClosed(why);
+    return why;
+  };
+
+  return { run, close: () => finish('closed-here') };
+};
--- /dev/null
+++ b/packages/link/test/link.test.ts
@@ -0,0 +1,204 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { once } from 'node:events';
+import { createManualClock, createMetrics, silentLogger, systemClock } from '@plantaindrum/common';
+import type { Clock, Metrics } from '@plantaindrum/common';
+import { expect } from 'chai';
+import type { Link, LinkClient, LinkOptions, LinkServer, PeerFrame } from '../src/index.js';
+import {
+  CallRefused,
+  backoffCeiling,
+  createLinkClient,
+  createLinkServer,
+  defaultBackoff,
+  defaultLinkLimits,
+  encodeFrame,
+} from '../src/index.js';
+
+/** Links that arrived, and their frames, in order. */
+interface Inbox {
+  options: LinkOptions;
+  metrics: Metrics;
+  nextLink(): Promise<Link>;
+  nextFrame(): Promise<PeerFrame>;
+}
+
+const createMailbox = <T>() => {
+  const items: T[] = [];
+  const takers: ((item: T) => void)[] = [];
+  return {
+    put: (item: T) => {
+      const taker = takers.shift();
+      if (taker) taker(item);
+      else items.push(item);
+    },
+    take: (): Promise<T> => {
+      const item = items.shift();
+      if (item !== undefined) return Promise.resolve(item);
+      return new Promise((resolve) => {
+        takers.push(resolve);
+      });
+    },
+  };
+};
+
+const createInbox = (role: 'entry' | 'agent', overrides: Partial<LinkOptions> = {}): Inbox => {
+  const links = createMailbox<Link>();
+  const frames = createMailbox<PeerFrame>();
+  const metrics = createMetrics();
+  const options: LinkOptions = {
+    identity: { role, node: `${role}-1`, instance: `${role}-i`, dataCentre: 'kent', region: 'nw' },
+    intentOffset: () => -1,
+    limits: defaultLinkLimits,
+    handlers: {},
+    onLink: (link) => {
+      links.put(link);
+      return (frame) => {
+        if (frame.t !== 'pong') frames.put(frame);
+      };
+    },
+    clock: systemClock,
+    metrics,
+    log: silentLogger,
+    ...overrides,
+  };
+  return { options, metrics, nextLink: links.take, nextFrame: frames.take };
+};
+
+describe('link', () => {
+  const opened: { close(): Promise<void> }[] = [];
+  const sockets: Socket[] = [];
+
+  afterEach(async () => {
+    sockets.splice(0).forEach((socket) => socket.destroy());
+    await Promise.all(opened.splice(0).map((one) => one.close()));
+  });
+
+  const listen = async (inbox: Inbox): Promise<LinkServer> => {
+    const server = await createLinkServer({
+      ...inbox.options,
+      listen: { host: '127.0.0.1', port: 0 },
+    });
+    opened.push(server);
+    return server;
+  };
+
+  const dial = (inbox: Inbox, server: LinkServer, clock: Clock = systemClock): LinkClient => {
+    const client = createLinkClient({
+      ...inbox.options,
+      clock,
+      connect: server.address,
+      backoff: defaultBackoff,
+      random: () => 0,
+    });
+    opened.push(client);
+    return client;
+  };
+
+  const rawSocket = async (server: LinkServer): Promise<Socket> => {
+    const socket = connect(server.address.port, server.address.host);
+    sockets.push(socket);
+    socket.on('error', () => {});
+    socket.resume();
+    await once(socket, 'connect');
+    return socket;
+  };
+
+  it('carries frames and calls both ways after the hello', async () => {
+    const entry = createInbox('entry');
+    const agent = createInbox('agent', {
+      handlers: {
+        'test.double': (args) => Promise.resolve((args as number) * 2),
+        'test.refuse': () => Promise.reject(new CallRefused({ why: 'old-fence' })),
+      },
+    });
+    dial(entry, await listen(agent));
+    const link = await entry.nextLink();
+    const back = await agent.nextLink();
+    expect(link.peer.node).to.equal('agent-1');
+    expect(back.peer.role).to.equal('entry');
+    link.send({ t: 'cancel', id: 'e:1' });
+    expect(await agent.nextFrame()).to.deep.equal({ t: 'cancel', id: 'e:1' });
+    back.send({ t: 'chunk', id: 'e:1', offset: 0, data: Buffer.from('abc') });
+    const chunk = await entry.nextFrame();
+    expect(chunk.t === 'chunk' && Buffer.from(chunk.data).toString()).to.equal('abc');
+    expect(await link.call('test.double', 21, 1000)).to.deep.equal({
+      outcome: 'answered',
+      value: 42,
+    });
+    expect(await link.call('test.refuse', null, 1000)).to.deep.equal({
+      outcome: 'failed',
+      value: { why: 'old-fence' },
+    });
+    expect((await link.call('test.none', null, 1000)).outcome).to.equal('failed');
+  });
+
+  it('tells of a higher intent offset of the peer', async () => {
+    const told = createMailbox<number>();
+    const entry = createInbox('entry', { onPeerOffset: (_, offset) => told.put(offset) });
+    const agent = createInbox('agent', { intentOffset: () => 7 });
+    dial(entry, await listen(agent));
+    expect(await told.take()).to.equal(7);
+  });
+
+  it('reconnects after the peer has closed, as a new link', async () => {
+    const entry = createInbox('entry');
+    const agent = createInbox('agent');
+    dial(entry, await listen(agent));
+    const first = await entry.nextLink();
+    (await agent.nextLink()).close();
+    expect(await first.closed).to.equal('closed-by-peer');
+    expect(first.send({ t: 'leaving' })).to.equal(false);
+    const second = await entry.nextLink();
+    expect(second).to.not.equal(first);
+  });
+
+  it('doubles the longest wait up to its bound', () => {
+    const ceilings = [0, 1, 2, 5, 6, 50].map((n) => backoffCeiling(defaultBackoff, n));
+    expect(ceilings).to.deep.equal([100, 200, 400, 3200, 5000, 5000]);
+  });
+
+  // A peer sends bytes that are no frame, a frame above the limit, or a hello of another version.
+  // That link ends with its own counted reason; a second link on the same server goes on.
+  it('ends only the link that breaks the protocol', async () => {
+    const agent = createInbox('agent');
+    const entry = createInbox('entry');
+    const server = await listen(agent);
+    dial(entry, server);
+    const good = await entry.nextLink();
+    const bad: [string, Buffer][] = [
+      ['malformed-frame', Buffer.from([0, 0, 0, 2, 0xff, 0xff])],
+      ['malformed-frame', Buffer.from([0, 0, 0, 0])],
+      ['frame-too-large', Buffer.from([0xff, 0, 0, 0])],
+      ['version-mismatch', encodeFrame({ ...good.peer, v: 2 as 1 })],
+    ];
+    for (const [reason, bytes] of bad) {
+      const before = agent.metrics.counter('link_closed', { reason });
+      const socket = await rawSocket(server);
+      socket.write(bytes);
+      await once(socket, 'close');
+      expect(agent.metrics.counter('link_closed', { reason })).to.equal(before + 1);
+    }
+    good.send({ t: 'cancel', id: 'e:9' });
+    expect(await agent.nextFrame()).to.deep.equal({ t: 'cancel', id: 'e:9' });
+  });
+
+  // A peer connects and never says hello, or says hello and falls silent (frozen, cable pulled).
+  // Without a bound the link would look alive for ever and requests on it would wait.
+  it('ends a link whose peer is silent', async () => {
+    const clock = createManualClock();
+    const agent = createInbox('agent', { clock });
+    const server = await listen(agent);
+    const mute = await rawSocket(server);
+    const greeting = await rawSocket(server);
+    const { identity } = createInbox('entry').options;
+    greeting.write(encodeFrame({ t: 'hello', v: 1, ...identity, intentOffset: -1 }));
+    const link = await agent.nextLink();
+    const { heartbeatMs, heartbeatsMissed, helloTimeoutMs } = defaultLinkLimits;
+    await clock.advance(heartbeatMs * (heartbeatsMissed + 1));
+    expect(await link.closed).to.equal('heartbeat-missed');
+    await clock.advance(helloTimeoutMs);
+    await once(mute, 'close');
+    expect(agent.metrics.counter('link_closed', { reason: 'hello-timeout' })).to.equal(1);
+  });
+});
