Catalogue of user-facing errors with refusal bodies, headers and exit codes

Cause: refusals, settings faults and command errors need one source for name, title, message, hint, status, outcome and exit code. Change: packages/common/src/errors.

--- /dev/null
+++ b/packages/common/src/errors/request-refusals.ts
@@ -0,0 +1,241 @@
+import type { RefusalEntry } from './types.js';
+
+const named = (kind: string, name: string | undefined): string =>
+  name === undefined ? `the ${kind}` : `${kind} "${name}"`;
+
+const inBytes = (limit: number | undefined): string =>
+  limit === undefined ? '' : ` of ${limit} bytes`;
+
+/** Refusals of a request that its sender has to change before it can succeed. */
+export const requestRefusals = {
+  'bad-request': {
+    title: 'Malformed request',
+    message: ({ detail }) => `The request could not be read: ${detail ?? 'it is malformed'}.`,
+    hint: 'Correct the request; sent again as it is, it fails again.',
+    status: 400,
+    outcome: 'not-run',
+  },
+  'unknown-key': {
+    title: 'API key missing or unknown',
+    message: () => 'No organisation has declared the API key of this request.',
+    hint: 'Send "Authorization: Bearer KEY" with a key whose SHA-256 hash stands in the intent.',
+    status: 401,
+    outcome: 'not-run',
+  },
+  'unknown-class': {
+    title: 'Unknown class of work',
+    message: ({ class: name }) =>
+      name === undefined
+        ? 'The request names no class, and neither its route nor its organisation has one.'
+        : `Operators have declared no class "${name}".`,
+    hint: 'Name a declared class in the x-plantaindrum-class header, or have operators declare it.',
+    status: 400,
+    outcome: 'not-run',
+  },
+  'unknown-route': {
+    title: 'Nothing is served at this path',
+    message: ({ method, path }) => `No route leads from ${method ?? ''} ${path ?? 'this path'}.`,
+    hint: 'Use /v1/completions or a path prefix that operators have declared under routes.',
+    status: 404,
+    outcome: 'not-run',
+  },
+  'method-not-allowed': {
+    title: 'Method not allowed',
+    message: ({ method, path }) => `${path ?? 'This path'} does not take ${method ?? 'it'}.`,
+    hint: 'Completions take POST.',
+    status: 405,
+    outcome: 'not-run',
+  },
+  'body-too-large': {
+    title: 'Request body too large',
+    message: ({ limit }) => `The body is larger than the limit${inBytes(limit)}.`,
+    hint: 'Send a shorter prompt, or have operators raise limits.bodyBytes on every entry.',
+    status: 413,
+    outcome: 'not-run',
+  },
+  'header-too-large': {
+    title: 'Request header too large',
+    message: ({ limit }) => `The header is larger than the limit${inBytes(limit)}.`,
+    hint: 'Send fewer or shorter header fields.',
+    status: 431,
+    outcome: 'not-run',
+  },
+  'claim-key-reused': {
+    title: 'Idempotency key used with another body',
+    message: () => 'An earlier request of this organisation had the same key and another body.',
+    hint: 'Give each new request a key of its own.',
+    status: 422,
+    outcome: 'not-run',
+  },
+  'claim-key-expired': {
+    title: 'Idempotency key too old',
+    message: () => 'The key has outlived the time for which its use is remembered.',
+    hint: 'Find out from the called service what became of the call, then use a new key.',
+    status: 409,
+    outcome: 'not-run',
+  },
+  'claim-lost': {
+    title: 'Another request holds this idempotency key',
+    message: () => 'A request with the same key came first; this one did not run.',
+    hint: 'Ask again with the same key after Retry-After to learn the outcome of the first.',
+    status: 409,
+    outcome: 'not-run',
+  },
+  'duplicate-in-progress': {
+    title: 'The same request is in progress',
+    message: () => 'A request with the same idempotency key is running.',
+    hint: 'Ask again with the same key after Retry-After to learn its outcome.',
+    status: 409,
+    outcome: 'not-run',
+  },
+  'duplicate-known': {
+    title: 'The same request has ended',
+    message: ({ detail }) => `A request with the same key ended before: ${detail ?? 'it ran'}.`,
+    hint: 'Do not send the call again; its answer is no longer held.',
+    status: 409,
+    outcome: 'not-run',
+  },
+} as const satisfies Record<string, RefusalEntry>;
+
+/** Refusals for want of capacity or readiness; the same request may succeed later. */
+export const capacityRefusals = {
+  'too-many-connections': {
+    title: 'Too many connections',
+    message: ({ limit }) => `This door already holds ${limit ?? 'its most'} connections.`,
+    hint: 'Reuse connections; operators can raise limits.connections or add entry VMs.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'not-ready': {
+    title: 'This node is not ready',
+    message: ({ detail }) => `This node does not serve yet${detail ? `: ${detail}` : ''}.`,
+    hint: 'Come back after Retry-After; "plantaindrum status" shows what the node waits for.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'data-centre-stopping': {
+    title: 'This data centre is stopping',
+    message: ({ dataCentre }) => `Operators are stopping ${named('data centre', dataCentre)}.`,
+    hint: 'Connect again; the balancer in front leads to another data centre.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'no-upstream': {
+    title: 'No upstream can take the request',
+    message: ({ upstream }) => `No live upstream serves ${named('upstream', upstream)}.`,
+    hint: 'Come back after Retry-After; operators see upstreams in "plantaindrum status".',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'budget-exhausted': {
+    title: 'Retry budget exhausted',
+    message: () => 'The request did not run, and too many recent requests have been retried.',
+    hint: 'Come back after Retry-After; a share of upstreams is failing.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'queue-full': {
+    title: 'Queue full',
+    message: ({ upstream }) => `The queue of ${named('upstream', upstream)} is full.`,
+    hint: 'Come back after Retry-After, which follows from the measured drain rate.',
+    status: 429,
+    outcome: 'not-run',
+  },
+  displaced: {
+    title: 'Displaced by more urgent work',
+    message: ({ class: name }) => `More urgent work took the place of ${named('class', name)}.`,
+    hint: 'Come back after Retry-After, or have operators review the priority of the class.',
+    status: 429,
+    outcome: 'not-run',
+  },
+  'deadline-unreachable': {
+    title: 'The target of the class cannot be met',
+    message: ({ class: name }) => `At today's rate ${named('class', name)} would be answered late.`,
+    hint: 'Come back after Retry-After; operators can add upstreams or relax the target.',
+    status: 429,
+    outcome: 'not-run',
+  },
+  'deadline-passed': {
+    title: 'The target passed while the request waited',
+    message: ({ class: name }) => `The latest answer of ${named('class', name)} has passed.`,
+    hint: 'Send it again if the answer is still of use.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  leaving: {
+    title: 'The upstream is leaving',
+    message: ({ upstream }) => `The chosen VM for ${named('upstream', upstream)} is leaving.`,
+    hint: 'Come back after Retry-After; other upstreams take the work.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'upstream-unreachable': {
+    title: 'The upstream could not be reached',
+    message: ({ upstream }) => `No connection to ${named('upstream', upstream)} could be made.`,
+    hint: 'Come back after Retry-After; operators should look at the VM.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'claim-log-down': {
+    title: 'The log service is down',
+    message: () => 'The call may run only once, and the log that would prove it is down.',
+    hint: 'Come back after Retry-After with the same idempotency key.',
+    status: 503,
+    outcome: 'not-run',
+  },
+  'claim-not-confirmed': {
+    title: 'The claim was not confirmed in time',
+    message: () => 'The log has not confirmed the right to run this call, so it did not run.',
+    hint: 'Ask again with the same idempotency key after Retry-After.',
+    status: 503,
+    outcome: 'not-run',
+  },
+} as const satisfies Record<string, RefusalEntry>;
+
+/** Endings of a request that may have run and has no whole answer. */
+export const unknownRefusals = {
+  'link-lost': {
+    title: 'The link to the upstream was lost',
+    message: ({ upstream }) =>
+      `The link to ${named('upstream', upstream)} ended before the answer.`,
+    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
+    status: 502,
+    outcome: 'unknown',
+  },
+  'agent-restarted': {
+    title: 'The process beside the upstream restarted',
+    message: ({ upstream }) => `The agent of ${named('upstream', upstream)} lost its memory.`,
+    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
+    status: 502,
+    outcome: 'unknown',
+  },
+  'upstream-broke-off': {
+    title: 'The upstream broke off its answer',
+    message: ({ upstream }) => `${named('upstream', upstream)} ended its answer too early.`,
+    hint: 'Discard the part that arrived; repeat the request only if that does no harm.',
+    status: 502,
+    outcome: 'unknown',
+  },
+  'answer-timeout': {
+    title: 'No answer in time',
+    message: ({ class: name }) =>
+      `Work of ${named('class', name)} started but did not end in time.`,
+    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
+    status: 504,
+    outcome: 'unknown',
+  },
+  cancelled: {
+    title: 'Cancelled',
+    message: () => 'The caller closed the connection before the answer was whole.',
+    hint: 'Nothing to do when the caller meant it; otherwise raise the timeout of the client.',
+    status: 502,
+    outcome: 'unknown',
+  },
+  'shutting-down': {
+    title: 'This node was ended',
+    message: () => 'The node was ended before the answer was whole.',
+    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
+    status: 502,
+    outcome: 'unknown',
+  },
+} as const satisfies Record<string, RefusalEntry>;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clock.js';
+export * from './errors/index.js';
 export * from './logger.js';
 export * from './metrics.js';
 export * from './random.js';
