--- /dev/null
+++ b/packages/requests/src/routing/types.ts
@@ -0,0 +1,82 @@
+import type { Load } from '@plantaindrum/link';
+
+/** An upstream as the VM list names it. */
+export interface Upstream {
+  /** Name of the VM. */
+  id: string;
+  dataCentre: string;
+  region: string;
+  /** Model or service that it serves. */
+  target: string;
+}
+
+/** What routing knows about one request. */
+export interface RouteRequest {
+  target: string;
+  /** Hash of the prompt's prefix (`prefixHash`); undefined for plain services. */
+  prefix?: string;
+  /** Upstreams not to choose again, for example those already tried. */
+  exclude?: ReadonlySet<string>;
+}
+
+/** Why no upstream was chosen. */
+export type NoRoute = 'no-upstream' | 'all-excluded';
+
+/** How an upstream was chosen; for counters. */
+export type RouteMethod = 'prefix' | 'two-choices' | 'only-one' | 'last-resort';
+
+/** A choice of upstream. */
+export type Route =
+  { upstream: string; method: RouteMethod } | { upstream: undefined; reason: NoRoute };
+
+/** State of an upstream in the eyes of one entry. */
+export type UpstreamHealth = 'serving' | 'ejected' | 'returning';
+
+/** Chooses an upstream for each request; one per entry. */
+export interface Router {
+  /** Replaces the known upstreams, from the VM list and from links. */
+  setUpstreams(upstreams: readonly Upstream[]): void;
+  /** The upstreams of a target that this entry keeps links to. */
+  subset(target: string): string[];
+  choose(request: RouteRequest): Route;
+  /** A request was sent to the upstream. */
+  dispatched(upstream: string): void;
+  /** First sign of an answer (head or first token), `ms` after the dispatch. */
+  firstByte(upstream: string, ms: number): void;
+  /** The request has ended, in whatever way. */
+  ended(upstream: string): void;
+  /** Load that rode on an agent's frame: the freshest knowledge. */
+  load(upstream: string, load: Load): void;
+  /** Load from the platform's lagged report; used only where nothing fresher exists. */
+  laggedLoad(upstream: string, report: { queued: number; running: number }): void;
+  /** The link is lost or heartbeats are missing (`true`), or the link is back (`false`). */
+  silent(upstream: string, silent: boolean): void;
+  /** No new work from now on. */
+  leaving(upstream: string): void;
+  /** A cache event says that the upstream holds the prefix (or dropped it): only a hint. */
+  cacheHint(upstream: string, prefix: string, holds: boolean): void;
+  /** Ejects slow upstreams and lets ejected ones return; call it once a second or so. */
+  review(): HealthChange[];
+  status(): UpstreamStatus[];
+}
+
+/** A change of an upstream's health, for one log line and a counter. */
+export interface HealthChange {
+  upstream: string;
+  from: UpstreamHealth;
+  to: UpstreamHealth;
+  reason: 'slow' | 'silent' | 'pause-over' | 'recovered';
+}
+
+/** One line of `status`. */
+export interface UpstreamStatus {
+  id: string;
+  target: string;
+  health: UpstreamHealth;
+  leaving: boolean;
+  outstanding: number;
+  queued: number;
+  running: number;
+  /** Smoothed time to the first byte, in milliseconds; undefined before the first sample. */
+  firstByteMs: number | undefined;
+}
