Link: a query says whether the head arrived; reasons for unknown ids

Cause: after a cut between head and first byte, `received` is 0 whether or not the head got through; the agent would send a second head, or none. Change: `headReceived` on query; reasons never-arrived and outcome-forgotten.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -76,6 +76,8 @@
 export interface Query {
   t: 'query';
   id: AttemptId;
+  /** Whether the entry holds the answer's head; the agent sends it again if not. */
+  headReceived: boolean;
   /** Bytes of the answer that the entry holds; what was sent beyond them was lost with the link. */
   received: number;
 }
@@ -135,7 +137,9 @@
   | 'claim-key-reused'
   | 'claim-key-expired'
   | 'agent-restarted'
-  | 'displaced';
+  | 'displaced'
+  | 'never-arrived'
+  | 'outcome-forgotten';
 
 /** Agent to entry: the attempt did not run and never will; its id has a tombstone. */
 export interface NotRun {
--- a/packages/link/src/shapes.ts
+++ b/packages/link/src/shapes.ts
@@ -70,7 +70,7 @@
     resumeAfter: optional(isText),
   },
   cancel: { id: isAttemptId },
-  query: { id: isAttemptId },
+  query: { id: isAttemptId, headReceived: isFlag, received: isCount },
   credit: { id: isAttemptId, bytes: isCount },
   started: { id: isAttemptId },
   head: { id: isAttemptId, status: isCount, headers: isTextMap },
