Experts: the interfaces of group member and coordinator

Cause: the agent embeds both, and is written side by side with them. Change: types for engine, peers, member and coordinator; the group's shape in the agent's settings.

--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -73,6 +73,19 @@
     /** The expert group whose ranks this upstream serves. */
     group: z.string().optional(),
     ranks: z.array(z.number().int().min(0)).default([]),
+    /** Shape of the expert group; without it this agent never coordinates the group. */
+    layout: z
+      .strictObject({
+        rankCount: z.number().int().positive(),
+        layers: z.number().int().positive(),
+        /** Experts in each layer. */
+        experts: z.number().int().positive(),
+        /** Replicas that one rank's memory holds in each layer. */
+        slots: z.number().int().positive(),
+        /** Size of one expert's weights in one layer. */
+        bytesPerExpert: z.number().int().positive().default(50_000_000),
+      })
+      .optional(),
   }),
   platform: platformSchema,
   limits: limitsSchema,
--- a/packages/experts/src/index.ts
+++ b/packages/experts/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './types.js';
