Stand-ins of the platform, the engines and a plain service

Cause: the whole path needs something to run against before it is built. Ruled out: one process per engine; lock-step stepping and its oracle need all ranks in one place. Change: log, VM list, weight store, engine group and plain service, as libraries and as one command, with faults switched by calls.

--- /dev/null
+++ b/packages/stand-ins/src/engine/group-stand-in.ts
@@ -0,0 +1,229 @@
+/** A group of engines in one process: each has an address, all step together. */
+import type { Clock } from '@plantaindrum/common';
+import { systemClock } from '@plantaindrum/common';
+import type { StandInServer } from '../http.js';
+import { listen } from '../http.js';
+import { createSeededRandom } from '../random.js';
+import { createSignal } from '../signal.js';
+import { createControlHandler } from './control.js';
+import type { Engine, EngineCounts, EngineFaults, EngineLoad } from './engine.js';
+import { createEngine } from './engine.js';
+import { createEngineHandler } from './engine-server.js';
+import { dealtMap } from './expert-map.js';
+import type { OracleReport } from './oracle.js';
+import { createOracle } from './oracle.js';
+import { applyOrder } from './orders.js';
+import type { PopularityMotion } from './popularity.js';
+import { createPopularity } from './popularity.js';
+import { createStepper } from './stepper.js';
+
+/** Options of an engine group; all have defaults. */
+export interface EngineGroupStandInOptions {
+  engines?: number;
+  ranksPerEngine?: number;
+  /** One group of all ranks, or each engine on its own. */
+  lockStep?: boolean;
+  /** False: the engines wait for `form_group`, as after a restart. */
+  formed?: boolean;
+  group?: string;
+  model?: string;
+  layers?: number;
+  experts?: number;
+  seed?: number;
+  /** Time of a step under the base load spread evenly. */
+  stepMs?: number;
+  baseTokensPerRank?: number;
+  checksFence?: boolean;
+  weightsUrl?: string;
+  /** Generations that one engine runs at once. */
+  maxRunning?: number;
+  prefillTokensPerStep?: number;
+  cacheBlocks?: number;
+  eventLagMs?: number;
+  eventDropShare?: number;
+  metricsLagMs?: number;
+  controlPort?: number;
+  ports?: number[];
+  clock?: Clock;
+}
+
+/** What one engine is doing. */
+export interface EngineView extends EngineCounts, EngineLoad {
+  url: string;
+  alive: boolean;
+  frozen: boolean;
+  hitBlocks: number;
+  missedBlocks: number;
+  role: string;
+  weights: { experts: number; bytes: number; retries: number };
+}
+
+/** The running group. */
+export interface EngineGroupStandIn {
+  readonly engines: string[];
+  readonly control: string;
+  setFaults(engine: number, change: Partial<EngineFaults>): void;
+  /** Ends all connections at once, stops listening and forgets everything. */
+  kill(engine: number): Promise<void>;
+  /** Listens at the same address again, with an empty memory. */
+  restart(engine: number): Promise<void>;
+  releaseOrders(engine: number): void;
+  movePopularity(motion: PopularityMotion, seed?: number): void;
+  oracle(recent?: number): OracleReport;
+  resetOracle(): void;
+  views(): EngineView[];
+  /** Resolves when `holds` is true; checked at each step, order, request and fault. */
+  waitFor(holds: () => boolean): Promise<void>;
+  close(): Promise<void>;
+}
+
+const DEFAULTS = {
+  engines: 1,
+  ranksPerEngine: 1,
+  lockStep: true,
+  formed: true,
+  group: 'group-1',
+  model: 'stand-in',
+  layers: 2,
+  experts: 64,
+  seed: 1,
+  stepMs: 5,
+  baseTokensPerRank: 256,
+  checksFence: true,
+  maxRunning: 16,
+  prefillTokensPerStep: 512,
+  cacheBlocks: 4096,
+  eventLagMs: 200,
+  eventDropShare: 0.05,
+  metricsLagMs: 1000,
+};
+
+/** Starts an engine group; its control address is described in `control.ts`. */
+export const createEngineGroupStandIn = async (
+  options: EngineGroupStandInOptions = {},
+): Promise<EngineGroupStandIn> => {
+  const cfg = { ...DEFAULTS, clock: systemClock, ...options };
+  const random = createSeededRandom(cfg.seed);
+  const popularity = createPopularity(cfg.layers, cfg.experts, cfg.seed);
+  const oracle = createOracle();
+  const changed = createSignal();
+  const progressed = createSignal();
+  const ranksOf = (index: number): number[] =>
+    Array.from(
+      { length: cfg.ranksPerEngine },
+      (_, at) => (cfg.lockStep ? index * cfg.ranksPerEngine : 0) + at,
+    );
+  const engines = Array.from({ length: cfg.engines }, (_, index) =>
+    createEngine(index, ranksOf(index), cfg, { ...cfg, random }, progressed.notify),
+  );
+  const stepper = createStepper({
+    engines,
+    clock: cfg.clock,
+    popularity,
+    oracle,
+    stepUs: cfg.stepMs * 1000,
+    baseTokensPerRank: cfg.baseTokensPerRank,
+    changed,
+    onStep: progressed.notify,
+  });
+  const handlers = engines.map((engine) =>
+    createEngineHandler(engine, stepper, changed, progressed.notify),
+  );
+  const listenAt = (index: number, port: number): Promise<StandInServer> =>
+    listen(handlers[index] ?? (() => {}), port);
+  const servers = await Promise.all(
+    engines.map((engine) => listenAt(engine.index, cfg.ports?.[engine.index] ?? 0)),
+  );
+  const urls = servers.map((server) => server.url);
+
+  const engineAt = (index: number): Engine => {
+    const engine = engines[index];
+    if (!engine) throw new Error(`no engine ${index}`);
+    return engine;
+  };
+
+  const notifyAll = (): void => {
+    changed.notify();
+    progressed.notify();
+  };
+
+  const setFaults = (index: number, change: Partial<EngineFaults>): void => {
+    const engine = engineAt(index);
+    Object.assign(engine.faults, change);
+    engine.memory.cache.setDropShare(engine.faults.eventDropShare);
+    notifyAll();
+  };
+
+  const kill = async (index: number): Promise<void> => {
+    const engine = engineAt(index);
+    engine.alive = false;
+    const closed = servers[index]?.close();
+    engine.wipe();
+    notifyAll();
+    await closed;
+  };
+
+  const restart = async (index: number): Promise<void> => {
+    const engine = engineAt(index);
+    servers[index] = await listenAt(index, servers[index]?.port ?? 0);
+    engine.alive = true;
+    notifyAll();
+  };
+
+  const formAtStart = (): void => {
+    const rankCount = cfg.ranksPerEngine * (cfg.lockStep ? cfg.engines : 1);
+    const map = dealtMap(1, cfg.layers, cfg.experts, rankCount);
+    engines.forEach((engine) => {
+      const group = cfg.lockStep ? cfg.group : `${cfg.group}-${engine.index}`;
+      applyOrder(engine.memory.state, 'form_group', {
+        fence: 0,
+        group,
+        rank_count: rankCount,
+        version: 1,
+        map,
+      });
+    });
+    engines.forEach((engine) => stepper.join(engine));
+  };
+
+  const viewOf = (engine: Engine): EngineView => ({
+    ...structuredClone(engine.counts),
+    ...engine.memory.batch.counts(),
+    ...engine.memory.cache.stats(),
+    cacheUsage: engine.memory.cache.usage(),
+    url: urls[engine.index] ?? '',
+    alive: engine.alive,
+    frozen: engine.faults.frozen,
+    role: engine.memory.role,
+    weights: engine.memory.weights.stats(),
+  });
+
+  const standIn = {
+    engines: urls,
+    setFaults,
+    kill,
+    restart,
+    releaseOrders: (index: number) => {
+      engineAt(index).ordersReleased.notify();
+    },
+    movePopularity: popularity.move,
+    oracle: oracle.report,
+    resetOracle: oracle.reset,
+    views: () => engines.map(viewOf),
+    waitFor: async (holds: () => boolean) => {
+      while (!holds()) await progressed.wait();
+    },
+  };
+  const control = await listen(createControlHandler(standIn), cfg.controlPort ?? 0);
+  if (cfg.formed) formAtStart();
+
+  return {
+    ...standIn,
+    control: control.url,
+    close: async () => {
+      stepper.close();
+      engines.forEach((engine) => engine.memory.weights.close());
+      await Promise.all([...servers, control].map((server) => server.close()));
+    },
+  };
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export * from './engine/engine.js';
+export * from './engine/expert-map.js';
+export * from './engine/group-stand-in.js';
+export * from './engine/oracle.js';
+export * from './engine/popularity.js';
+export * from './engine/text.js';
+export * from './gate.js';
+export * from './histogram.js';
+export * from './log/log-stand-in.js';
+export * from './random.js';
+export * from './service-stand-in.js';
+export * from './signal.js';
+export * from './vm-list-stand-in.js';
+export * from './weight-store-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/log/log-stand-in.ts
@@ -0,0 +1,202 @@
+/** The log service: the Kafka REST interface over partitions in memory. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '@plantaindrum/common';
+import { systemClock } from '@plantaindrum/common';
+import type { PlatformFaults } from '../gate.js';
+import { createGate } from '../gate.js';
+import { addressOf, headerOf, listen, readJson, sendJson } from '../http.js';
+import { createSignal } from '../signal.js';
+import { createTokenBucket } from '../token-bucket.js';
+import type { Partition, Retention } from './partition.js';
+import { createPartition } from './partition.js';
+
+const CONTENT_TYPE = 'application/vnd.kafka.json.v2+json';
+const RECORDS_PATH = /^\/topics\/([^/]+)\/partitions\/(\d+)(?:\/(offsets|records))?$/;
+const DEFAULT_MAX_BYTES = 1_048_576;
+const OFFSET_OUT_OF_RANGE = 40_402;
+
+/** Options of the log stand-in. */
+export interface LogStandInOptions {
+  port?: number;
+  clock?: Clock;
+  /** Appends (requests, not records) a second over all topics. */
+  appendsPerSecond?: number;
+  retention?: Partial<Retention>;
+}
+
+/** What the log has served, for measurements. */
+export interface LogStats {
+  appends: number;
+  records: number;
+  reads: number;
+  rateLimited: number;
+  answersLost: number;
+  appendsByClient: Record<string, number>;
+}
+
+/** The running log stand-in. */
+export interface LogStandIn {
+  readonly url: string;
+  setFaults(change: Partial<PlatformFaults>): void;
+  /** Drops the records below `before`, as if the retention had passed. */
+  expire(topic: string, partition: number, before: number): void;
+  /** The records still kept. */
+  records(topic: string, partition?: number): unknown[];
+  stats(): LogStats;
+  close(): Promise<void>;
+}
+
+/** Starts a log service. Besides the faults it serves `POST /expire` and `GET /stats`. */
+export const createLogStandIn = async (options: LogStandInOptions = {}): Promise<LogStandIn> => {
+  const { clock = systemClock, appendsPerSecond = 400, port = 0 } = options;
+  const retention: Retention = { records: Infinity, ms: Infinity, ...options.retention };
+  const partitions = new Map<string, Partition>();
+  const bucket = createTokenBucket(clock, appendsPerSecond, appendsPerSecond);
+  const gate = createGate(clock);
+  const appended = createSignal();
+  const stats: LogStats = {
+    appends: 0,
+    records: 0,
+    reads: 0,
+    rateLimited: 0,
+    answersLost: 0,
+    appendsByClient: {},
+  };
+
+  const partitionOf = (topic: string, index: number): Partition => {
+    const key = `${topic}/${index}`;
+    const partition = partitions.get(key) ?? createPartition(topic, index, clock, retention);
+    partitions.set(key, partition);
+    return partition;
+  };
+
+  const countAppend = (req: IncomingMessage, records: number): void => {
+    const client = headerOf(req, 'x-client') ?? '';
+    stats.appends += 1;
+    stats.records += records;
+    stats.appendsByClient[client] = (stats.appendsByClient[client] ?? 0) + 1;
+  };
+
+  const append = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    topic: string,
+    index: number,
+  ): Promise<void> => {
+    const body = await readJson<{ records: { key?: unknown; value: unknown }[] }>(req);
+    if (!(await gate.pass(req, res, 'append'))) return;
+    const waitMs = bucket.take(1);
+    if (waitMs > 0) {
+      stats.rateLimited += 1;
+      const retryAfter = String(Math.max(1, Math.ceil(waitMs / 1000)));
+      sendJson(res, 429, { error_code: 42901, message: 'rate' }, { 'retry-after': retryAfter });
+      return;
+    }
+    const partition = partitionOf(topic, index);
+    const offsets = body.records.map((record) => ({
+      partition: index,
+      offset: partition.append(record),
+    }));
+    countAppend(req, offsets.length);
+    appended.notify();
+    if (gate.losesAnswer()) {
+      stats.answersLost += 1;
+      req.socket.destroy();
+      return;
+    }
+    sendJson(res, 200, { offsets }, { 'content-type': CONTENT_TYPE });
+  };
+
+  /** Waits until there is a record at `offset`, the time is over, or the faults change. */
+  const awaitRecord = async (
+    req: IncomingMessage,
+    partition: Partition,
+    offset: number,
+    timeoutMs: number,
+  ): Promise<void> => {
+    let over = false;
+    const gone = new Promise<void>((resolve) => {
+      req.socket.once('close', resolve);
+    });
+    const timeout = createSignal();
+    const cancel = clock.after(timeoutMs, () => {
+      over = true;
+      timeout.notify();
+    });
+    const ended = Promise.race([timeout.wait(), gone, gate.changed.wait()]).then(() => {
+      over = true;
+    });
+    while (!over && partition.end() <= offset) await Promise.race([appended.wait(), ended]);
+    cancel();
+    timeout.notify();
+  };
+
+  const read = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    topic: string,
+    index: number,
+  ): Promise<void> => {
+    if (!(await gate.pass(req, res, 'read'))) return;
+    const query = addressOf(req).searchParams;
+    const offset = Number(query.get('offset') ?? 0);
+    const timeoutMs = Number(query.get('timeout') ?? 0);
+    const maxBytes = Number(query.get('max_bytes') ?? DEFAULT_MAX_BYTES);
+    const partition = partitionOf(topic, index);
+    stats.reads += 1;
+    if (partition.end() === offset && timeoutMs > 0) {
+      await awaitRecord(req, partition, offset, timeoutMs);
+      if (!(await gate.pass(req, res, 'read'))) return;
+    }
+    if (offset < partition.begin() || offset > partition.end()) {
+      sendJson(res, 404, { error_code: OFFSET_OUT_OF_RANGE, message: 'offset out of range' });
+      return;
+    }
+    sendJson(res, 200, partition.read(offset, maxBytes), { 'content-type': CONTENT_TYPE });
+  };
+
+  const offsets = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    topic: string,
+    index: number,
+  ): Promise<void> => {
+    if (!(await gate.pass(req, res, 'read'))) return;
+    const partition = partitionOf(topic, index);
+    sendJson(res, 200, { beginning_offset: partition.begin(), end_offset: partition.end() });
+  };
+
+  const control = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    if (await gate.serve(req, res)) return;
+    if (req.method === 'POST' && req.url === '/expire') {
+      const body = await readJson<{ topic: string; partition?: number; before: number }>(req);
+      partitionOf(body.topic, body.partition ?? 0).expire(body.before);
+      sendJson(res, 200, {});
+      return;
+    }
+    if (req.url === '/stats') sendJson(res, 200, stats);
+    else sendJson(res, 404, { error_code: 40401, message: 'no such address' });
+  };
+
+  const server = await listen(async (req, res) => {
+    const found = RECORDS_PATH.exec(addressOf(req).pathname);
+    if (!found) {
+      await control(req, res);
+      return;
+    }
+    const topic = decodeURIComponent(found[1] ?? '');
+    const index = Number(found[2]);
+    if (req.method === 'POST') await append(req, res, topic, index);
+    else if (found[3] === 'offsets') await offsets(req, res, topic, index);
+    else await read(req, res, topic, index);
+  }, port);
+
+  return {
+    url: server.url,
+    setFaults: gate.set,
+    expire: (topic, index, before) => partitionOf(topic, index).expire(before),
+    records: (topic, index = 0) => partitionOf(topic, index).read(0, Infinity),
+    stats: () => structuredClone(stats),
+    close: server.close,
+  };
+};
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,97 @@
+/** Starts a stand-in as a process; prints one JSON line when it is ready, ends on SIGTERM. */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { createEngineGroupStandIn } from './engine/group-stand-in.js';
+import { createLogStandIn } from './log/log-stand-in.js';
+import { createServiceStandIn } from './service-stand-in.js';
+import { createVmListStandIn } from './vm-list-stand-in.js';
+import { createWeightStoreStandIn } from './weight-store-stand-in.js';
+
+interface Closable {
+  close(): Promise<void>;
+}
+
+const report = (addresses: Record<string, unknown>): void => {
+  process.stdout.write(`${JSON.stringify({ ready: true, ...addresses })}\n`);
+};
+
+const closeOnSignal = (parts: Closable[]): void => {
+  const end = async (): Promise<void> => {
+    await Promise.all(parts.map((part) => part.close()));
+    process.exit(0);
+  };
+  process.once('SIGTERM', end);
+  process.once('SIGINT', end);
+};
+
+await yargs(hideBin(process.argv))
+  .scriptName('stand-ins')
+  .command(
+    'platform',
+    'log, VM list and weight store',
+    (args) =>
+      args
+        .option('port', { type: 'number', default: 0, describe: 'port of the log' })
+        .option('appends-per-second', { type: 'number', default: 400 })
+        .option('retention-ms', { type: 'number', default: Infinity })
+        .option('retention-records', { type: 'number', default: Infinity })
+        .option('lag-ms', { type: 'number', default: 1000, describe: 'lag of the VM list' })
+        .option('expert-bytes', { type: 'number', default: 65_536 })
+        .option('bytes-per-second', { type: 'number', default: 64_000_000 }),
+    async (argv) => {
+      const log = await createLogStandIn({
+        port: argv.port,
+        appendsPerSecond: argv.appendsPerSecond,
+        retention: { ms: argv.retentionMs, records: argv.retentionRecords },
+      });
+      const vms = await createVmListStandIn({ lagMs: argv.lagMs });
+      const weights = await createWeightStoreStandIn({
+        expertBytes: argv.expertBytes,
+        bytesPerSecond: argv.bytesPerSecond,
+      });
+      closeOnSignal([log, vms, weights]);
+      report({ log: log.url, vms: vms.url, weights: weights.url });
+    },
+  )
+  .command(
+    'engines',
+    'a group of engines that step together',
+    (args) =>
+      args
+        .option('engines', { type: 'number', default: 1 })
+        .option('ranks-per-engine', { type: 'number', default: 1 })
+        .option('lock-step', { type: 'boolean', default: true })
+        .option('formed', { type: 'boolean', default: true })
+        .option('group', { type: 'string', default: 'group-1' })
+        .option('model', { type: 'string', default: 'stand-in' })
+        .option('layers', { type: 'number', default: 2 })
+        .option('experts', { type: 'number', default: 64 })
+        .option('seed', { type: 'number', default: 1 })
+        .option('step-ms', { type: 'number', default: 5 })
+        .option('checks-fence', { type: 'boolean', default: true })
+        .option('weights-url', { type: 'string' })
+        .option('max-running', { type: 'number', default: 16 })
+        .option('cache-blocks', { type: 'number', default: 4096 })
+        .option('event-lag-ms', { type: 'number', default: 200 })
+        .option('event-drop-share', { type: 'number', default: 0.05 })
+        .option('metrics-lag-ms', { type: 'number', default: 1000 }),
+    async (argv) => {
+      const group = await createEngineGroupStandIn(argv);
+      closeOnSignal([group]);
+      report({ engines: group.engines, control: group.control });
+    },
+  )
+  .command(
+    'service',
+    'a plain service that counts its calls',
+    (args) => args.option('service-time-ms', { type: 'number', default: 5 }),
+    async (argv) => {
+      const service = await createServiceStandIn({ serviceTimeMs: argv.serviceTimeMs });
+      closeOnSignal([service]);
+      report({ url: service.url, control: service.control });
+    },
+  )
+  .demandCommand(1)
+  .strict()
+  .help()
+  .parseAsync();
