--- /dev/null
+++ b/packages/lab/src/cli/demo/oracle.ts
@@ -0,0 +1,36 @@
+import { getJson } from '../../harness/stand-ins.js';
+import type { Site } from '../../harness/site-types.js';
+import type { Oracle } from './summary.js';
+
+interface ServiceCounts {
+  byPath: Record<string, number>;
+}
+
+interface GroupOracle {
+  steps: number;
+  mixedSteps: number;
+}
+
+const addAll = (total: Record<string, number>, counts: Record<string, number>): void =>
+  Object.entries(counts).forEach(([path, count]) => {
+    // eslint-disable-next-line no-param-reassign
+    total[path] = (total[path] ?? 0) + count;
+  });
+
+/** Asks every stand-in of a site for its own counts. */
+export const readOracle = async (site: Site): Promise<Oracle> => {
+  const replicas = site.services.flatMap((service) => service.processes);
+  const services = await Promise.all(
+    replicas.map((child) => getJson<ServiceCounts>(`${child.ready.control}/counts`)),
+  );
+  const groups = await Promise.all(
+    site.groups.map((group) => getJson<GroupOracle>(`${group.process.ready.control}/oracle`)),
+  );
+  const byPath: Record<string, number> = {};
+  services.forEach((counts) => addAll(byPath, counts.byPath));
+  return {
+    byPath,
+    steps: groups.reduce((sum, group) => sum + group.steps, 0),
+    mixedSteps: groups.reduce((sum, group) => sum + group.mixedSteps, 0),
+  };
+};
--- /dev/null
+++ b/packages/lab/src/harness/operators.ts
@@ -0,0 +1,89 @@
+import { readFileSync } from 'node:fs';
+import { randomUUID } from 'node:crypto';
+import type { IntentChange, IntentDocument, IntentKey } from '@plantaindrum/intent';
+import { intentDocumentSchema } from '@plantaindrum/intent';
+import { parseSettings } from '@plantaindrum/common';
+import { request } from 'undici';
+
+/** Token of every operators' door that the lab starts. */
+export const OPERATORS_TOKEN = 'lab-operators-token';
+
+/** Answer of `POST /intent`. */
+export interface IntentAnswer {
+  outcome: 'accepted' | 'conflict' | 'invalid' | 'unknown';
+  version?: number;
+}
+
+/** A client of one operators' door. */
+export interface Operators {
+  ready(): Promise<boolean>;
+  status(): Promise<Record<string, unknown>>;
+  metrics(): Promise<string>;
+  /** The value of one counter in the metrics, summed over the series that match `labels`. */
+  counter(name: string, labels?: Record<string, string>): Promise<number>;
+  intent(): Promise<unknown>;
+  change(changes: IntentChange[], author?: string): Promise<IntentAnswer>;
+}
+
+const headers = { authorization: `Bearer ${OPERATORS_TOKEN}`, 'content-type': 'application/json' };
+
+const matches = (line: string, name: string, labels: Record<string, string>): boolean =>
+  (line.startsWith(`${name}{`) || line.startsWith(`${name} `)) &&
+  Object.entries(labels).every(([key, value]) => line.includes(`${key}="${value}"`));
+
+/** Sums the series of a Prometheus exposition that match. */
+export const sumSeries = (text: string, name: string, labels: Record<string, string> = {}) =>
+  text
+    .split('\n')
+    .filter((line) => matches(line, name, labels))
+    .reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+
+/** Creates a client of the operators' door at `url`. */
+export const createOperators = (url: string): Operators => {
+  const get = async (path: string): Promise<string> => {
+    const res = await request(`${url}${path}`, { headers });
+    return res.body.text();
+  };
+  const metrics = (): Promise<string> => get('/metrics');
+
+  return {
+    ready: async () => {
+      try {
+        const res = await request(`${url}/ready`);
+        await res.body.dump();
+        return res.statusCode === 200;
+      } catch {
+        return false;
+      }
+    },
+    status: async () => JSON.parse(await get('/status')) as Record<string, unknown>,
+    metrics,
+    counter: async (name, labels) => sumSeries(await metrics(), name, labels),
+    intent: async () => JSON.parse(await get('/intent')) as unknown,
+    change: async (changes, author = 'lab') => {
+      const res = await request(`${url}/intent`, {
+        method: 'POST',
+        headers,
+        body: JSON.stringify({ id: randomUUID(), author, changes }),
+      });
+      return (await res.body.json()) as IntentAnswer;
+    },
+  };
+};
+
+/** Reads an operators' intent file (JSON with comments); a faulty one throws. */
+export const readIntentFile = (file: string): IntentDocument => {
+  const parsed = parseSettings(readFileSync(file, 'utf8'), intentDocumentSchema);
+  if (!parsed.ok) throw new Error(`${file}: ${JSON.stringify(parsed.err)}`);
+  return parsed.value;
+};
+
+/** The changes that declare a whole document on an empty log. */
+export const changesOf = (document: IntentDocument): IntentChange[] =>
+  Object.entries(document).flatMap(([section, values]) =>
+    Object.entries(values).map(([name, value]) => ({
+      key: `${section}/${name}` as IntentKey,
+      base: -1,
+      value,
+    })),
+  );
--- /dev/null
+++ b/packages/lab/src/harness/site.ts
@@ -0,0 +1,143 @@
+import type { IntentDocument } from '@plantaindrum/intent';
+import type { Child } from './child.js';
+import { startChild } from './child.js';
+import type { NodeProcesses, StartChild } from './node-processes.js';
+import { createNodeProcesses } from './node-processes.js';
+import { changesOf } from './operators.js';
+import type { SettingsFolder } from './settings-folder.js';
+import { createSettingsFolder } from './settings-folder.js';
+import type {
+  GroupSpec,
+  ServiceSpec,
+  Site,
+  SiteEntry,
+  SiteSpec,
+  SiteUpstream,
+} from './site-types.js';
+import type { EnginesReady, PlatformReady, ServiceReady } from './stand-ins.js';
+import { enginesSpec, platformSpec, putVms, serviceSpec } from './stand-ins.js';
+import { until } from './until.js';
+import { groupPlans, servicePlans, vmOfEntry, vmOfUpstream } from './upstream-plans.js';
+
+const READY_WITHIN_MS = 15_000;
+
+const startGroup = async (start: StartChild, spec: GroupSpec) => {
+  const flags = {
+    group: spec.name,
+    model: spec.model,
+    engines: spec.engines,
+    'ranks-per-engine': spec.ranksPerEngine,
+    ...spec.flags,
+  };
+  return { spec, process: await start<EnginesReady>(enginesSpec(spec.name, flags)) };
+};
+
+const startReplicas = async (start: StartChild, spec: ServiceSpec) => {
+  const names = Array.from({ length: spec.replicas }, (_, index) => `${spec.name}-${index + 1}`);
+  const starting = names.map((name) => start<ServiceReady>(serviceSpec(name, spec.flags)));
+  return { spec, processes: await Promise.all(starting) };
+};
+
+const found = <T>(what: string, value: T | undefined): T => {
+  if (value === undefined) throw new Error(`this site has no ${what}`);
+  return value;
+};
+
+const startParts = async (spec: SiteSpec, start: StartChild, processes: NodeProcesses) => {
+  const [groups, services] = await Promise.all([
+    Promise.all(spec.groups.map((group) => startGroup(start, group))),
+    Promise.all(spec.services.map((service) => startReplicas(start, service))),
+  ]);
+  const plans = [
+    ...groups.flatMap((group) => groupPlans(group.spec, group.process.ready)),
+    ...services.flatMap((service) =>
+      servicePlans(
+        service.spec,
+        service.processes.map((child) => child.ready),
+      ),
+    ),
+  ];
+  const upstreams = await Promise.all(plans.map(processes.startAgent));
+  return { groups, services, upstreams };
+};
+
+const buildSite = async (
+  spec: SiteSpec,
+  start: StartChild,
+  close: () => Promise<void>,
+  folder: SettingsFolder,
+): Promise<Site> => {
+  const platform = await start<PlatformReady>(platformSpec(spec.platformFlags));
+  const processes = createNodeProcesses(spec, platform.ready, folder, start);
+  const { groups, services, upstreams } = await startParts(spec, start, processes);
+  const entries: SiteEntry[] = [];
+
+  const upstream = (name: string): SiteUpstream =>
+    found(
+      `upstream ${name}`,
+      upstreams.find((candidate) => candidate.name === name),
+    );
+  const publish = (): Promise<void> =>
+    putVms(platform.ready.vms, [
+      ...upstreams.map((candidate) => vmOfUpstream(candidate, spec.region)),
+      ...entries.map((entry) => vmOfEntry(entry, spec.region)),
+    ]);
+  const startEntry = async (entry: SiteSpec['entries'][number]): Promise<SiteEntry> => {
+    const running = await processes.startEntry(entry);
+    entries.push(running);
+    return running;
+  };
+
+  await publish();
+  await Promise.all(spec.entries.map(startEntry));
+  await publish();
+  return {
+    platform,
+    entries,
+    upstreams,
+    groups,
+    services,
+    upstream,
+    entry: (index) => found(`entry ${index}`, entries[index]),
+    startEntry,
+    restartAgent: async (name) => {
+      await processes.restartAgent(upstream(name));
+      return upstream(name);
+    },
+    publish,
+    close,
+  };
+};
+
+/** Declares the intent at one entry and waits until every entry is ready with it. */
+const declare = async (site: Site, intent: IntentDocument): Promise<void> => {
+  const answer = await site.entry(0).operators.change(changesOf(intent));
+  if (answer.outcome !== 'accepted') throw new Error(`intent: ${JSON.stringify(answer)}`);
+  const ready = site.entries.map((entry) =>
+    until(`${entry.name} is ready`, () => entry.operators.ready(), READY_WITHIN_MS),
+  );
+  await Promise.all(ready);
+};
+
+/** Starts a site: stand-ins, agents, the VM list, entries, the operators' intent. */
+export const startSite = async (spec: SiteSpec): Promise<Site> => {
+  const folder = createSettingsFolder();
+  const children: Child<unknown>[] = [];
+  const start: StartChild = async (childSpec) => {
+    const child = await startChild<never>(childSpec);
+    children.push(child);
+    return child;
+  };
+  const close = async (): Promise<void> => {
+    await Promise.all(children.map((child) => child.kill()));
+    folder.remove();
+  };
+  try {
+    const site = await buildSite(spec, start, close, folder);
+    await declare(site, spec.intent);
+    return site;
+  } catch (err) {
+    await close();
+    throw err;
+  }
+};
--- /dev/null
+++ b/packages/lab/src/harness/stand-ins.ts
@@ -0,0 +1,77 @@
+import { request } from 'undici';
+import type { ChildSpec } from './child.js';
+
+/** Ready line of the platform stand-in. */
+export interface PlatformReady {
+  log: string;
+  /** Whole address of the VM list. */
+  vms: string;
+  weights: string;
+}
+
+/** Ready line of an engine group. */
+export interface EnginesReady {
+  engines: string[];
+  control: string;
+}
+
+/** Ready line of a plain service. */
+export interface ServiceReady {
+  url: string;
+  control: string;
+}
+
+/** One target group of the VM list. */
+export interface VmTargets {
+  targets: string[];
+  labels: Record<string, string>;
+}
+
+/** Flags of a stand-in's command line. */
+export type Flags = Record<string, string | number | boolean>;
+
+const SCRIPT = 'packages/stand-ins/dist/main.js';
+
+const flagsOf = (flags: Flags): string[] =>
+  Object.entries(flags).map(([name, value]) => `--${name}=${String(value)}`);
+
+const standInSpec = (kind: string, name: string, flags: Flags): ChildSpec => ({
+  name,
+  script: SCRIPT,
+  args: [kind, ...flagsOf(flags)],
+});
+
+/** The log, VM list and weight store in one process. */
+export const platformSpec = (flags: Flags = {}): ChildSpec =>
+  standInSpec('platform', 'platform', flags);
+
+/** One process with the engines of an expert group. */
+export const enginesSpec = (name: string, flags: Flags = {}): ChildSpec =>
+  standInSpec('engines', name, flags);
+
+/** One replica of a plain service. */
+export const serviceSpec = (name: string, flags: Flags = {}): ChildSpec =>
+  standInSpec('service', name, flags);
+
+const send = async (method: 'PUT' | 'POST', url: string, body: unknown): Promise<void> => {
+  const res = await request(url, {
+    method,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  const text = await res.body.text();
+  if (res.statusCode >= 300) throw new Error(`${method} ${url}: ${res.statusCode} ${text}`);
+};
+
+/** Sets the true VM list; readers see it after the list's lag. */
+export const putVms = (url: string, vms: VmTargets[]): Promise<void> => send('PUT', url, vms);
+
+/** Switches faults of a stand-in. */
+export const setFaults = (url: string, faults: Record<string, unknown>): Promise<void> =>
+  send('POST', `${url}/faults`, faults);
+
+/** Reads a JSON document of a stand-in's control address. */
+export const getJson = async <T>(url: string): Promise<T> => {
+  const res = await request(url);
+  return (await res.body.json()) as T;
+};
--- /dev/null
+++ b/packages/lab/src/harness/upstream-plans.ts
@@ -0,0 +1,70 @@
+import type { GroupSpec, ServiceSpec, SiteEntry, SiteUpstream } from './site-types.js';
+import type { EnginesReady, ServiceReady, VmTargets } from './stand-ins.js';
+
+/** An upstream whose stand-in runs and whose agent is still to be started. */
+export interface UpstreamPlan {
+  name: string;
+  dataCentre: string;
+  kind: 'model' | 'service';
+  url: string;
+  control: string;
+  /** Labels in the VM list that tell what the upstream serves. */
+  labels: Record<string, string>;
+  /** The agent's `upstream` settings. */
+  upstream: Record<string, unknown>;
+}
+
+const rankNumbers = (engine: number, count: number): number[] =>
+  Array.from({ length: count }, (_, index) => engine * count + index);
+
+/** The upstreams of an expert group, one for each engine. */
+export const groupPlans = (spec: GroupSpec, ready: EnginesReady): UpstreamPlan[] =>
+  ready.engines.map((url, index) => {
+    const ranks = rankNumbers(index, spec.ranksPerEngine);
+    return {
+      name: `${spec.name}-${index + 1}`,
+      dataCentre: spec.dataCentre,
+      kind: 'model',
+      url,
+      control: ready.control,
+      labels: { kind: 'model', model: spec.model, group: spec.name, ranks: ranks.join(',') },
+      upstream: { kind: 'model', url, group: spec.name, ranks },
+    };
+  });
+
+/** The upstreams of a plain service, one for each replica. */
+export const servicePlans = (spec: ServiceSpec, replicas: ServiceReady[]): UpstreamPlan[] =>
+  replicas.map((ready, index) => ({
+    name: `${spec.name}-${index + 1}`,
+    dataCentre: spec.dataCentre,
+    kind: 'service',
+    url: ready.url,
+    control: ready.control,
+    labels: { kind: 'service', service: spec.name },
+    upstream: { kind: 'service', url: ready.url },
+  }));
+
+/** An upstream's line in the VM list. */
+export const vmOfUpstream = (upstream: SiteUpstream, region: string): VmTargets => ({
+  targets: [upstream.listed],
+  labels: {
+    vm: upstream.name,
+    role: 'upstream',
+    data_centre: upstream.dataCentre,
+    region,
+    state: upstream.state,
+    ...upstream.labels,
+  },
+});
+
+/** An entry's line in the VM list. */
+export const vmOfEntry = (entry: SiteEntry, region: string): VmTargets => ({
+  targets: [entry.process.ready.link],
+  labels: {
+    vm: entry.name,
+    role: 'entry',
+    data_centre: entry.dataCentre,
+    region,
+    state: 'live',
+  },
+});
