Engine stand-in: refuse_map, versions only grow, votes shown by GET /group

Cause: the engines' orders gained a lasting refusal, and form_group may not take ranks back to an older map. Change: orders by the table of docs/PLATFORM.md; a decided switch that waits for its step is shown.

--- a/packages/platform/src/engine-orders.ts
+++ b/packages/platform/src/engine-orders.ts
@@ -12,7 +12,8 @@
   | 'prepare_map'
   | 'arm_map'
   | 'switch_map'
-  | 'abort_map';
+  | 'abort_map'
+  | 'refuse_map';
 
 /** How an engine met an order: carried out, or refused with its reason (`old-fence`, `late`, …). */
 export type OrderOutcome =
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -32,12 +32,15 @@
   return {
     group: state.formed?.group ?? null,
     fence: state.fence,
+    refused_to: state.refusedTo,
     ranks: engine.ranks.map((rank, at) => ({
       rank,
       step: state.step,
-      version: state.map?.version ?? 0,
+      version: state.map?.version ?? null,
       prepared: [...state.prepared.keys()],
-      armed: armed ? { version: armed.version, at_step: armed.atStep } : null,
+      armed: armed
+        ? { version: armed.version, at_step: armed.atStep, decided: armed.decided }
+        : null,
       holding: holdsBefore(state, state.step + 1),
       step_time_us: Math.round(engine.rankUs[at] ?? 0),
       tokens_by_expert: (engine.tokensByExpert[at] ?? []).map((tokens) =>
--- a/packages/stand-ins/src/engine/orders.ts
+++ b/packages/stand-ins/src/engine/orders.ts
@@ -12,6 +12,8 @@
   map: ExpertMap | null;
   prepared: Map<number, ExpertMap>;
   armed: { version: number; atStep: number; decided: boolean } | null;
+  /** The highest version that these ranks will never prepare or arm. */
+  refusedTo: number;
 }
 
 /** Why an order was refused. */
@@ -20,8 +22,10 @@
   | 'late'
   | 'not-prepared'
   | 'not-armed'
-  | 'armed-otherwise'
-  | 'decided'
+  | 'busy'
+  | 'armed'
+  | 'refused'
+  | 'old-version'
   | 'not-formed'
   | 'unknown-order';
 
@@ -50,11 +54,13 @@
   map: null,
   prepared: new Map(),
   armed: null,
+  refusedTo: 0,
 });
 
 const form = (state: MapState, body: OrderBody): OrderOutcome => {
   const { group = '', rank_count: rankCount = 0, fence = 0, map } = body;
   if (!map) return refuse('not-prepared');
+  if (state.map && (body.version ?? map.version) <= state.map.version) return refuse('old-version');
   Object.assign(state, {
     formed: { group, fence, rankCount },
     map: { ...map, version: body.version ?? map.version },
@@ -67,6 +73,9 @@
 const prepare = (state: MapState, body: OrderBody): OrderOutcome => {
   if (!body.map) return refuse('not-prepared');
   const version = body.version ?? body.map.version;
+  if (!state.map) return refuse('not-formed');
+  if (version <= state.map.version) return refuse('old-version');
+  if (version <= state.refusedTo) return refuse('refused');
   state.prepared.set(version, { ...body.map, version });
   return DONE;
 };
@@ -74,33 +83,39 @@
 const arm = (state: MapState, body: OrderBody): OrderOutcome => {
   const { version = 0, at_step: atStep = 0 } = body;
   if (!state.formed) return refuse('not-formed');
-  if (!state.prepared.has(version)) return refuse('not-prepared');
   const same = state.armed?.version === version && state.armed.atStep === atStep;
   if (same) return DONE;
-  if (state.armed) return refuse('armed-otherwise');
+  if (state.armed) return refuse('busy');
+  if (version <= state.refusedTo) return refuse('refused');
+  if (!state.prepared.has(version)) return refuse('not-prepared');
   if (atStep <= state.step) return refuse('late');
   Object.assign(state, { armed: { version, atStep, decided: false } });
   return DONE;
 };
 
 const decideSwitch = (state: MapState, body: OrderBody): OrderOutcome => {
-  if (state.map?.version === body.version) return DONE;
-  const { armed } = state;
-  if (!armed || armed.version !== body.version) return refuse('not-armed');
-  armed.decided = true;
+  if (state.armed?.version === body.version) Object.assign(state.armed ?? {}, { decided: true });
   return DONE;
 };
 
-const abort = (state: MapState, body: OrderBody): OrderOutcome => {
+const refuseVersion = (state: MapState, body: OrderBody): OrderOutcome => {
   const { version = 0 } = body;
-  if (state.map?.version === version) return refuse('decided');
-  if (state.armed?.version === version) {
-    if (state.armed.decided) return refuse('decided');
-    Object.assign(state, { armed: null });
-  }
+  if (state.map?.version === version || state.armed?.version === version) return refuse('armed');
+  Object.assign(state, { refusedTo: Math.max(state.refusedTo, version) });
+  const refused = [...state.prepared.keys()].filter((prepared) => prepared <= version);
+  // An armed version is prepared too, and may be smaller than the refused one.
+  refused
+    .filter((prepared) => prepared !== state.armed?.version)
+    .forEach((prepared) => state.prepared.delete(prepared));
   return DONE;
 };
 
+const abort = (state: MapState, body: OrderBody): OrderOutcome => {
+  const { armed } = state;
+  if (armed?.version === body.version && !armed?.decided) Object.assign(state, { armed: null });
+  return refuseVersion(state, body);
+};
+
 /** Refuses an old fence if the engine checks, and remembers the highest. */
 export const checkFence = (state: MapState, body: OrderBody, checks: boolean): OrderOutcome => {
   const { fence } = body;
@@ -123,6 +138,8 @@
       return decideSwitch(state, body);
     case 'abort_map':
       return abort(state, body);
+    case 'refuse_map':
+      return refuseVersion(state, body);
     default:
       return refuse('unknown-order');
   }
