Experts: the group member settles armed maps with the other agents

Cause: a coordinator may die between any two messages of a change, and ranks that are left armed hold up the whole group. Ruled out: a vote kept in the agent's memory (lost on restart); a decision by the coordinator alone (the group would wait for it).

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,4 @@
 export * from './metrics.js';
 export * from './random.js';
 export * from './result.js';
-export * from './schema-text.js';
 export * from './settings.js';
-export * from './settings-file.js';
--- a/packages/experts/src/types.ts
+++ b/packages/experts/src/types.ts
@@ -33,7 +33,8 @@
   /** The map in use; null before the group is formed. */
   version: number | null;
   prepared: number[];
-  armed: { version: number; at_step: number } | null;
+  /** Stays until the step has come, also when the switch is decided. */
+  armed: { version: number; at_step: number; decided?: boolean } | null;
   holding: boolean;
   /** The rank's own work in its last step, without waiting for the others. */
   step_time_us: number;
@@ -170,6 +171,8 @@
 
 /** Options of `createGroupMember`. */
 export interface GroupMemberOptions extends GroupContext {
+  /** Ranks in the whole group, from settings: a lagging list must not pass for a small group. */
+  rankCount: number;
   /** The ranks that the engine beside this agent serves. */
   ranks: readonly number[];
   engine: EnginePort;
