--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -1,5 +1,7 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
+import { formatExposition, seriesText } from './exposition.js';
+import { metricHelp } from './metric-help.js';
 
 /** Labels of one series, for example `{ reason: 'queue-full' }`. */
 export type Labels = Readonly<Record<string, string>>;
@@ -7,6 +9,8 @@
 /** Percentiles of one histogram, in the unit that its name ends with. */
 export interface HistogramSummary {
   count: number;
+  /** Exact sum of all values recorded. */
+  sum: number;
   mean: number;
   p50: number;
   p95: number;
@@ -39,48 +43,36 @@
   value: T;
 }
 
-const PREFIX = 'plantaindrum_';
-
-const sortedLabels = (labels: Labels): [string, string][] =>
-  Object.entries(labels).sort(([a], [b]) => (a < b ? -1 : 1));
+/** A histogram and the exact sum of its values, which buckets can't give. */
+interface Recording {
+  histogram: Histogram;
+  sum: number;
+}
 
-const escapeLabel = (value: string): string =>
-  value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+/** An hour in microseconds; a larger value is recorded as this. */
+const HIGHEST_VALUE = 3_600_000_000;
 
-const seriesText = (name: string, labels: Labels): string => {
-  const inner = sortedLabels(labels).map(([key, value]) => `${key}="${escapeLabel(value)}"`);
-  return inner.length > 0 ? `${name}{${inner.join(',')}}` : name;
-};
-
-const summarize = (histogram: Histogram): HistogramSummary => ({
+const summarize = ({ histogram, sum }: Recording): HistogramSummary => ({
   count: histogram.totalCount,
-  mean: histogram.totalCount > 0 ? histogram.mean : 0,
+  sum,
+  mean: histogram.totalCount > 0 ? sum / histogram.totalCount : 0,
   p50: histogram.getValueAtPercentile(50),
   p95: histogram.getValueAtPercentile(95),
   p99: histogram.getValueAtPercentile(99),
   max: histogram.maxValue,
 });
 
-const createHistogram = (): Histogram =>
-  build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: 3_600_000_000,
-    numberOfSignificantValueDigits: 2,
-  });
-
-const summaryLines = (name: string, labels: Labels, summary: HistogramSummary): string[] => [
-  `${seriesText(name, { ...labels, quantile: '0.5' })} ${summary.p50}`,
-  `${seriesText(name, { ...labels, quantile: '0.95' })} ${summary.p95}`,
-  `${seriesText(name, { ...labels, quantile: '0.99' })} ${summary.p99}`,
-  `${seriesText(`${name}_sum`, labels)} ${Math.round(summary.mean * summary.count)}`,
-  `${seriesText(`${name}_count`, labels)} ${summary.count}`,
-];
+/** Grows with its values: with a series for each organisation, fixed buckets cost 14 kB each. */
+const createRecording = (): Recording => ({
+  histogram: build({ autoResize: true, bitBucketSize: 32, numberOfSignificantValueDigits: 2 }),
+  sum: 0,
+});
 
 /** Creates the metrics of one process. */
 export const createMetrics = (): Metrics => {
   const counters = new Map<string, Series<number>>();
   const gauges = new Map<string, Series<number>>();
-  const histograms = new Map<string, Series<Histogram>>();
+  const histograms = new Map<string, Series<Recording>>();
 
   const slot = <T>(map: Map<string, Series<T>>, name: string, labels: Labels, make: () => T) => {
     const key = seriesText(name, labels);
@@ -101,16 +93,6 @@
     })),
   });
 
-  const exposition = (): string => {
-    const all = snapshot();
-    const lines = [
-      ...all.counters.map((s) => `${seriesText(`${PREFIX}${s.name}_total`, s.labels)} ${s.value}`),
-      ...all.gauges.map((s) => `${seriesText(`${PREFIX}${s.name}`, s.labels)} ${s.value}`),
-      ...all.histograms.flatMap((s) => summaryLines(`${PREFIX}${s.name}`, s.labels, s.summary)),
-    ];
-    return `${lines.join('\n')}\n`;
-  };
-
   return {
     count: (name, labels = {}, by = 1) => {
       slot(counters, name, labels, () => 0).value += by;
@@ -119,11 +101,13 @@
       slot(gauges, name, labels, () => 0).value = value;
     },
     record: (name, value, labels = {}) => {
-      const whole = Math.max(0, Math.round(value));
-      slot(histograms, name, labels, createHistogram).value.recordValue(whole);
+      const whole = Math.min(HIGHEST_VALUE, Math.max(0, Math.round(value)));
+      const recording = slot(histograms, name, labels, createRecording).value;
+      recording.histogram.recordValue(whole);
+      recording.sum += whole;
     },
     counter: (name, labels = {}) => counters.get(seriesText(name, labels))?.value ?? 0,
     snapshot,
-    exposition,
+    exposition: () => formatExposition(snapshot(), metricHelp),
   };
 };
