--- a/packages/requests/src/retry/types.ts
+++ b/packages/requests/src/retry/types.ts
@@ -21,7 +21,7 @@
 export type NoRetryReason =
   | 'may-not-repeat'
   | 'answer-begun'
-  | 'caller-fault'
+  | 'final-reason'
   | 'deadline-near'
   | 'attempts-spent'
   | 'budget-spent';
--- /dev/null
+++ b/packages/requests/test/agent-queue.test.ts
@@ -0,0 +1,182 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createManualClock } from '@plantaindrum/common';
+import { createAgentQueue } from '../src/queue/agent-queue.js';
+import type { AgentQueueOptions } from '../src/queue/agent-queue.js';
+import type { QueueItem } from '../src/queue/types.js';
+
+let serial = 0;
+const itemOf = (change: Partial<QueueItem> = {}): QueueItem => {
+  serial += 1;
+  return {
+    id: `i${serial}`,
+    organisation: 'a',
+    class: 'c',
+    lane: 'normal',
+    cost: 1,
+    deadline: 1_000_000,
+    ...change,
+  };
+};
+
+const queueWith = (change: Partial<AgentQueueOptions> = {}) => {
+  const clock = createManualClock();
+  const options = { clock, random: () => 0, capacity: 100, concurrency: 1, ...change };
+  return { clock, queue: createAgentQueue<QueueItem>(options) };
+};
+
+type Queue = ReturnType<typeof queueWith>['queue'];
+
+const takeAll = (queue: Queue) => {
+  const taken: QueueItem[] = [];
+  for (let item = queue.take(); item; item = queue.take()) taken.push(item);
+  return taken;
+};
+
+/** Serves items of cost 1 one after the other, `ms` each, so that the drain rate is known. */
+const warmUp = async ({ clock, queue }: ReturnType<typeof queueWith>, ms: number) => {
+  for (let n = 0; n < 5; n += 1) queue.offer(itemOf());
+  for (let item = queue.take(); item; item = queue.take()) {
+    await clock.advance(ms);
+    queue.finished(item.id);
+  }
+};
+
+describe('agent queue', () => {
+  it('serves the live lane first, and the earliest deadline within an organisation', () => {
+    const { queue } = queueWith();
+    const offers: Partial<QueueItem>[] = [
+      { lane: 'background', deadline: 1 },
+      { lane: 'normal', deadline: 30 },
+      { lane: 'normal', deadline: 20 },
+      { lane: 'live', deadline: 90 },
+    ];
+    offers.forEach((offer) => queue.offer(itemOf(offer)));
+    const order = takeAll(queue).map((item) => `${item.lane} ${item.deadline}`);
+    expect(order).to.deep.equal(['live 90', 'normal 20', 'normal 30', 'background 1']);
+  });
+
+  it('shares by cost, not by number of requests', () => {
+    const { queue } = queueWith();
+    for (let n = 0; n < 60; n += 1) queue.offer(itemOf({ organisation: 'short', cost: 1 }));
+    for (let n = 0; n < 20; n += 1) queue.offer(itemOf({ organisation: 'long', cost: 5 }));
+    const cost = { short: 0, long: 0 };
+    for (let n = 0; n < 48; n += 1) {
+      const item = queue.take()!;
+      cost[item.organisation as 'short' | 'long'] += item.cost;
+    }
+    expect(cost.short / cost.long).to.be.within(0.8, 1.25);
+  });
+
+  // One organisation floods the queue. A small one's request is still admitted and comes after one
+  // round, since the wait is worked out from its own share and not from the whole queue.
+  it('refuses the flooding organisation, not the others', async () => {
+    const world = queueWith();
+    await warmUp(world, 100);
+    const now = world.clock.monotonic();
+    const flood = Array.from({ length: 30 }, () =>
+      world.queue.offer(itemOf({ organisation: 'flood', deadline: now + 1000 })),
+    );
+    const small = world.queue.offer(itemOf({ organisation: 'small', deadline: now + 1000 }));
+    expect(flood.filter((offer) => offer.admitted)).to.have.length(10);
+    expect(flood.at(-1)!.rejected[0]).to.include({
+      reason: 'deadline-unreachable',
+      retryAfterMs: 100,
+    });
+    expect(small.admitted).to.equal(true);
+    world.queue.take();
+    expect(world.queue.take()!.organisation).to.equal('small');
+  });
+
+  it('displaces the least urgent work, and within a lane only the largest backlog', () => {
+    const { queue } = queueWith({ capacity: 4 });
+    queue.offer(itemOf({ id: 'b1', lane: 'background' }));
+    queue.offer(itemOf({ id: 'f1', organisation: 'flood' }));
+    queue.offer(itemOf({ id: 'f2', organisation: 'flood' }));
+    queue.offer(itemOf({ id: 'f3', organisation: 'flood' }));
+    const displaced = ['small', 'small', 'flood', 'small'].map((organisation, n) => {
+      const { admitted, rejected } = queue.offer(itemOf({ id: `n${n}`, organisation }));
+      return [admitted, rejected[0]!.item.id, rejected[0]!.reason];
+    });
+    expect(displaced).to.deep.equal([
+      [true, 'b1', 'displaced'],
+      [true, 'f3', 'displaced'],
+      [false, 'n2', 'queue-full'],
+      [false, 'n3', 'queue-full'],
+    ]);
+  });
+
+  it('gives up waiting work at once when the upstream has become too slow', async () => {
+    const world = queueWith();
+    await warmUp(world, 10);
+    const deadline = world.clock.monotonic() + 500;
+    for (let n = 0; n < 40; n += 1) world.queue.offer(itemOf({ deadline }));
+    expect(world.queue.sweep()).to.have.length(0);
+    for (let n = 0; n < 2; n += 1) {
+      const item = world.queue.take()!;
+      await world.clock.advance(200);
+      world.queue.finished(item.id);
+    }
+    const given = world.queue.sweep();
+    expect(new Set(given.map(({ reason }) => reason))).to.deep.equal(
+      new Set(['deadline-unreachable']),
+    );
+    expect(given.length).to.be.within(20, 38);
+  });
+
+  it('hands every expired or leaving item back once', async () => {
+    const { clock, queue } = queueWith();
+    queue.offer(itemOf({ id: 'late', deadline: 5 }));
+    queue.offer(itemOf({ id: 'waits' }));
+    queue.offer(itemOf({ id: 'gone' }));
+    expect(queue.cancel('gone')!.id).to.equal('gone');
+    await clock.advance(10);
+    const given = [...queue.sweep(), ...queue.leave(), ...queue.leave()];
+    expect(given.map(({ item, reason }) => `${item.id} ${reason}`)).to.deep.equal([
+      'late deadline-passed',
+      'waits leaving',
+    ]);
+    expect(queue.offer(itemOf()).rejected[0]!.reason).to.equal('leaving');
+  });
+
+  it('loses and doubles no item over any order of calls', () => {
+    const call = fc.record({
+      kind: fc.constantFrom('offer', 'offer', 'offer', 'take', 'cancel', 'sweep', 'advance'),
+      organisation: fc.constantFrom('a', 'b', 'c'),
+      lane: fc.constantFrom('live' as const, 'normal' as const, 'background' as const),
+      cost: fc.integer({ min: 1, max: 50 }),
+      deadline: fc.integer({ min: 1, max: 400 }),
+    });
+    const fairWithin = fc.constantFrom('class' as const, 'lane' as const);
+    const property = fc.property(fc.array(call, { maxLength: 80 }), fairWithin, (calls, within) => {
+      let time = 0;
+      const clock = { now: () => time, monotonic: () => time, after: () => () => {} };
+      const queue = queueWith({ clock, capacity: 8, concurrency: 2, fairWithin: within }).queue;
+      const seen = new Map<string, number>();
+      const offered: string[] = [];
+      const leave = (id: string) => seen.set(id, (seen.get(id) ?? 0) + 1);
+      calls.forEach(({ kind, ...change }) => {
+        if (kind === 'offer') {
+          const item = itemOf({ ...change, class: change.lane, deadline: time + change.deadline });
+          offered.push(item.id);
+          queue.offer(item).rejected.forEach((rejected) => leave(rejected.item.id));
+        }
+        if (kind === 'take') {
+          const item = queue.take();
+          if (item) leave(item.id);
+          if (item && change.cost % 2) queue.finished(item.id);
+        }
+        if (kind === 'cancel') {
+          const item = queue.cancel(offered[change.cost % offered.length] ?? '');
+          if (item) leave(item.id);
+        }
+        if (kind === 'sweep') queue.sweep().forEach((rejected) => leave(rejected.item.id));
+        if (kind === 'advance') time += change.deadline;
+      });
+      queue.leave().forEach((rejected) => leave(rejected.item.id));
+      offered.forEach((id) => expect(seen.get(id), id).to.equal(1));
+      expect(queue.load().queued).to.equal(0);
+    });
+    fc.assert(property, { seed: 4, numRuns: 1000 });
+  });
+});
