Intent: replayed aggregate, reader, spread between peers, writer

Cause: a change that an operator was told is accepted must be in force at every node and stay so, though the log has outages, loses answers and expires records. Change: every reader replays the same records by the same rule; a change names the version of each key that it was made from. A reader follows the log by long poll, and fetches what a peer's offset shows to be missing. A checkpoint is replayed from its as-of offset together with the records after it. Ruled out: compare-and-set by the log, which it does not offer; keeping only ids against doubled records, since the bounded list would forget them.

--- /dev/null
+++ b/packages/intent/src/links.ts
@@ -0,0 +1,61 @@
+/** Joins the intent reader to a process's links. */
+
+import type { FetchAnswer, IntentPeer } from './reader/peers.js';
+import { FETCH_METHOD, parseFetchAnswer } from './reader/peers.js';
+import type { IntentNode } from './reader/reader.js';
+
+/** The part of a link that intent uses. */
+export interface IntentLink {
+  readonly peer: { node: string };
+  call(
+    method: string,
+    args: unknown,
+    timeoutMs: number,
+  ): Promise<{ outcome: string; value?: unknown }>;
+  readonly closed: Promise<unknown>;
+}
+
+/** What goes into the link options of a process. */
+export interface IntentLinks {
+  handlers: Record<string, (args: unknown) => Promise<FetchAnswer>>;
+  intentOffset: () => number;
+  /** To be called from `onLink`. */
+  onLink(link: IntentLink): void;
+  /** To be passed as `onPeerOffset`. */
+  onPeerOffset(link: IntentLink, offset: number): void;
+}
+
+const FETCH_TIMEOUT_MS = 2_000;
+
+const peerOf = (link: IntentLink): IntentPeer => ({
+  name: link.peer.node,
+  fetch: async (after) => {
+    const answer = await link.call(FETCH_METHOD, { after }, FETCH_TIMEOUT_MS);
+    return answer.outcome === 'answered' ? parseFetchAnswer(answer.value) : undefined;
+  },
+});
+
+/** Creates the link handlers of a reader; a link leaves by itself when it has closed. */
+export const joinIntentToLinks = (node: IntentNode): IntentLinks => {
+  const peers = new WeakMap<IntentLink, IntentPeer>();
+
+  const leaveWhenClosed = async (link: IntentLink, peer: IntentPeer): Promise<void> => {
+    await link.closed;
+    node.removePeer(peer);
+  };
+
+  return {
+    handlers: { [FETCH_METHOD]: async (args) => node.serveFetch(args) },
+    intentOffset: () => node.current().offset,
+    onLink: (link) => {
+      const peer = peerOf(link);
+      peers.set(link, peer);
+      node.addPeer(peer);
+      void leaveWhenClosed(link, peer);
+    },
+    onPeerOffset: (link, offset) => {
+      const peer = peers.get(link);
+      if (peer) node.noticeOffset(peer, offset);
+    },
+  };
+};
--- /dev/null
+++ b/packages/intent/src/reader/replica.ts
@@ -0,0 +1,149 @@
+/** One node's copy of the intent: the aggregate, the newest records for peers, and the way back. */
+
+import type { LogRecord } from '@plantaindrum/platform';
+import type { IntentAggregate, IntentSnapshot, ReplayStep } from '../core/document/aggregate.js';
+import { createIntentAggregate } from '../core/document/aggregate.js';
+import { parseCheckpoint } from '../core/document/checkpoint.js';
+
+/** The newest checkpoint that this reader met in the log. */
+export interface MetCheckpoint {
+  asOf: number;
+  /** Wall-clock time at which it was made, in milliseconds. */
+  at: number;
+}
+
+/** Records after an offset, or the whole state when the history no longer reaches back to it. */
+export type Handover =
+  | { kind: 'records'; records: LogRecord[]; through: number }
+  | { kind: 'snapshot'; snapshot: IntentSnapshot; through: number };
+
+/** One node's copy of the intent. */
+export interface IntentReplica {
+  aggregate(): IntentAggregate;
+  /** Offset from which the log is to be read next. */
+  nextFromLog(): number;
+  /** Whether records are missing that the log no longer holds; a checkpoint or a peer is needed. */
+  scanning(): boolean;
+  /** The log begins at `beginning`, beyond what this replica needs next. */
+  startScan(beginning: number): void;
+  /** Takes records read from the log at `nextFromLog()`. */
+  takeFromLog(records: LogRecord[]): void;
+  /** Takes what a peer handed over; what is already known is skipped. */
+  takeFromPeer(handover: Handover): void;
+  /** What a peer that holds everything up to `after` is missing. */
+  handover(after: number, limit: number): Handover;
+  checkpoint(): MetCheckpoint | undefined;
+}
+
+/** Bounds and notices of a replica. */
+export interface IntentReplicaOptions {
+  /** Newest records that are kept for peers. */
+  historyLimit: number;
+  onStep: (step: ReplayStep, record: LogRecord) => void;
+}
+
+interface Scan {
+  beginning: number;
+  records: LogRecord[];
+}
+
+/** Creates an empty replica. */
+export const createIntentReplica = (options: IntentReplicaOptions): IntentReplica => {
+  let aggregate = createIntentAggregate();
+  let history: LogRecord[] = [];
+  /** Every record after this offset, up to the aggregate's, is in `history`. */
+  let historyAfter = -1;
+  let scan: Scan | undefined;
+  let met: MetCheckpoint | undefined;
+
+  const trimHistory = (): void => {
+    const surplus = history.length - options.historyLimit;
+    if (surplus <= options.historyLimit / 4) return;
+    historyAfter = history[surplus - 1]?.offset ?? historyAfter;
+    history = history.slice(surplus);
+  };
+
+  const replayOne = (record: LogRecord): void => {
+    if (record.offset <= aggregate.offset()) return;
+    const step = aggregate.replay(record.offset, record.value);
+    history.push(record);
+    options.onStep(step, record);
+  };
+
+  const replay = (records: LogRecord[]): void => {
+    records.forEach(replayOne);
+    trimHistory();
+  };
+
+  const restore = (snapshot: IntentSnapshot): void => {
+    aggregate = createIntentAggregate(snapshot);
+    history = [];
+    historyAfter = snapshot.asOf;
+  };
+
+  const noteCheckpoint = (record: LogRecord): IntentSnapshot | undefined => {
+    const checkpoint = parseCheckpoint(record.value);
+    if (!checkpoint || checkpoint.snapshot.asOf >= record.offset) return undefined;
+    met = { asOf: checkpoint.snapshot.asOf, at: checkpoint.at };
+    return checkpoint.snapshot;
+  };
+
+  /** The records between a checkpoint's as-of offset and itself must all be there to be replayed. */
+  const isUsable = (snapshot: IntentSnapshot, { beginning }: Scan): boolean =>
+    snapshot.asOf + 1 >= beginning && snapshot.asOf > aggregate.offset();
+
+  const scanOne = (record: LogRecord, current: Scan): void => {
+    current.records.push(record);
+    const snapshot = noteCheckpoint(record);
+    if (!snapshot || !isUsable(snapshot, current)) return;
+    scan = undefined;
+    restore(snapshot);
+    replay(current.records);
+  };
+
+  const takeOne = (record: LogRecord): void => {
+    if (scan) {
+      scanOne(record, scan);
+      return;
+    }
+    noteCheckpoint(record);
+    replay([record]);
+  };
+
+  /** A peer may have filled the hole that a scan was started for. */
+  const endScanIfReached = (): void => {
+    if (!scan || aggregate.offset() + 1 < scan.beginning) return;
+    const { records } = scan;
+    scan = undefined;
+    replay(records);
+  };
+
+  return {
+    aggregate: () => aggregate,
+    nextFromLog: () => {
+      const last = scan?.records.at(-1)?.offset;
+      return last === undefined ? (scan?.beginning ?? aggregate.offset() + 1) : last + 1;
+    },
+    scanning: () => scan !== undefined,
+    startScan: (beginning) => {
+      scan = { beginning, records: [] };
+    },
+    takeFromLog: (records) => records.forEach(takeOne),
+    takeFromPeer: (handover) => {
+      if (handover.kind === 'records') replay(handover.records);
+      else if (handover.snapshot.asOf > aggregate.offset()) restore(handover.snapshot);
+      endScanIfReached();
+    },
+    handover: (after, limit) => {
+      if (after < historyAfter) {
+        const snapshot = aggregate.snapshot();
+        return { kind: 'snapshot', snapshot, through: snapshot.asOf };
+      }
+      const missing = history.filter((record) => record.offset > after);
+      const records = missing.slice(0, limit);
+      const through = records.length < missing.length ? records.at(-1)?.offset : undefined;
+      return { kind: 'records', records, through: through ?? aggregate.offset() };
+    },
+    checkpoint: () => met,
+  };
+};
--- a/packages/intent/src/types.ts
+++ b/packages/intent/src/types.ts
@@ -112,8 +112,26 @@
   confirmedMsAgo?: number;
   /** Records known to exist beyond the node's offset. */
   behind: number;
+  state: IntentState;
+  /** Why the state is not `fresh`. */
+  reason?: IntentStaleReason;
 }
 
+/**
+ * How far a node can vouch for its intent: `starting` has never reached the newest offset; `fresh`
+ * had it confirmed lately; `stale` still hears from peers; `isolated` hears from nobody.
+ */
+export type IntentState = 'starting' | 'fresh' | 'stale' | 'isolated';
+
+/** What keeps a node's intent from being known as the newest. */
+export type IntentStaleReason =
+  | 'replaying'
+  | 'behind-peer'
+  | 'no-usable-checkpoint'
+  | 'asking-peers'
+  | 'log-unreachable'
+  | 'log-and-peers-unreachable';
+
 /** Keeps one node's intent up to date. */
 export interface IntentReader {
   current(): IntentView;
--- /dev/null
+++ b/packages/intent/test/support/nodes.ts
@@ -0,0 +1,151 @@
+import { setImmediate } from 'node:timers/promises';
+import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
+import type { ManualClock, Metrics } from '@plantaindrum/common';
+import type { Log } from '@plantaindrum/platform';
+import { createIntentReader } from '../../src/index.js';
+import type {
+  IntentChange,
+  IntentKey,
+  IntentNode,
+  IntentPeer,
+  IntentReaderOptions,
+  SubmitOutcome,
+} from '../../src/index.js';
+import { createFakeLog } from './fake-log.js';
+import type { FakeLog, LogFaults } from './fake-log.js';
+
+/** A reader on a fake log, with peers that can be cut off. */
+export interface TestNode {
+  name: string;
+  node: IntentNode;
+  metrics: Metrics;
+  /** Faults of this node's way to the log. */
+  faults: LogFaults;
+  /** While true, no peer reaches this node and it reaches none. */
+  cutOff: boolean;
+  close(): Promise<void>;
+}
+
+/** A fleet in one process, with time by hand. */
+export interface Fleet {
+  clock: ManualClock;
+  log: FakeLog;
+  start(name: string, options?: Partial<IntentReaderOptions>): TestNode;
+  /** Links two nodes; heartbeats carry offsets every 500 ms. */
+  link(a: TestNode, b: TestNode): void;
+  /** Moves time forward, and lets everything settle that is due by then. */
+  run(ms: number): Promise<void>;
+  closeAll(): Promise<void>;
+}
+
+const HEARTBEAT_MS = 500;
+
+/** Creates a fleet with an empty log. */
+export const createFleet = (): Fleet => {
+  const clock = createManualClock(1_000_000);
+  const log = createFakeLog(clock);
+  const nodes = new Set<TestNode>();
+  let seed = 0;
+
+  const random = (): number => {
+    seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return seed / 2_147_483_648;
+  };
+
+  const start: Fleet['start'] = (name, options = {}) => {
+    const client: Log & { faults: LogFaults } = log.client();
+    const metrics = createMetrics();
+    const node = createIntentReader({
+      ...{ log: client, clock, random, metrics, logger: silentLogger },
+      ...options,
+    });
+    const started: TestNode = {
+      ...{ name, node, metrics, faults: client.faults, cutOff: false },
+      close: async () => {
+        nodes.delete(started);
+        await node.close();
+      },
+    };
+    nodes.add(started);
+    return started;
+  };
+
+  const isUp = (from: TestNode, to: TestNode): boolean =>
+    nodes.has(from) && nodes.has(to) && !from.cutOff && !to.cutOff;
+
+  const linkOneWay = (from: TestNode, to: TestNode): void => {
+    const peer: IntentPeer = {
+      name: to.name,
+      fetch: async (after) => {
+        if (!isUp(from, to)) return undefined;
+        return structuredClone(to.node.serveFetch({ after }));
+      },
+    };
+    from.node.addPeer(peer);
+    const beat = (): void => {
+      if (!nodes.has(from) || !nodes.has(to)) {
+        from.node.removePeer(peer);
+        return;
+      }
+      const { offset } = to.node.current();
+      if (isUp(from, to) && offset > from.node.current().offset) {
+        from.node.noticeOffset(peer, offset);
+      }
+      clock.after(HEARTBEAT_MS, beat);
+    };
+    beat();
+  };
+
+  return {
+    clock,
+    log,
+    start,
+    link: (a, b) => {
+      linkOneWay(a, b);
+      linkOneWay(b, a);
+    },
+    run: async (ms) => {
+      await clock.advance(ms);
+      for (let turn = 0; turn < 5; turn += 1) await setImmediate();
+    },
+    closeAll: async () => {
+      await Promise.all([...nodes].map((node) => node.close()));
+    },
+  };
+};
+
+/** Advances time until the promise has settled. */
+export const settle = async <T>(clock: ManualClock, promise: Promise<T>): Promise<T> => {
+  let settled = false;
+  const done = promise.finally(() => {
+    settled = true;
+  });
+  for (let step = 0; !settled && step < 10_000; step += 1) await clock.advance(10);
+  return done;
+};
+
+/** A class of work with the given target. */
+export const classOf = (latestAnswerMs: number) => ({ latestAnswerMs });
+
+/** A change of a class. */
+export const changeClass = (
+  name: string,
+  base: number,
+  latestAnswerMs: number | null,
+): IntentChange => ({
+  key: `classes/${name}` as IntentKey,
+  base,
+  value: latestAnswerMs === null ? null : classOf(latestAnswerMs),
+});
+
+/** Submits changes from one node and waits for the outcome. */
+export const submitAt = (
+  fleet: Fleet,
+  at: TestNode,
+  id: string,
+  ...changes: IntentChange[]
+): Promise<SubmitOutcome> => settle(fleet.clock, at.node.submit({ id, author: at.name, changes }));
+
+/** The target of a class as one node sees it. */
+export const targetAt = (at: TestNode, name: string): number | undefined =>
+  at.node.current().document.classes[name]?.latestAnswerMs;
