--- a/packages/common/src/errors/request-refusals.ts
+++ b/packages/common/src/errors/request-refusals.ts
@@ -122,7 +122,8 @@
   },
   'no-upstream': {
     title: 'No upstream can take the request',
-    message: ({ upstream }) => `No live upstream serves ${named('upstream', upstream)}.`,
+    message: ({ upstream }) =>
+      `No live upstream serves ${upstream === undefined ? 'this' : `"${upstream}"`}.`,
     hint: 'Come back after Retry-After; operators see upstreams in "plantaindrum status".',
     status: 503,
     outcome: 'not-run',
@@ -176,6 +177,13 @@
     status: 503,
     outcome: 'not-run',
   },
+  'never-arrived': {
+    title: 'The request did not reach its upstream',
+    message: ({ upstream }) => `The agent of ${named('upstream', upstream)} never received it.`,
+    hint: 'Come back after Retry-After; the link broke before the request arrived.',
+    status: 503,
+    outcome: 'not-run',
+  },
   'claim-log-down': {
     title: 'The log service is down',
     message: () => 'The call may run only once, and the log that would prove it is down.',
@@ -209,9 +217,16 @@
     status: 502,
     outcome: 'unknown',
   },
+  'outcome-forgotten': {
+    title: 'The outcome is no longer known',
+    message: ({ upstream }) => `The agent of ${named('upstream', upstream)} no longer holds it.`,
+    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
+    status: 502,
+    outcome: 'unknown',
+  },
   'upstream-broke-off': {
     title: 'The upstream broke off its answer',
-    message: ({ upstream }) => `${named('upstream', upstream)} ended its answer too early.`,
+    message: ({ upstream }) => `The answer of ${named('upstream', upstream)} ended too early.`,
     hint: 'Discard the part that arrived; repeat the request only if that does no harm.',
     status: 502,
     outcome: 'unknown',
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,4 +5,6 @@
 export * from './metrics.js';
 export * from './random.js';
 export * from './result.js';
+export * from './schema-text.js';
 export * from './settings.js';
+export * from './settings-file.js';
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -1,62 +1,62 @@
-import { readFileSync } from 'node:fs';
-import { findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser';
-import type { ParseError } from 'jsonc-parser';
 import { z } from 'zod';
-import type { Result } from './result.js';
-import { fail, ok } from './result.js';
+
+/** What an operator reads about a key; the unit also stands in messages about its value. */
+const about = (description: string, unit?: string) =>
+  unit === undefined ? { description } : { description, unit };
+
+const limit = (standard: number, description: string, unit: string) =>
+  z.number().int().positive().default(standard).meta(about(description, unit));
+
+const count = (description: string, unit: string) =>
+  z.number().int().positive().meta(about(description, unit));
 
 const addressSchema = z.strictObject({
-  /** IP number to listen on. */
-  host: z.string().default('127.0.0.1'),
-  /** TCP port; 0 takes a free one. */
-  port: z.number().int().min(0).max(65535),
+  host: z.string().default('127.0.0.1').meta(about('IP number to listen on.')),
+  port: z.number().int().min(0).max(65535).meta(about('TCP port; 0 takes a free one.')),
+});
+
+const operatorsSchema = addressSchema.extend({
+  token: z.string().min(8).meta(about('Bearer token that operators present.')),
 });
 
 const nodeSchema = z.strictObject({
-  /** Name of this VM as the platform's list knows it. */
-  name: z.string().min(1),
-  dataCentre: z.string().min(1),
-  region: z.string().min(1),
+  name: z.string().min(1).meta(about("Name of this VM in the platform's list.")),
+  dataCentre: z.string().min(1).meta(about('Data centre of this VM.')),
+  region: z.string().min(1).meta(about('Region of this VM.')),
 });
 
 const platformSchema = z.strictObject({
-  /** Base address of the log service (Kafka REST). */
-  logUrl: z.url(),
-  /** Address of the VM list (Prometheus HTTP service discovery). */
-  vmListUrl: z.url(),
-  /** Base address of the weight store. */
-  weightsUrl: z.url().optional(),
+  logUrl: z.url().meta(about('Base address of the log service (Kafka REST).')),
+  vmListUrl: z.url().meta(about('Address of the VM list (Prometheus HTTP service discovery).')),
+  weightsUrl: z.url().optional().meta(about('Base address of the weight store.')),
 });
 
 const limitsSchema = z
   .strictObject({
-    /** Largest request body, in bytes. */
-    bodyBytes: z.number().int().positive().default(1_048_576),
-    /** Largest request header, in bytes. */
-    headerBytes: z.number().int().positive().default(16_384),
-    /** Largest frame on a link, in bytes. */
-    frameBytes: z.number().int().positive().default(2_097_152),
-    /** Most open connections at one door. */
-    connections: z.number().int().positive().default(4_096),
-    /** Most requests waiting in an agent's queue. */
-    queue: z.number().int().positive().default(1_024),
-    /** Most requests that an agent hands to its upstream at once. */
-    concurrency: z.number().int().positive().default(32),
+    bodyBytes: limit(1_048_576, 'Largest request body.', 'bytes'),
+    headerBytes: limit(16_384, 'Largest request header.', 'bytes'),
+    frameBytes: limit(2_097_152, 'Largest frame on a link.', 'bytes'),
+    connections: limit(4_096, 'Most open connections at one door.', 'connections'),
+    queue: limit(1_024, "Most requests waiting in an agent's queue.", 'requests'),
+    concurrency: limit(32, 'Most requests that an agent hands to its upstream.', 'requests'),
   })
   .prefault({});
 
+/** Shape of an expert group; an agent without it never coordinates its group. */
+const layoutSchema = z.strictObject({
+  rankCount: count('Ranks of the group.', 'ranks'),
+  layers: count('Layers with experts.', 'layers'),
+  experts: count('Experts in each layer.', 'experts'),
+  slots: count("Replicas that one rank's memory holds in each layer.", 'replicas'),
+  bytesPerExpert: limit(50_000_000, "Size of one expert's weights in one layer.", 'bytes'),
+});
+
 /** Settings of an entry process. */
 export const entrySettingsSchema = z.strictObject({
   node: nodeSchema,
-  /** The callers' door. */
-  callers: addressSchema,
-  /** The operators' door: metrics, status, readiness. */
-  operators: addressSchema.extend({
-    /** Bearer token that operators present. */
-    token: z.string().min(8),
-  }),
-  /** Where peers connect to this node. */
-  link: addressSchema,
+  callers: addressSchema.meta(about("The callers' door.")),
+  operators: operatorsSchema.meta(about("The operators' door: metrics, status, readiness.")),
+  link: addressSchema.meta(about('Where peers connect to this node.')),
   platform: platformSchema,
   limits: limitsSchema,
 });
@@ -64,28 +64,14 @@
 /** Settings of an agent process. */
 export const agentSettingsSchema = z.strictObject({
   node: nodeSchema,
-  link: addressSchema,
-  operators: addressSchema.extend({ token: z.string().min(8) }),
+  link: addressSchema.meta(about('Where peers connect to this node.')),
+  operators: operatorsSchema.meta(about("The operators' door: metrics, status, readiness.")),
   upstream: z.strictObject({
-    kind: z.enum(['model', 'service']),
-    /** Address of the engine or service beside this agent. */
-    url: z.url(),
-    /** The expert group whose ranks this upstream serves. */
-    group: z.string().optional(),
-    ranks: z.array(z.number().int().min(0)).default([]),
-    /** Shape of the expert group; without it this agent never coordinates the group. */
-    layout: z
-      .strictObject({
-        rankCount: z.number().int().positive(),
-        layers: z.number().int().positive(),
-        /** Experts in each layer. */
-        experts: z.number().int().positive(),
-        /** Replicas that one rank's memory holds in each layer. */
-        slots: z.number().int().positive(),
-        /** Size of one expert's weights in one layer. */
-        bytesPerExpert: z.number().int().positive().default(50_000_000),
-      })
-      .optional(),
+    kind: z.enum(['model', 'service']).meta(about('A model engine or a plain service.')),
+    url: z.url().meta(about('Address of the engine or service beside this agent.')),
+    group: z.string().optional().meta(about('Expert group whose ranks this upstream serves.')),
+    ranks: z.array(z.number().int().min(0)).default([]).meta(about('Ranks of that group.')),
+    layout: layoutSchema.optional(),
   }),
   platform: platformSchema,
   limits: limitsSchema,
@@ -95,70 +81,3 @@
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
 /** Validated settings of an agent. */
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
-
-/** One fault in a settings file. */
-export interface SettingsFault {
-  /** Dotted key, for example `callers.port`. */
-  key: string;
-  /** What stands there, as JSON; `nothing` when the key is missing. */
-  found: string;
-  expected: string;
-  /** Line in the file, from 1. */
-  line: number;
-}
-
-const lineAt = (text: string, offset: number): number => text.slice(0, offset).split('\n').length;
-
-const foundAt = (value: unknown): string =>
-  value === undefined ? 'nothing' : JSON.stringify(value);
-
-const nodeOffset = (text: string, path: (string | number)[]): number => {
-  const tree = parseTree(text);
-  for (let length = path.length; tree && length >= 0; length -= 1) {
-    const found = findNodeAtLocation(tree, path.slice(0, length))?.offset;
-    if (found !== undefined) return found;
-  }
-  return 0;
-};
-
-const valueAt = (document: unknown, path: (string | number)[]): unknown =>
-  path.reduce<unknown>(
-    (value, key) => (value as Record<string, unknown> | undefined)?.[key],
-    document,
-  );
-
-/** Parses JSON with comments and validates it by a schema; every fault is named. */
-export const parseSettings = <S extends z.ZodType>(
-  text: string,
-  schema: S,
-): Result<z.infer<S>, SettingsFault[]> => {
-  const errors: ParseError[] = [];
-  const document: unknown = parse(text, errors, { allowTrailingComma: true });
-  if (errors.length > 0) {
-    return fail(
-      errors.map((err) => ({
-        key: '(syntax)',
-        found: printParseErrorCode(err.error),
-        expected: 'JSON with comments',
-        line: lineAt(text, err.offset),
-      })),
-    );
-  }
-  const checked = schema.safeParse(document);
-  if (checked.success) return ok(checked.data);
-  return fail(
-    checked.error.issues.map((issue) => {
-      const path = issue.path.map((part) => (typeof part === 'symbol' ? String(part) : part));
-      return {
-        key: path.join('.') || '(root)',
-        found: foundAt(valueAt(document, path)),
-        expected: issue.message,
-        line: lineAt(text, nodeOffset(text, path)),
-      };
-    }),
-  );
-};
-
-/** Reads a settings file; see `parseSettings`. */
-export const readSettings = <S extends z.ZodType>(file: string, schema: S) =>
-  parseSettings(readFileSync(file, 'utf8'), schema);
