Agent: queue, upstream calls, answers with credit, tombstones, graceful stop

Cause: the thin path needs the process beside each upstream. Ruled out: sending frames on the new link of an entry before its query; the entry would see a gap in the offsets of an answer whose last chunks were lost with the old link. Kept connections for calls that may not be repeated: a close by the upstream that crosses the request can't be told from a run.

--- /dev/null
+++ b/packages/agent/src/core/agent.ts
@@ -0,0 +1,122 @@
+/** An agent: the queue, the upstream and the links of entries put together. */
+
+import { randomBytes } from 'node:crypto';
+import type { AgentSettings, Clock, Logger, Metrics } from '@plantaindrum/common';
+import type { LinkLimits, Load } from '@plantaindrum/link';
+import { createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
+import type { DeskTimes } from './attempts/desk.js';
+import { createAttemptDesk, defaultDeskTimes } from './attempts/desk.js';
+import { runAttempt } from './attempts/run-attempt.js';
+import type { QueuedAttempt } from './attempts/types.js';
+import { createEntries } from './entries.js';
+import { openOperatorsDoor } from './operators/door.js';
+import { createFifoQueue } from './queue/fifo-queue.js';
+import { createUpstream } from './upstream/upstream.js';
+
+const UNDELIVERED_FOR_EACH_SLOT = 8;
+
+/** What an agent needs besides its settings. */
+export interface AgentOptions {
+  settings: AgentSettings;
+  clock: Clock;
+  metrics: Metrics;
+  log: Logger;
+  deskTimes?: DeskTimes;
+  linkLimits?: LinkLimits;
+}
+
+/** A running agent. */
+export interface Agent {
+  /** Addresses of its doors, as the ready line gives them. */
+  readonly operators: string;
+  readonly link: string;
+  /** Hands back what hasn't started, finishes what runs, then closes. */
+  stop(): Promise<void>;
+}
+
+/** Starts an agent; rejects when an address can't be listened on. */
+export const startAgent = async (options: AgentOptions): Promise<Agent> => {
+  const { settings, clock, metrics, log } = options;
+  const { node, limits } = settings;
+  const { concurrency } = limits;
+  const instance = randomBytes(8).toString('hex');
+  const upstream = createUpstream(settings.upstream.url);
+  const queue = createFifoQueue<QueuedAttempt>({ capacity: limits.queue, concurrency, clock });
+  const intentOffset = (): number => -1;
+
+  const load = (): Load => {
+    const { queued, running, drainPerSecond, leaving } = queue.load();
+    return { queued, running, drainPerSecond, leaving };
+  };
+
+  const desk = createAttemptDesk({
+    queue,
+    run: (attempt, work) => runAttempt(attempt, work, { upstream, metrics }),
+    load,
+    times: options.deskTimes ?? defaultDeskTimes,
+    mostUndelivered: concurrency * UNDELIVERED_FOR_EACH_SLOT,
+    clock,
+    metrics,
+  });
+  const entries = createEntries({ desk, metrics, log });
+
+  const status = (): unknown => ({
+    role: 'agent',
+    node,
+    instance,
+    upstream: settings.upstream,
+    load: load(),
+    attempts: desk.counts(),
+    entries: entries.count(),
+    intent: { offset: intentOffset() },
+  });
+
+  const links = await createLinkServer({
+    listen: settings.link,
+    identity: {
+      role: 'agent',
+      node: node.name,
+      instance,
+      dataCentre: node.dataCentre,
+      region: node.region,
+    },
+    intentOffset,
+    load,
+    limits: {
+      ...defaultLinkLimits,
+      ...options.linkLimits,
+      frameBytes: limits.frameBytes,
+      connections: limits.connections,
+    },
+    handlers: {},
+    onLink: entries.onLink,
+    clock,
+    metrics,
+    log: log.child('link'),
+  });
+  const door = await openOperatorsDoor({
+    listen: settings.operators,
+    token: settings.operators.token,
+    connections: limits.connections,
+    ready: () => !queue.load().leaving,
+    metrics: metrics.exposition,
+    status,
+    intent: () => ({ offset: intentOffset() }),
+  });
+
+  const stop = async (): Promise<void> => {
+    log.info('leaving: no new work');
+    entries.leave();
+    desk.leave();
+    await desk.idle();
+    await links.close();
+    desk.close();
+    await Promise.all([door.close(), upstream.close()]);
+  };
+
+  return {
+    operators: door.url,
+    link: `${links.address.host}:${links.address.port}`,
+    stop,
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -0,0 +1,49 @@
+import type { Metrics } from '@plantaindrum/common';
+import type { Dispatch } from '@plantaindrum/link';
+import { upstreamHeaders } from '../upstream/headers.js';
+import type { Upstream, UpstreamOutcome } from '../upstream/upstream.js';
+import type { AttemptOutcome } from './answer.js';
+import type { Attempt } from './attempt.js';
+
+const UNREACHABLE_RETRY_MS = 1_000;
+
+/** What running an attempt needs. */
+export interface RunAttemptOptions {
+  upstream: Upstream;
+  metrics: Metrics;
+}
+
+const outcomeOf = (ended: UpstreamOutcome, cancelled: boolean): AttemptOutcome => {
+  if (ended.outcome === 'whole') return { outcome: 'answered' };
+  if (ended.outcome === 'broken') {
+    return { outcome: 'unknown', reason: cancelled ? 'cancelled' : 'upstream-broke-off' };
+  }
+  if (cancelled) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
+  const retryAfterMs = UNREACHABLE_RETRY_MS;
+  return { outcome: 'not-run', reason: 'upstream-unreachable', retryAfterMs };
+};
+
+/** Hands an attempt to the upstream and passes its answer on as it comes. */
+export const runAttempt = async (
+  attempt: Attempt,
+  work: Dispatch,
+  { upstream, metrics }: RunAttemptOptions,
+): Promise<AttemptOutcome> => {
+  const { answer, abort } = attempt;
+  const { method, path, body, mayNotRepeat } = work;
+  const headers = upstreamHeaders(work.headers, work.resumeAfter);
+  const ended = await upstream.call(
+    { method, path, headers, body, mayNotRepeat },
+    {
+      sent: () => {
+        attempt.start();
+        metrics.count('attempts_started', { class: work.class, organisation: work.organisation });
+        answer.link()?.send({ t: 'started', id: attempt.id });
+      },
+      head: answer.head,
+      data: answer.write,
+    },
+    abort.signal,
+  );
+  return outcomeOf(ended, abort.signal.aborted);
+};
--- /dev/null
+++ b/packages/agent/src/core/attempts/types.ts
@@ -0,0 +1,24 @@
+import type { AttemptId, Dispatch, Link } from '@plantaindrum/link';
+import type { QueuedWork } from '../queue/types.js';
+import type { Attempt } from './attempt.js';
+
+/** An attempt's place in the queue. */
+export interface QueuedAttempt extends QueuedWork {
+  attempt: Attempt;
+}
+
+/** Takes the frames of entries that concern attempts. */
+export interface AttemptDesk {
+  dispatch(frame: Dispatch, link: Link): void;
+  cancel(id: AttemptId): void;
+  query(id: AttemptId, holds: { head: boolean; bytes: number }, link: Link): void;
+  credit(id: AttemptId, bytes: number, link: Link): void;
+  /** The link has ended; its attempts wait a while for the same entry instance to come back. */
+  linkLost(link: Link): void;
+  /** Refuses new work and hands back what hasn't started. */
+  leave(): void;
+  /** Resolves once nothing is queued or running and every outcome has been sent. */
+  idle(): Promise<void>;
+  counts(): { queued: number; running: number; undelivered: number };
+  close(): void;
+}
--- /dev/null
+++ b/packages/agent/src/core/entries.ts
@@ -0,0 +1,83 @@
+/** The links of entries: at most one for each entry instance, and its frames to the attempts. */
+
+import type { Logger, Metrics } from '@plantaindrum/common';
+import type { FrameHandler, Link, PeerFrame } from '@plantaindrum/link';
+import { instanceOf } from './attempts/tombstones.js';
+import type { AttemptDesk } from './attempts/types.js';
+
+/** The entries that are linked to this agent. */
+export interface Entries {
+  /** Takes each new link; the result takes its frames. */
+  onLink(link: Link): FrameHandler;
+  /** Tells every entry, and each that comes later, that this agent takes no new work. */
+  leave(): void;
+  count(): number;
+}
+
+/** What the entries' links need. */
+export interface EntriesOptions {
+  desk: AttemptDesk;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** Creates an empty set of entries. */
+export const createEntries = ({ desk, metrics, log }: EntriesOptions): Entries => {
+  const links = new Map<string, Link>();
+  let leaving = false;
+
+  /** An id of another entry's instance can only be a fault: its answer would go astray. */
+  const isForeign = (frame: PeerFrame, link: Link): boolean =>
+    'id' in frame && instanceOf(frame.id) !== link.peer.instance;
+
+  const take = (frame: PeerFrame, link: Link): void => {
+    if (isForeign(frame, link)) {
+      metrics.count('frames_refused', { reason: 'foreign-attempt' });
+      link.close();
+      return;
+    }
+    switch (frame.t) {
+      case 'dispatch':
+        desk.dispatch(frame, link);
+        break;
+      case 'cancel':
+        desk.cancel(frame.id);
+        break;
+      case 'query':
+        desk.query(frame.id, { head: frame.headReceived, bytes: frame.received }, link);
+        break;
+      case 'credit':
+        desk.credit(frame.id, frame.bytes, link);
+        break;
+      case 'pong':
+        break;
+      default:
+        metrics.count('frames_refused', { reason: 'unexpected' });
+    }
+  };
+
+  const onEnded = (link: Link, reason: string): void => {
+    if (links.get(link.peer.instance) === link) links.delete(link.peer.instance);
+    log.info(`entry ${link.peer.node} is gone: ${reason}`);
+    desk.linkLost(link);
+  };
+
+  return {
+    onLink: (link) => {
+      if (link.peer.role !== 'entry') return () => {};
+      const { instance, node } = link.peer;
+      // A dispatch that waits on the older link would come after the query on the newer one.
+      links.get(instance)?.close();
+      links.set(instance, link);
+      log.info(`entry ${node} is linked`);
+      void link.closed.then((reason) => onEnded(link, reason));
+      if (leaving) link.send({ t: 'leaving' });
+      return (frame) => take(frame, link);
+    },
+    leave: () => {
+      leaving = true;
+      links.forEach((link) => link.send({ t: 'leaving' }));
+    },
+    count: () => links.size,
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -0,0 +1,106 @@
+/** Calls to the engine or service beside this agent, by HTTP. */
+
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+import { answerHeaders } from './headers.js';
+
+/** One call to the upstream. */
+export interface UpstreamRequest {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body: Uint8Array;
+  /** Takes a connection of its own, see `createUpstream`. */
+  mayNotRepeat: boolean;
+}
+
+/** Takes the upstream's answer as it arrives. */
+export interface UpstreamSink {
+  /** Called right before the first byte is written to the upstream. */
+  sent(): void;
+  head(status: number, headers: Record<string, string>): void;
+  /** Takes bytes; a promise holds the upstream back until it resolves. */
+  data(bytes: Uint8Array): Promise<void> | undefined;
+}
+
+/** How a call ended: `not-sent` means that not one byte was written to the upstream. */
+export type UpstreamOutcome =
+  | { outcome: 'whole' }
+  | { outcome: 'not-sent'; detail: string }
+  | { outcome: 'broken'; detail: string };
+
+/** The upstream beside this agent. */
+export interface Upstream {
+  call(req: UpstreamRequest, sink: UpstreamSink, signal: AbortSignal): Promise<UpstreamOutcome>;
+  close(): Promise<void>;
+}
+
+const ABORTED = new Error('the call was cancelled');
+
+const dispatchOptions = (req: UpstreamRequest): Dispatcher.DispatchOptions => ({
+  method: req.method,
+  path: req.path,
+  headers: req.headers,
+  body: req.body.length > 0 ? req.body : null,
+  idempotent: false,
+  reset: req.mayNotRepeat,
+});
+
+const runCall = (
+  pool: Pool,
+  req: UpstreamRequest,
+  sink: UpstreamSink,
+  signal: AbortSignal,
+): Promise<UpstreamOutcome> =>
+  new Promise((resolve) => {
+    let sent = false;
+    let abort = (): void => {};
+    const onAbort = (): void => abort();
+    signal.addEventListener('abort', onAbort);
+    const settle = (outcome: UpstreamOutcome): void => {
+      signal.removeEventListener('abort', onAbort);
+      resolve(outcome);
+    };
+    pool.dispatch(dispatchOptions(req), {
+      onRequestStart: (controller) => {
+        if (signal.aborted) {
+          controller.abort(ABORTED);
+          return;
+        }
+        abort = () => controller.abort(ABORTED);
+        sent = true;
+        sink.sent();
+      },
+      onResponseStart: (_, status, headers) => {
+        if (status >= 200) sink.head(status, answerHeaders(headers));
+      },
+      onResponseData: (controller, bytes) => {
+        const room = sink.data(bytes);
+        if (!room) return;
+        controller.pause();
+        void room.then(() => controller.resume());
+      },
+      onResponseEnd: () => settle({ outcome: 'whole' }),
+      onResponseError: (_, err) => {
+        settle({ outcome: sent ? 'broken' : 'not-sent', detail: err.message });
+      },
+    });
+  });
+
+/**
+ * Creates the client of the upstream at `url`.
+ *
+ * A call that may not be repeated gets a fresh connection: on a kept one, a close by the upstream
+ * can cross the request, and nobody could tell whether it ran.
+ */
+export const createUpstream = (url: string): Upstream => {
+  const kept = new Pool(url, { pipelining: 1 });
+  const fresh = new Pool(url, { pipelining: 1 });
+
+  return {
+    call: (req, sink, signal) => runCall(req.mayNotRepeat ? fresh : kept, req, sink, signal),
+    close: async () => {
+      await Promise.all([kept.destroy(), fresh.destroy()]);
+    },
+  };
+};
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './core/agent.js';
