Requests: routing of an entry

Cause: an entry must send each request where it starts soonest, at hundreds of entries and thousands of upstreams, and must not trust an upstream only because its agent answers heartbeats. Ruled out: two choices over the whole subset; with two near and four far upstreams two requests in five left the data centre (test red). A subset chosen by the entry alone leaves upstreams without any entry.

--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -7,4 +7,6 @@
 export * from './queue/types.js';
 export * from './retry/retry-policy.js';
 export * from './retry/types.js';
+export * from './routing/router.js';
 export * from './routing/types.js';
+export { prefixHash } from './routing/hash.js';
--- a/packages/requests/src/routing/types.ts
+++ b/packages/requests/src/routing/types.ts
@@ -8,6 +8,8 @@
   region: string;
   /** Model or service that it serves. */
   target: string;
+  /** The VM list says that it leaves. */
+  leaving?: boolean;
 }
 
 /** What routing knows about one request. */
@@ -32,26 +34,41 @@
 /** State of an upstream in the eyes of one entry. */
 export type UpstreamHealth = 'serving' | 'ejected' | 'returning';
 
+/** One request on its way, as routing sees it. Each call counts once, in any order. */
+export interface RouteTicket {
+  /** The agent has handed it to its upstream. */
+  started(): void;
+  /** First sign of the answer: its head or first token. */
+  firstByte(): void;
+  /** It has ended, in whatever way. */
+  ended(): void;
+}
+
+/** An entry, as the VM list names it. */
+export interface EntryNode {
+  id: string;
+  dataCentre: string;
+  region: string;
+}
+
 /** Chooses an upstream for each request; one per entry. */
 export interface Router {
   /** Replaces the known upstreams, from the VM list and from links. */
   setUpstreams(upstreams: readonly Upstream[]): void;
+  /** Replaces the known entries; they divide the upstreams of a large site among them. */
+  setEntries(entries: readonly EntryNode[]): void;
   /** The upstreams of a target that this entry keeps links to. */
   subset(target: string): string[];
   choose(request: RouteRequest): Route;
-  /** A request was sent to the upstream. */
-  dispatched(upstream: string): void;
-  /** First sign of an answer (head or first token), `ms` after the dispatch. */
-  firstByte(upstream: string, ms: number): void;
-  /** The request has ended, in whatever way. */
-  ended(upstream: string): void;
+  /** A request was sent to the upstream; the ticket reports on it. */
+  dispatched(upstream: string): RouteTicket;
   /** Load that rode on an agent's frame: the freshest knowledge. */
   load(upstream: string, load: Load): void;
   /** Load from the platform's lagged report; used only where nothing fresher exists. */
   laggedLoad(upstream: string, report: { queued: number; running: number }): void;
   /** The link is lost or heartbeats are missing (`true`), or the link is back (`false`). */
   silent(upstream: string, silent: boolean): void;
-  /** No new work from now on. */
+  /** Its agent takes no new work from now on; a load of a new agent instance takes that back. */
   leaving(upstream: string): void;
   /** A cache event says that the upstream holds the prefix (or dropped it): only a hint. */
   cacheHint(upstream: string, prefix: string, holds: boolean): void;
@@ -73,10 +90,11 @@
   id: string;
   target: string;
   health: UpstreamHealth;
+  silent: boolean;
   leaving: boolean;
   outstanding: number;
   queued: number;
   running: number;
-  /** Smoothed time to the first byte, in milliseconds; undefined before the first sample. */
+  /** Smoothed time from start to first byte, in milliseconds; undefined before the first sample. */
   firstByteMs: number | undefined;
 }
