Entry: callers' and operators' doors, attempts over links, command line

Cause: nothing connected callers with the agents. The intent comes from the intent package's reader, joined to the entry's links.

--- a/packages/experts/src/group-member.ts
+++ b/packages/experts/src/group-member.ts
@@ -19,7 +19,7 @@
 } from './messages.js';
 import { createExclusive } from './mutex.js';
 import { createSettlements } from './settlement.js';
-import { sparseTokens } from './tokens.js';
+import { sumTokens } from './tokens.js';
 import { defaultTimings } from './types.js';
 import type {
   ExpertMapDocument,
@@ -90,12 +90,11 @@
     if (refusal) return refusal;
     const state = await engine.state();
     if (!state) return { outcome: 'lost' };
-    const ranks = state.ranks.map(({ rank, step, version, armed, step_time_us: usPerStep }) => ({
+    const ranks = state.ranks.map(({ rank, step, version, armed }) => ({
       rank,
       step,
       version,
       armed: armed?.version ?? null,
-      stepTimeUs: usPerStep,
     }));
     return { outcome: 'ok', instance: options.instance, ranks };
   };
@@ -105,7 +104,12 @@
     if (refusal) return refusal;
     const state = await engine.state();
     if (!state) return { outcome: 'lost' };
-    return { outcome: 'ok', ...sparseTokens(state.ranks.map((rank) => rank.tokens_by_expert)) };
+    const ranks = state.ranks.map((rank) => ({
+      rank: rank.rank,
+      step: rank.step,
+      stepTimeUs: rank.step_time_us,
+    }));
+    return { outcome: 'ok', ranks, tokens: sumTokens(state.ranks.map((r) => r.tokens_by_expert)) };
   };
 
   const form = (args: FormArgs): Promise<Answer<{ outcome: 'done' }>> =>
--- /dev/null
+++ b/packages/plantaindrum/src/cli/apply/index.ts
@@ -0,0 +1,58 @@
+import { exitCodes, formatFault, readSettings } from '@plantaindrum/common';
+import { intentDocumentSchema } from '@plantaindrum/intent';
+import { z } from 'zod';
+import type { Command } from '../command.js';
+import type { OperatorsArgs } from '../operators-client.js';
+import { createOperatorsClient, withOperators } from '../operators-client.js';
+import type { SubmitArgs } from '../submit.js';
+import { fetchIntent, submitChanges, withSubmission } from '../submit.js';
+import { changesFor, checkMadeFrom } from './changes.js';
+
+interface ApplyArgs extends OperatorsArgs, SubmitArgs {
+  file: string;
+  from?: number;
+}
+
+const sectionsOf = (file: string): string[] => {
+  const read = readSettings(file, z.record(z.string(), z.unknown()));
+  return read.ok ? Object.keys(read.value) : [];
+};
+
+/** `plantaindrum apply FILE`. */
+export const applyCommand: Command<ApplyArgs> = {
+  command: 'apply <file>',
+  describe: "Put an operators' intent file in force; waits until it is accepted",
+  builder: (args) =>
+    withSubmission(
+      withOperators(
+        args
+          .positional('file', {
+            type: 'string',
+            demandOption: true,
+            describe: 'Intent as JSON with comments; sections that it leaves out stay as they are',
+          })
+          .option('from', {
+            type: 'number',
+            describe: 'Version that the file was made from: a key changed since is a conflict',
+          }),
+      ),
+    ),
+  run: async (args, io) => {
+    const wanted = readSettings(args.file, intentDocumentSchema);
+    if (!wanted.ok) {
+      wanted.err.forEach((fault) => io.err(formatFault(args.file, fault)));
+      return exitCodes.invalid;
+    }
+    const client = createOperatorsClient(args, io);
+    const view = await fetchIntent(client);
+    const changes = changesFor(sectionsOf(args.file), wanted.value, view);
+    if (changes.length === 0) {
+      io.out(`nothing to change at version ${view.offset}`);
+      return exitCodes.ok;
+    }
+    if (args.from !== undefined) checkMadeFrom(changes, args.from);
+    const version = await submitChanges(client, changes, args);
+    io.out(`accepted at version ${version}: ${changes.map(({ key }) => key).join(', ')}`);
+    return exitCodes.ok;
+  },
+};
--- /dev/null
+++ b/packages/plantaindrum/src/cli/check/index.ts
@@ -0,0 +1,63 @@
+import { readFileSync } from 'node:fs';
+import type { SettingsFault } from '@plantaindrum/common';
+import {
+  agentSettingsSchema,
+  entrySettingsSchema,
+  exitCodes,
+  formatFault,
+  parseSettings,
+  PlantaindrumError,
+} from '@plantaindrum/common';
+import { intentDocumentSchema } from '@plantaindrum/intent';
+import type { Command } from '../command.js';
+
+/** Kinds of files that can be checked. */
+export type FileKind = 'entry' | 'agent' | 'intent';
+
+const schemas = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+  intent: intentDocumentSchema,
+};
+
+const readText = (file: string): string => {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    throw new PlantaindrumError('file-unreadable', { file, detail }, { cause: err });
+  }
+};
+
+/** Settings of an agent name an upstream; intent names neither a node nor a platform. */
+const guessKind = (text: string): FileKind => {
+  if (/"upstream"\s*:/.test(text)) return 'agent';
+  return /"(node|platform|callers|link)"\s*:/.test(text) ? 'entry' : 'intent';
+};
+
+const faultsOf = (text: string, kind: FileKind): SettingsFault[] => {
+  const parsed = parseSettings(text, schemas[kind]);
+  return parsed.ok ? [] : parsed.err;
+};
+
+/** `plantaindrum check FILE`. */
+export const checkCommand: Command<{ file: string; kind?: string }> = {
+  command: 'check <file>',
+  describe: "Validate settings or an operators' intent file",
+  builder: (args) =>
+    args
+      .positional('file', { type: 'string', demandOption: true, describe: 'JSON with comments' })
+      .option('kind', {
+        choices: Object.keys(schemas),
+        describe: 'What the file holds; default: found out from its keys',
+      }),
+  run: async ({ file, kind }, io) => {
+    const text = readText(file);
+    const chosen = (kind as FileKind | undefined) ?? guessKind(text);
+    const faults = faultsOf(text, chosen);
+    faults.forEach((fault) => io.err(formatFault(file, fault)));
+    if (faults.length > 0) return exitCodes.invalid;
+    io.out(`${file}: valid (${chosen})`);
+    return exitCodes.ok;
+  },
+};
--- /dev/null
+++ b/packages/plantaindrum/src/cli/entry/index.ts
@@ -0,0 +1,65 @@
+import {
+  createLogger,
+  createMetrics,
+  entrySettingsSchema,
+  exitCodes,
+  formatFault,
+  PlantaindrumError,
+  readSettings,
+  sleep,
+  systemClock,
+  systemRandom,
+} from '@plantaindrum/common';
+import type { Entry } from '../../core/entry/entry.js';
+import { startEntry } from '../../core/entry/entry.js';
+import type { Command } from '../command.js';
+import { nextSignal } from './signals.js';
+
+/** The ready line is not held back longer than this, so that operators can look at the doors. */
+const READY_LINE_MS = 5_000;
+
+const codeOf = (err: unknown): string => {
+  const { code, message } = err as { code?: unknown; message?: unknown };
+  return String(code ?? message ?? err);
+};
+
+const start = async (file: string, ...args: Parameters<typeof startEntry>): Promise<Entry> => {
+  try {
+    return await startEntry(...args);
+  } catch (err) {
+    const address = `an address of ${file}`;
+    throw new PlantaindrumError('listen-failed', { address, detail: codeOf(err) }, { cause: err });
+  }
+};
+
+/** `plantaindrum entry`. */
+export const entryCommand: Command<{ settings: string }> = {
+  command: 'entry',
+  describe: 'Serve callers: the process of an entry VM',
+  builder: (args) =>
+    args.option('settings', {
+      type: 'string',
+      demandOption: true,
+      describe: 'Settings of this process, JSON with comments',
+    }),
+  run: async ({ settings: file }, io) => {
+    const settings = readSettings(file, entrySettingsSchema);
+    if (!settings.ok) {
+      settings.err.forEach((fault) => io.err(formatFault(file, fault)));
+      return exitCodes.invalid;
+    }
+    const log = createLogger(settings.value.node.name);
+    const metrics = createMetrics();
+    const deps = { clock: systemClock, random: systemRandom, metrics, log };
+    const entry = await start(file, settings.value, deps);
+    const signalled = nextSignal();
+    await Promise.race([entry.ready, sleep(systemClock, READY_LINE_MS), signalled]);
+    const { callers, operators, link } = entry;
+    io.out(JSON.stringify({ ready: entry.isReady(), callers, operators, link }));
+    log.info(`${await signalled}: requests in flight may end, a second signal ends at once`);
+    const second = nextSignal().then(() => exitCodes.endedEarly);
+    const drained = entry.drain().then(() => exitCodes.ok);
+    const code = await Promise.race([drained, second]);
+    return process.exit(code);
+  },
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/attempts/run-attempt.ts
@@ -0,0 +1,159 @@
+/** One attempt, from its dispatch to its outcome. */
+
+import type { Clock, Metrics, RefusalReason } from '@plantaindrum/common';
+import { isRefusalReason } from '@plantaindrum/common';
+import type { AttemptId, Chunk } from '@plantaindrum/link';
+import { createInbox } from './inbox.js';
+import type { AnswerSink, AttemptEvent, AttemptOutcome, AttemptUpstream, Work } from './types.js';
+
+/** Times after which an attempt is given up, in milliseconds. */
+export interface AttemptTimes {
+  /** Wait for the same agent instance after a lost link. */
+  reconnectMs: number;
+  /** Longest silence of a linked agent before the attempt is cancelled. */
+  silenceMs: number;
+  /** Wait for the agent's word after a cancel. */
+  verdictMs: number;
+}
+
+/** Times that suit a round trip of a few milliseconds. */
+export const defaultAttemptTimes: AttemptTimes = {
+  reconnectMs: 2_000,
+  silenceMs: 60_000,
+  verdictMs: 1_000,
+};
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  id: AttemptId;
+  upstream: AttemptUpstream;
+  work: Work;
+  answer: AnswerSink;
+  /** Tells of the caller's end; the returned function ends that. */
+  onCallerGone: (fn: () => void) => () => void;
+  times: AttemptTimes;
+  clock: Clock;
+  metrics: Metrics;
+}
+
+const reasonOf = (text: string, otherwise: RefusalReason): RefusalReason =>
+  isRefusalReason(text) ? text : otherwise;
+
+const notRun = (reason: RefusalReason, retryAfterMs: number): AttemptOutcome => ({
+  outcome: 'not-run',
+  reason,
+  retryAfterMs,
+});
+
+const unknown = (reason: RefusalReason): AttemptOutcome => ({ outcome: 'unknown', reason });
+
+const UNREACHABLE_RETRY_MS = 1_000;
+
+/** Runs one attempt; never rejects. Frames that come after its end are dropped by the upstream. */
+export const runAttempt = async (options: AttemptOptions): Promise<AttemptOutcome> => {
+  const { id, upstream, work, answer, times, clock, metrics } = options;
+  const inbox = createInbox<AttemptEvent>();
+  const instance = upstream.instance();
+  let received = 0;
+  let headSeen = false;
+  let cancelled = false;
+  let linked = true;
+  let stopTimer = (): void => {};
+
+  const armTimer = (): void => {
+    stopTimer();
+    const quietMs = linked ? times.silenceMs : times.reconnectMs;
+    stopTimer = clock.after(cancelled ? times.verdictMs : quietMs, () =>
+      inbox.push({ t: 'timer' }),
+    );
+  };
+
+  const cancel = (): void => {
+    cancelled = true;
+    if (instance) upstream.cancel(id, instance);
+  };
+
+  /** An answer that breaks the link's rules is never passed off as whole. */
+  const broken = (fault: string): AttemptOutcome => {
+    metrics.count('answer_broken', { fault });
+    cancel();
+    return unknown('upstream-broke-off');
+  };
+
+  const takeChunk = async (chunk: Chunk): Promise<AttemptOutcome | undefined> => {
+    if (!headSeen) return broken('chunk-before-head');
+    if (chunk.offset !== received) return broken('wrong-offset');
+    received += chunk.data.length;
+    if (!(await answer.write(chunk.data))) return broken('wrong-event');
+    upstream.credit(id, chunk.data.length);
+    return undefined;
+  };
+
+  const onTimer = (): AttemptOutcome | undefined => {
+    if (cancelled) return unknown('answer-timeout');
+    // The agent may still find the attempt in its queue; the cancel leaves a tombstone either way.
+    cancel();
+    if (!linked) return unknown('link-lost');
+    armTimer();
+    return undefined;
+  };
+
+  /**
+   * The same instance still knows the attempt, or puts a tombstone on an id that never reached it.
+   * Another instance has forgotten everything, so the outcome stays unknown.
+   */
+  const onLinkUp = (peerInstance: string): AttemptOutcome | undefined => {
+    linked = true;
+    if (peerInstance !== instance) return unknown('agent-restarted');
+    metrics.count('attempt_queried');
+    upstream.query(id, headSeen, received);
+    return undefined;
+  };
+
+  const take = async (event: AttemptEvent): Promise<AttemptOutcome | undefined> => {
+    switch (event.t) {
+      case 'head':
+        if (headSeen) return broken('second-head');
+        headSeen = true;
+        return answer.head(event.status, event.headers) ? undefined : broken('wrong-head');
+      case 'chunk':
+        return takeChunk(event);
+      case 'end':
+        if (!headSeen || event.length !== received) return broken('wrong-length');
+        return answer.end() ? { outcome: 'answered' } : broken('not-whole');
+      case 'not-run':
+        if (headSeen) return broken('not-run-after-head');
+        return notRun(reasonOf(event.reason, 'upstream-unreachable'), event.retryAfterMs);
+      case 'unknown':
+        return unknown(reasonOf(event.reason, 'upstream-broke-off'));
+      case 'link-lost':
+        linked = false;
+        return undefined;
+      case 'link-up':
+        return onLinkUp(event.instance);
+      case 'caller-gone':
+        cancel();
+        return { outcome: 'caller-gone' };
+      case 'timer':
+        return onTimer();
+      default:
+        return undefined;
+    }
+  };
+
+  const close = upstream.open(id, inbox);
+  const offCaller = options.onCallerGone(() => inbox.push({ t: 'caller-gone' }));
+  try {
+    const sent = await upstream.dispatch({ t: 'dispatch', id, ...work });
+    if (!sent) return notRun('upstream-unreachable', UNREACHABLE_RETRY_MS);
+    for (;;) {
+      armTimer();
+      const outcome = await take(await inbox.next());
+      if (outcome) return outcome;
+    }
+  } finally {
+    stopTimer();
+    offCaller();
+    close();
+  }
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -0,0 +1,213 @@
+/** An entry process: doors, links, intent and the requests that run between them. */
+
+import { randomUUID } from 'node:crypto';
+import type { Clock, EntrySettings, Logger, Metrics, Random } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
+import { createIntentReader, joinIntentToLinks } from '@plantaindrum/intent';
+import type { FrameHandler, LinkServer } from '@plantaindrum/link';
+import { createLinkServer } from '@plantaindrum/link';
+import { createLogClient, createVmListClient } from '@plantaindrum/platform';
+import { defaultAttemptTimes } from '../attempts/run-attempt.js';
+import type { CallersDoor } from '../callers/door.js';
+import { openCallersDoor } from '../callers/door.js';
+import type { OperatorsDoor } from '../operators/door.js';
+import { openOperatorsDoor } from '../operators/door.js';
+import { createLeastOutstanding } from '../requests/least-outstanding.js';
+import { createRetryBudget, defaultRetryBudget } from '../requests/retry-budget.js';
+import { createClassTargets } from '../status/class-targets.js';
+import { entryStatus } from '../status/entry-status.js';
+import type { Directory } from '../upstreams/directory.js';
+import { createDirectory } from '../upstreams/directory.js';
+import { askOverLink, collectInFlight, NODE_STATUS } from './in-flight.js';
+import { createConnectAgent, linkOptions } from './links.js';
+import { createReadiness } from './readiness.js';
+
+/** What an entry needs from its process. */
+export interface EntryDeps {
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** A running entry. */
+export interface Entry {
+  callers: string;
+  operators: string;
+  link: string;
+  /** Resolves when the entry serves: its intent is read and its first links are up. */
+  ready: Promise<void>;
+  isReady(): boolean;
+  /** Fails readiness, lets every request end, then closes. */
+  drain(): Promise<void>;
+  /** Closes at once; what is in flight breaks off. */
+  close(): Promise<void>;
+}
+
+const LIST_INTERVAL_MS = 1_000;
+const NOTICE_MS = 1_000;
+const FIRST_LINKS_MS = 2_000;
+const LINK_CHECK_MS = 25;
+
+const ignoreFrames: FrameHandler = () => {};
+
+/** Waits until every live upstream of the list is linked; a dead one must not hold up the start. */
+const firstLinks = async (directory: Directory, clock: Clock): Promise<void> => {
+  const until = clock.monotonic() + FIRST_LINKS_MS;
+  const missing = (): boolean =>
+    directory.upstreams().some((upstream) => !upstream.link() && !upstream.leaving());
+  while (missing() && clock.monotonic() < until) await sleep(clock, LINK_CHECK_MS);
+};
+
+/** Starts an entry; rejects when an address can't be listened on. */
+export const startEntry = async (settings: EntrySettings, deps: EntryDeps): Promise<Entry> => {
+  const { clock, random, metrics, log } = deps;
+  const { node, limits, platform } = settings;
+  const instance = randomUUID();
+
+  const logClient = createLogClient({ url: platform.logUrl, client: node.name });
+  const vmList = createVmListClient({ url: platform.vmListUrl, client: node.name });
+  const intent = createIntentReader({
+    log: logClient,
+    clock,
+    random,
+    metrics,
+    logger: log.child('intent'),
+  });
+  const intentLinks = joinIntentToLinks(intent);
+
+  let callers: CallersDoor | undefined;
+  const inFlight = (): number => callers?.inFlight() ?? 0;
+  const links = {
+    settings,
+    instance,
+    intent: intentLinks,
+    handlers: { [NODE_STATUS]: async () => ({ inFlight: inFlight() }) },
+    clock,
+    random,
+    metrics,
+    log: log.child('link'),
+  };
+  const connect = createConnectAgent(links);
+  const directory = createDirectory({
+    list: vmList,
+    connect,
+    clock,
+    random,
+    metrics,
+    log: log.child('upstreams'),
+    intervalMs: LIST_INTERVAL_MS,
+  });
+  const linkServer: LinkServer = await createLinkServer({
+    ...linkOptions(links),
+    listen: settings.link,
+    onLink: (link) => {
+      intentLinks.onLink(link);
+      return ignoreFrames;
+    },
+  });
+
+  const readiness = createReadiness({
+    dataCentre: node.dataCentre,
+    intent,
+    clock,
+    log,
+    noticeMs: NOTICE_MS,
+  });
+  const targets = createClassTargets(clock);
+
+  const serving = () =>
+    directory
+      .upstreams()
+      .filter(
+        (upstream) =>
+          intent.current().document.dataCentres[upstream.vm().dataCentre]?.state !== 'stopped',
+      );
+
+  let lastAttempt = 0;
+  callers = await openCallersDoor({
+    listen: settings.callers,
+    limits,
+    intent,
+    closedFor: readiness.closedFor,
+    serve: {
+      choose: createLeastOutstanding(serving),
+      budget: createRetryBudget(defaultRetryBudget),
+      nextId: () => {
+        lastAttempt += 1;
+        return `${instance}:${lastAttempt}`;
+      },
+      times: defaultAttemptTimes,
+      clock,
+      metrics,
+    },
+    targets,
+    clock,
+    metrics,
+  });
+  const door = callers;
+
+  const upstreamLink = (name: string) =>
+    directory
+      .upstreams()
+      .find((upstream) => upstream.vm().name === name)
+      ?.link();
+
+  const operators: OperatorsDoor = await openOperatorsDoor({
+    listen: settings.operators,
+    limits,
+    intent,
+    unready: readiness.unready,
+    status: () =>
+      entryStatus({
+        node,
+        instance,
+        intent,
+        directory,
+        targets,
+        metrics,
+        inFlight,
+        unready: readiness.unready,
+      }),
+    inFlightIn: (dataCentre) =>
+      collectInFlight(dataCentre, {
+        self: { ...node, inFlight },
+        vms: directory.vms,
+        askNode: (vm) => askOverLink(upstreamLink(vm.name)),
+      }),
+    metrics,
+  });
+
+  const start = async (): Promise<void> => {
+    await directory.refresh();
+    void directory.run();
+    await intent.ready();
+    await firstLinks(directory, clock);
+    readiness.started();
+  };
+
+  const close = async (): Promise<void> => {
+    await door.close();
+    await operators.close();
+    await directory.close();
+    await linkServer.close();
+    await intent.close();
+    await logClient.close();
+    await vmList.close();
+  };
+
+  return {
+    callers: door.url,
+    operators: operators.url,
+    link: `${linkServer.address.host}:${linkServer.address.port}`,
+    ready: start(),
+    isReady: () => readiness.unready() === undefined,
+    drain: async () => {
+      readiness.drain();
+      await sleep(clock, NOTICE_MS);
+      await door.drain();
+      await close();
+    },
+    close,
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/entry/links.ts
@@ -0,0 +1,58 @@
+/** This entry's links: to agents, and from peers that ask it something. */
+
+import type { Clock, EntrySettings, Logger, Metrics, Random } from '@plantaindrum/common';
+import type { IntentLinks } from '@plantaindrum/intent';
+import type { CallHandler, FrameHandler, Link, LinkOptions } from '@plantaindrum/link';
+import { createLinkClient, defaultBackoff, defaultLinkLimits } from '@plantaindrum/link';
+import type { Vm } from '@plantaindrum/platform';
+import type { ConnectAgent } from '../upstreams/directory.js';
+
+/** What links need. */
+export interface EntryLinksOptions {
+  settings: EntrySettings;
+  instance: string;
+  intent: IntentLinks;
+  handlers: Record<string, CallHandler>;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** Options of every link of this entry. */
+export const linkOptions = (options: EntryLinksOptions): Omit<LinkOptions, 'onLink'> => {
+  const { settings, instance, intent, handlers, clock, metrics, log } = options;
+  const { name, dataCentre, region } = settings.node;
+  const { frameBytes, connections } = settings.limits;
+  return {
+    identity: { role: 'entry', node: name, instance, dataCentre, region },
+    intentOffset: intent.intentOffset,
+    onPeerOffset: intent.onPeerOffset,
+    limits: { ...defaultLinkLimits, frameBytes, connections },
+    handlers: { ...intent.handlers, ...handlers },
+    clock,
+    metrics,
+    log,
+  };
+};
+
+const addressOf = ({ address }: Vm): { host: string; port: number } => {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+};
+
+/** Dials agents at the link addresses of the platform's list. */
+export const createConnectAgent = (options: EntryLinksOptions): ConnectAgent => {
+  const shared = linkOptions(options);
+  return (vm, onLink: (link: Link) => FrameHandler) =>
+    createLinkClient({
+      ...shared,
+      connect: addressOf(vm),
+      backoff: defaultBackoff,
+      random: options.random,
+      onLink: (link) => {
+        options.intent.onLink(link);
+        return onLink(link);
+      },
+    });
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/entry/readiness.ts
@@ -0,0 +1,83 @@
+/** When this entry takes work, and what it tells the balancer in front of it. */
+
+import type { Clock, Logger, Refusal } from '@plantaindrum/common';
+import type { IntentReader } from '@plantaindrum/intent';
+
+/** Phases of an entry's life. */
+export type Phase = 'starting' | 'serving' | 'draining';
+
+/** Readiness of one entry. */
+export interface Readiness {
+  phase(): Phase;
+  started(): void;
+  /** This VM is going: readiness fails from now on. */
+  drain(): void;
+  /** Why `GET /ready` fails, if it does. */
+  unready(): Refusal | undefined;
+  /** Why new requests are refused, if they are. */
+  closedFor(): Refusal | undefined;
+}
+
+/** What readiness depends on. */
+export interface ReadinessOptions {
+  dataCentre: string;
+  intent: Pick<IntentReader, 'current' | 'freshness' | 'onChange'>;
+  clock: Clock;
+  log: Logger;
+  /**
+   * Time between failing readiness and refusing requests, in milliseconds: the balancer in front
+   * needs a few probes to notice, and until then sends requests that must still be served.
+   */
+  noticeMs: number;
+}
+
+const notReady = (detail: string): Refusal => ({ reason: 'not-ready', data: { detail } });
+
+/** Creates the readiness of an entry that is starting. */
+export const createReadiness = (options: ReadinessOptions): Readiness => {
+  const { dataCentre, intent, clock, log, noticeMs } = options;
+  let phase: Phase = 'starting';
+  let refuseFrom = Infinity;
+  let stopped = false;
+
+  const notice = (): void => {
+    refuseFrom = clock.monotonic() + noticeMs;
+  };
+
+  const followDataCentre = (): void => {
+    const now = intent.current().document.dataCentres[dataCentre]?.state === 'stopped';
+    if (now === stopped) return;
+    stopped = now;
+    if (stopped) notice();
+    else if (phase !== 'draining') refuseFrom = Infinity;
+    log.info(`data centre ${dataCentre} ${stopped ? 'is stopping' : 'serves again'}`);
+  };
+
+  const unready = (): Refusal | undefined => {
+    if (phase === 'draining') return notReady('this VM is leaving');
+    if (stopped) return { reason: 'data-centre-stopping', data: { dataCentre } };
+    if (!intent.freshness().caughtUp) return notReady("the operators' intent is not read yet");
+    if (phase === 'starting') return notReady('links to upstreams are not up yet');
+    return undefined;
+  };
+
+  followDataCentre();
+  intent.onChange(followDataCentre);
+
+  return {
+    phase: () => phase,
+    started: () => {
+      if (phase === 'starting') phase = 'serving';
+    },
+    drain: () => {
+      phase = 'draining';
+      notice();
+    },
+    unready,
+    closedFor: () => {
+      const leaving = phase === 'draining' || stopped;
+      if (leaving && clock.monotonic() < refuseFrom) return undefined;
+      return unready();
+    },
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/operators/door.ts
@@ -0,0 +1,120 @@
+/** The operators' door: readiness, metrics, status and intent. */
+
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
+import { refusalBody, refusalHeaders, refusalStatus } from '@plantaindrum/common';
+import type { IntentReader, SubmitOutcome } from '@plantaindrum/intent';
+import { readBody } from '../callers/read-body.js';
+import { parseSubmission } from './submission.js';
+
+/** What the operators' door needs. */
+export interface OperatorsDoorOptions {
+  listen: EntrySettings['operators'];
+  limits: EntrySettings['limits'];
+  intent: IntentReader;
+  /** Why the node takes no new work, if so. */
+  unready: () => Refusal | undefined;
+  status: () => unknown;
+  /** What is in flight in a data centre, as far as peers tell. */
+  inFlightIn: (dataCentre: string) => Promise<unknown>;
+  metrics: Metrics;
+}
+
+/** An open door. */
+export interface OperatorsDoor {
+  url: string;
+  close(): Promise<void>;
+}
+
+const STATUS_OF: Record<SubmitOutcome['outcome'], number> = {
+  accepted: 200,
+  conflict: 409,
+  invalid: 422,
+  unknown: 504,
+};
+
+const digest = (text: string): Buffer => createHash('sha256').update(text).digest();
+
+const sendJson = (res: ServerResponse, status: number, value: unknown): void => {
+  res.writeHead(status, { 'content-type': 'application/json; charset=utf-8' });
+  res.end(`${JSON.stringify(value)}\n`);
+};
+
+/** Opens the operators' door; rejects when the address can't be listened on. */
+export const openOperatorsDoor = async (options: OperatorsDoorOptions): Promise<OperatorsDoor> => {
+  const { listen, limits, intent, unready, status, inFlightIn, metrics } = options;
+  const expected = digest(`Bearer ${listen.token}`);
+
+  const refuse = (res: ServerResponse, refusal: Refusal): void => {
+    metrics.count('operators_refused', { reason: refusal.reason });
+    res.writeHead(refusalStatus(refusal), refusalHeaders(refusal));
+    res.end(JSON.stringify(refusalBody(refusal)));
+  };
+
+  const serveReady = (res: ServerResponse): void => {
+    const refusal = unready();
+    if (refusal) refuse(res, refusal);
+    else sendJson(res, 200, { ready: true });
+  };
+
+  const serveMetrics = (res: ServerResponse): void => {
+    res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
+    res.end(metrics.exposition());
+  };
+
+  const submit = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const body = await readBody(req, limits.bodyBytes);
+    if (!body) return;
+    if (!body.ok) {
+      refuse(res, body.err);
+      return;
+    }
+    const submission = parseSubmission(body.value);
+    if (!submission.ok) {
+      sendJson(res, STATUS_OF.invalid, { outcome: 'invalid', faults: submission.err });
+      return;
+    }
+    const outcome = await intent.submit(submission.value);
+    metrics.count('intent_submissions', { outcome: outcome.outcome });
+    sendJson(res, STATUS_OF[outcome.outcome], outcome);
+  };
+
+  const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const { method = 'GET', url = '/' } = req;
+    const { pathname, searchParams } = new URL(url, 'http://node');
+    const call = `${method} ${pathname}`;
+    if (call === 'GET /ready') return serveReady(res);
+    if (!timingSafeEqual(expected, digest(req.headers.authorization ?? ''))) {
+      return refuse(res, { reason: 'operator-unauthorised' });
+    }
+    if (call === 'GET /metrics') return serveMetrics(res);
+    if (call === 'GET /status') return sendJson(res, 200, status());
+    if (call === 'GET /in-flight') {
+      return sendJson(res, 200, await inFlightIn(searchParams.get('data-centre') ?? ''));
+    }
+    if (call === 'GET /intent') return sendJson(res, 200, intent.current());
+    if (call === 'POST /intent') return submit(req, res);
+    return refuse(res, { reason: 'operator-unknown-path', data: { method, path: pathname } });
+  };
+
+  const server = createServer({ maxHeaderSize: limits.headerBytes }, (req, res) => {
+    void serve(req, res);
+  });
+  server.maxConnections = limits.connections;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(listen.port, listen.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    url: `http://${listen.host}:${port}`,
+    close: async () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/requests/work.ts
@@ -0,0 +1,35 @@
+import { createHash } from 'node:crypto';
+import type { ErrorData } from '@plantaindrum/common';
+import type { Work } from '../attempts/types.js';
+import type { EntryRequest } from './types.js';
+
+/** Facts of a request that refusals name. */
+export const factsOf = ({ class: { name }, target }: EntryRequest): ErrorData => ({
+  class: name,
+  upstream: target.kind === 'model' ? target.model : target.service,
+});
+
+const idempotencyOf = ({ idempotencyKey, body }: EntryRequest): Pick<Work, 'idempotency'> => {
+  if (idempotencyKey === undefined) return {};
+  const bodyHash = createHash('sha256').update(body).digest('hex');
+  return { idempotency: { key: idempotencyKey, bodyHash } };
+};
+
+/** What an agent is sent; `budgetMs` is the time left until the class's target. */
+export const workOf = (
+  request: EntryRequest,
+  budgetMs: number,
+  resumeAfter: string | undefined,
+): Work => ({
+  organisation: request.organisation,
+  class: request.class.name,
+  priority: request.class.priority,
+  mayNotRepeat: request.class.mayNotRepeat,
+  budgetMs,
+  method: request.method,
+  path: request.path,
+  headers: request.headers,
+  body: request.body,
+  ...idempotencyOf(request),
+  ...(resumeAfter !== undefined && { resumeAfter }),
+});
--- /dev/null
+++ b/packages/plantaindrum/src/core/status/entry-status.ts
@@ -0,0 +1,131 @@
+/** What this entry tells operators. */
+
+import type { EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
+import type { IntentFreshness, IntentReader } from '@plantaindrum/intent';
+import type { Directory } from '../upstreams/directory.js';
+import type { Upstream } from '../upstreams/upstream.js';
+import type { ClassStatus, ClassTargets } from './class-targets.js';
+
+/** One upstream in `status`. */
+export interface UpstreamLine {
+  name: string;
+  dataCentre: string;
+  serves: string;
+  group?: string;
+  linked: boolean;
+  leaving: boolean;
+  /** Requests of this entry that are open there. */
+  outstanding: number;
+  queued?: number;
+  running?: number;
+  drainPerSecond?: number;
+}
+
+/** One expert group in `status`. */
+export interface GroupLine {
+  name: string;
+  upstreams: number;
+  linked: number;
+}
+
+/** One organisation's traffic since the start of the process. */
+export interface OrganisationLine {
+  name: string;
+  answered: number;
+  refused: number;
+  gone: number;
+}
+
+/** The document of `GET /status`. */
+export interface EntryStatus {
+  node: { name: string; dataCentre: string; region: string; role: 'entry'; instance: string };
+  ready: boolean;
+  /** Why it is not ready. */
+  reason?: string;
+  inFlight: number;
+  intent: { offset: number; freshness: IntentFreshness };
+  dataCentres: { name: string; state: string }[];
+  classes: ClassStatus[];
+  organisations: OrganisationLine[];
+  upstreams: UpstreamLine[];
+  groups: GroupLine[];
+}
+
+/** What a status is made from. */
+export interface EntryStatusOptions {
+  node: EntrySettings['node'];
+  instance: string;
+  intent: IntentReader;
+  directory: Directory;
+  targets: ClassTargets;
+  metrics: Metrics;
+  inFlight: () => number;
+  /** Why the node takes no new work, if so. */
+  unready: () => Refusal | undefined;
+}
+
+const upstreamLine = (upstream: Upstream): UpstreamLine => {
+  const { name, dataCentre, model, service, group } = upstream.vm();
+  const load = upstream.load();
+  return {
+    name,
+    dataCentre,
+    serves: model ?? service ?? '',
+    ...(group !== undefined && { group }),
+    linked: upstream.link() !== undefined,
+    leaving: upstream.leaving(),
+    outstanding: upstream.outstanding(),
+    ...(load && {
+      queued: load.queued,
+      running: load.running,
+      drainPerSecond: load.drainPerSecond,
+    }),
+  };
+};
+
+const groupLines = (upstreams: UpstreamLine[]): GroupLine[] => {
+  const names = new Set(upstreams.flatMap(({ group }) => group ?? []));
+  return [...names].sort().map((name) => {
+    const members = upstreams.filter(({ group }) => group === name);
+    return {
+      name,
+      upstreams: members.length,
+      linked: members.filter(({ linked }) => linked).length,
+    };
+  });
+};
+
+const organisationLines = (metrics: Metrics, names: string[]): OrganisationLine[] => {
+  const ended = metrics.snapshot().counters.filter(({ name }) => name === 'requests_ended');
+  const sum = (organisation: string, outcome: string): number =>
+    ended
+      .filter(({ labels }) => labels.organisation === organisation)
+      .filter(({ labels }) => labels.outcome === outcome)
+      .reduce((total, { value }) => total + value, 0);
+  return names.sort().map((name) => ({
+    name,
+    answered: sum(name, 'answered'),
+    refused: sum(name, 'refused'),
+    gone: sum(name, 'caller-gone'),
+  }));
+};
+
+/** Makes the document of `GET /status`. */
+export const entryStatus = (options: EntryStatusOptions): EntryStatus => {
+  const { node, instance, intent, directory, targets, metrics, inFlight, unready } = options;
+  const { document, offset } = intent.current();
+  const upstreams = directory.upstreams().map(upstreamLine);
+  const refusal = unready();
+  return {
+    node: { ...node, role: 'entry', instance },
+    ready: refusal === undefined,
+    ...(refusal && { reason: refusal.data?.detail ?? refusal.reason }),
+    inFlight: inFlight(),
+    intent: { offset, freshness: intent.freshness() },
+    dataCentres: Object.entries(document.dataCentres).map(([name, { state }]) => ({ name, state })),
+    classes: targets.status(document),
+    organisations: organisationLines(metrics, Object.keys(document.organisations)),
+    upstreams,
+    groups: groupLines(upstreams),
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -0,0 +1,131 @@
+/** The upstreams that this entry knows, from the platform's lagging list and its own links. */
+
+import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
+import type { Vm, VmListClient } from '@plantaindrum/platform';
+import type { Upstream } from './upstream.js';
+import { createUpstream } from './upstream.js';
+
+/** Keeps a link to an agent; the result ends it. */
+export type ConnectAgent = (
+  vm: Vm,
+  onLink: (link: Link) => FrameHandler,
+) => Pick<LinkClient, 'close'>;
+
+/** The upstreams known to this entry. */
+export interface Directory {
+  /** Every upstream in the list, linked or not. */
+  upstreams(): Upstream[];
+  /** Every VM of the last list, entries included. */
+  vms(): Vm[];
+  /** Reads the list once. */
+  refresh(): Promise<void>;
+  /** Reads the list until `close`. */
+  run(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** What a directory needs. */
+export interface DirectoryOptions {
+  list: Pick<VmListClient, 'list'>;
+  connect: ConnectAgent;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+  /** Time between two reads of the list, in milliseconds. */
+  intervalMs: number;
+}
+
+interface Entry {
+  upstream: Upstream;
+  client: Pick<LinkClient, 'close'>;
+}
+
+const keyOf = (vm: Vm): string => `${vm.name}@${vm.address}`;
+
+/** Creates a directory that knows nobody yet. */
+export const createDirectory = (options: DirectoryOptions): Directory => {
+  const { list, connect, clock, random, metrics, log, intervalMs } = options;
+  const listed = new Map<string, Entry>();
+  const forgotten = new Set<Entry>();
+  let vms: Vm[] = [];
+  let listAnswers = true;
+  let stopped = false;
+  let endWait = (): void => {};
+
+  const add = (vm: Vm): void => {
+    const upstream = createUpstream(vm, metrics);
+    listed.set(keyOf(vm), { upstream, client: connect(vm, upstream.onLink) });
+    log.info(`upstream ${vm.name} at ${vm.address} appeared`);
+  };
+
+  const forget = (key: string, entry: Entry): void => {
+    listed.delete(key);
+    forgotten.add(entry);
+    log.info(`upstream ${entry.upstream.vm().name} left the list`);
+  };
+
+  /** A VM that the list forgot may still be answering: its link ends after its last attempt. */
+  const closeForgotten = (): void => {
+    [...forgotten]
+      .filter(({ upstream }) => upstream.outstanding() === 0)
+      .forEach((entry) => {
+        forgotten.delete(entry);
+        void entry.client.close();
+      });
+  };
+
+  const take = (next: Vm[]): void => {
+    vms = next;
+    const wanted = new Map(
+      next.filter((vm) => vm.role === 'upstream').map((vm) => [keyOf(vm), vm]),
+    );
+    listed.forEach((entry, key) => {
+      const vm = wanted.get(key);
+      if (vm) entry.upstream.setVm(vm);
+      else forget(key, entry);
+    });
+    wanted.forEach((vm, key) => {
+      if (!listed.has(key)) add(vm);
+    });
+    closeForgotten();
+  };
+
+  /** An outage of the list is no reason to drop upstreams that still answer. */
+  const refresh = async (): Promise<void> => {
+    const read = await list.list();
+    if (stopped) return;
+    if (read.ok !== listAnswers) log.warn(`VM list ${read.ok ? 'answers again' : 'is down'}`);
+    listAnswers = read.ok;
+    if (read.ok) take(read.value);
+    else metrics.count('vm_list_failed', { kind: read.err.kind });
+  };
+
+  const wait = (ms: number): Promise<void> =>
+    new Promise((resolve) => {
+      const cancel = clock.after(ms, resolve);
+      endWait = () => {
+        cancel();
+        resolve();
+      };
+    });
+
+  return {
+    upstreams: () => [...listed.values()].map((entry) => entry.upstream),
+    vms: () => vms,
+    refresh,
+    run: async () => {
+      while (!stopped) {
+        await refresh();
+        if (!stopped) await wait(intervalMs * (0.75 + random() / 2));
+      }
+    },
+    close: async () => {
+      stopped = true;
+      endWait();
+      const entries = [...listed.values(), ...forgotten];
+      await Promise.all(entries.map((entry) => entry.client.close()));
+    },
+  };
+};
--- a/packages/plantaindrum/src/index.ts
+++ b/packages/plantaindrum/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export { runCli } from './cli/main.js';
+export type { Entry, EntryDeps } from './core/entry/entry.js';
+export { startEntry } from './core/entry/entry.js';
+export type { EntryStatus } from './core/status/entry-status.js';
--- /dev/null
+++ b/packages/plantaindrum/test/callers-door.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import type { FakeAgent } from './support/fake-agent.js';
+import { answerWith, startFakeAgent } from './support/fake-agent.js';
+import type { TestSite } from './support/site.js';
+import { startSite, upstreamVm } from './support/site.js';
+
+const prompt = JSON.stringify({ model: 'lot-writer', prompt: 'a car' });
+
+describe("callers' door", () => {
+  let agent: FakeAgent;
+  let site: TestSite;
+
+  before(async () => {
+    agent = await startFakeAgent((frame, link) => {
+      if (frame.t === 'dispatch') answerWith(link, frame, `{"path":"${frame.path}"}`);
+    });
+    const service = { kind: 'service', service: 'exports' };
+    site = await startSite(
+      [upstreamVm('u1', agent.address), upstreamVm('u2', agent.address, service)],
+      { bodyBytes: 1_000, headerBytes: 2_000 },
+    );
+  });
+
+  after(async () => {
+    await site.close();
+    await agent.close();
+  });
+
+  it('passes a completion and a call of a plain service through', async () => {
+    const completion = await site.call('/v1/completions', { body: prompt });
+    const call = await site.call('/exports/7?all=1', { method: 'GET' });
+    expect([completion.text, call.text]).to.deep.equal([
+      '{"path":"/v1/completions"}',
+      '{"path":"/exports/7?all=1"}',
+    ]);
+    const sent = agent.frames.filter((frame) => frame.t === 'dispatch');
+    expect(sent.map((frame) => [frame.class, frame.mayNotRepeat])).to.deep.equal([
+      ['live', false],
+      ['export', true],
+    ]);
+    expect(sent[0]?.headers).not.to.have.property('authorization');
+  });
+
+  it('keeps a route to calls that may not be repeated so, whatever class the caller names', async () => {
+    await site.call('/exports/8', { headers: { 'x-plantaindrum-class': 'live' } });
+    const last = agent.frames.filter((frame) => frame.t === 'dispatch').at(-1);
+    expect([last?.class, last?.mayNotRepeat]).to.deep.equal(['live', true]);
+  });
+
+  it('refuses with reason, outcome and Retry-After', async () => {
+    const unknownKey = { headers: { authorization: 'Bearer nobody' }, body: prompt };
+    const answers = {
+      'unknown key': await site.call('/v1/completions', unknownKey),
+      'unknown class': await site.call('/v1/completions', {
+        headers: { 'x-plantaindrum-class': 'none' },
+        body: prompt,
+      }),
+      'unknown path': await site.call('/elsewhere', { method: 'GET' }),
+      'wrong method': await site.call('/v1/completions', { method: 'GET' }),
+      'not JSON': await site.call('/v1/completions', { body: '{' }),
+      'no such model': await site.call('/v1/completions', {
+        body: JSON.stringify({ model: 'none', prompt: 'x' }),
+      }),
+      'body too large': await site.call('/v1/completions', { body: 'x'.repeat(5_000) }),
+      'header too large': await site.call('/v1/completions', {
+        headers: { 'x-long': 'x'.repeat(5_000) },
+        body: prompt,
+      }),
+    };
+    const seen = Object.entries(answers).map(([name, { status, headers, text }]) => ({
+      name,
+      status,
+      reason: headers['x-plantaindrum-reason'],
+      outcome: headers['x-plantaindrum-outcome'],
+      retryAfter: headers['retry-after'],
+      body: JSON.parse(text) as unknown,
+    }));
+    expect(seen).toMatchSnapshot();
+    const counted = site.metrics.counter('requests_refused', { reason: 'body-too-large' });
+    expect(counted).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/plantaindrum/test/support/fake-agent.ts
@@ -0,0 +1,98 @@
+import { createMetrics, silentLogger, systemClock } from '@plantaindrum/common';
+import type { Dispatch, Link, Load, PeerFrame } from '@plantaindrum/link';
+import { createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
+
+/** Load of an idle agent. */
+export const idle: Load = { queued: 0, running: 0, drainPerSecond: 0, leaving: false };
+
+/** A link server that plays an agent by a test's script. */
+export interface FakeAgent {
+  address: string;
+  /** Frames that came, in order. */
+  frames: PeerFrame[];
+  /** The newest link. */
+  link(): Link | undefined;
+  /** Resolves with the next frame of a kind that has not been waited for. */
+  next<T extends PeerFrame['t']>(kind: T): Promise<Extract<PeerFrame, { t: T }>>;
+  close(): Promise<void>;
+}
+
+/** Sends a whole answer with its length. */
+export const answerWith = (
+  link: Link,
+  { id }: Pick<Dispatch, 'id'>,
+  text: string,
+  contentType = 'application/json',
+): void => {
+  const data = Buffer.from(text);
+  link.send({ t: 'started', id });
+  link.send({ t: 'head', id, status: 200, headers: { 'content-type': contentType } });
+  link.send({ t: 'chunk', id, offset: 0, data });
+  link.send({ t: 'end', id, length: data.length, load: idle });
+};
+
+/** Starts a fake agent; `script` runs on each frame. */
+export const startFakeAgent = async (
+  script: (frame: PeerFrame, link: Link) => void = () => {},
+  options: { instance?: string; port?: number } = {},
+): Promise<FakeAgent> => {
+  const frames: PeerFrame[] = [];
+  const taken = new Set<PeerFrame>();
+  const waiting = new Set<() => void>();
+  let current: Link | undefined;
+
+  const wakeAll = (): void => {
+    waiting.forEach((resolve) => resolve());
+    waiting.clear();
+  };
+
+  const nextFrame = (): Promise<void> =>
+    new Promise((resolve) => {
+      waiting.add(resolve);
+    });
+
+  const server = await createLinkServer({
+    listen: { host: '127.0.0.1', port: options.port ?? 0 },
+    identity: {
+      role: 'agent',
+      node: 'agent',
+      instance: options.instance ?? 'agent-1',
+      dataCentre: 'kent',
+      region: 'northwest',
+    },
+    intentOffset: () => -1,
+    load: () => idle,
+    limits: defaultLinkLimits,
+    handlers: { 'node.status': async () => ({ inFlight: 0 }) },
+    onLink: (link) => {
+      current = link;
+      return (frame) => {
+        frames.push(frame);
+        script(frame, link);
+        wakeAll();
+      };
+    },
+    clock: systemClock,
+    metrics: createMetrics(),
+    log: silentLogger,
+  });
+
+  const next: FakeAgent['next'] = async (kind) => {
+    for (;;) {
+      const found = frames.find((frame) => frame.t === kind && !taken.has(frame));
+      if (found) {
+        taken.add(found);
+        return found as never;
+      }
+      await nextFrame();
+    }
+  };
+
+  return {
+    address: `${server.address.host}:${server.address.port}`,
+    frames,
+    link: () => current,
+    next,
+    close: server.close,
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/test/support/fake-link.ts
@@ -0,0 +1,73 @@
+import type { Frame, Link, LinkCloseReason } from '@plantaindrum/link';
+
+/** A link without a socket. */
+export interface FakeLink {
+  link: Link;
+  /** Frames that were sent, in order. */
+  sent: Frame[];
+  /** Resolves once a frame of the kind has been sent. */
+  sentOne(kind: Frame['t']): Promise<Frame>;
+  /** Ends the link; resolves when those who wait for its end know. */
+  lose(): Promise<void>;
+}
+
+/** Creates an open link to an agent of the given instance. */
+export const createFakeLink = (instance: string): FakeLink => {
+  const sent: Frame[] = [];
+  const waiting = new Set<() => void>();
+  let open = true;
+  let end: (reason: LinkCloseReason) => void = () => {};
+  const closed = new Promise<LinkCloseReason>((resolve) => {
+    end = resolve;
+  });
+
+  const nextSend = (): Promise<void> =>
+    new Promise((resolve) => {
+      waiting.add(resolve);
+    });
+
+  const link: Link = {
+    peer: {
+      t: 'hello',
+      v: 1,
+      role: 'agent',
+      node: 'agent',
+      instance,
+      dataCentre: 'kent',
+      region: 'northwest',
+      intentOffset: -1,
+    },
+    send: (frame) => {
+      if (!open) return false;
+      sent.push(frame);
+      waiting.forEach((resolve) => resolve());
+      waiting.clear();
+      return true;
+    },
+    drained: async () => {},
+    call: async () => ({ outcome: 'lost' }),
+    close: () => {},
+    closed,
+  };
+
+  return {
+    link,
+    sent,
+    sentOne: async (kind) => {
+      for (;;) {
+        const found = sent.find((frame) => frame.t === kind);
+        if (found) return found;
+        await nextSend();
+      }
+    },
+    lose: async () => {
+      open = false;
+      end('closed-by-peer');
+      await closed;
+      // Everyone who waits for the end runs before the next turn of the event loop.
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    },
+  };
+};
--- /dev/null
+++ b/packages/plantaindrum/test/support/site.ts
@@ -0,0 +1,143 @@
+import { createHash } from 'node:crypto';
+import { request } from 'undici';
+import {
+  createMetrics,
+  entrySettingsSchema,
+  silentLogger,
+  systemClock,
+  systemRandom,
+} from '@plantaindrum/common';
+import type { Metrics } from '@plantaindrum/common';
+import type { VmTarget } from '@plantaindrum/stand-ins';
+import { createLogStandIn, createVmListStandIn } from '@plantaindrum/stand-ins';
+import type { Entry } from '../../src/index.js';
+import { startEntry } from '../../src/index.js';
+
+/** Token of the operators' door. */
+export const TOKEN = 'test-operators-token';
+/** API key of the one organisation. */
+export const KEY = 'key-rainier';
+
+const keyHash = createHash('sha256').update(KEY).digest('hex');
+
+const changes = [
+  { key: 'classes/live', base: -1, value: { latestAnswerMs: 5_000, priority: 'live' } },
+  { key: 'classes/export', base: -1, value: { latestAnswerMs: 5_000, mayNotRepeat: true } },
+  {
+    key: 'organisations/rainier',
+    base: -1,
+    value: { keyHashes: [keyHash], defaultClass: 'live' },
+  },
+  {
+    key: 'routes/exports',
+    base: -1,
+    value: { pathPrefix: '/exports', service: 'exports', class: 'export' },
+  },
+];
+
+/** An answer as a caller sees it; `broken` when it did not end cleanly. */
+export interface CallerAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  text: string;
+  broken: boolean;
+}
+
+/** One entry before stand-ins of the platform. */
+export interface TestSite {
+  entry: Entry;
+  metrics: Metrics;
+  call(path: string, options?: CallOptions): Promise<CallerAnswer>;
+  operators(method: 'GET' | 'POST', path: string, body?: unknown): Promise<CallerAnswer>;
+  close(): Promise<void>;
+}
+
+/** What a caller sends. */
+export interface CallOptions {
+  method?: 'GET' | 'POST';
+  body?: string;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+}
+
+const send = async (url: string, options: CallOptions): Promise<CallerAnswer> => {
+  const res = await request(url, {
+    method: options.method ?? 'POST',
+    headers: options.headers ?? {},
+    body: options.body ?? null,
+    ...(options.signal && { signal: options.signal }),
+  });
+  const parts: Buffer[] = [];
+  let broken = false;
+  try {
+    for await (const part of res.body) parts.push(part as Buffer);
+  } catch {
+    broken = true;
+  }
+  const text = Buffer.concat(parts).toString('utf8');
+  return { status: res.statusCode, headers: res.headers, text, broken };
+};
+
+/** A VM of the list that serves a model or a service. */
+export const upstreamVm = (
+  name: string,
+  address: string,
+  labels: Record<string, string> = { kind: 'model', model: 'lot-writer' },
+): VmTarget => ({
+  targets: [address],
+  labels: {
+    vm: name,
+    role: 'upstream',
+    data_centre: 'kent',
+    region: 'northwest',
+    state: 'live',
+    ...labels,
+  },
+});
+
+/** Starts an entry that knows the given VMs, with the intent of one organisation. */
+export const startSite = async (
+  vms: VmTarget[],
+  limits: Record<string, number> = {},
+): Promise<TestSite> => {
+  const log = await createLogStandIn();
+  const list = await createVmListStandIn({ vms });
+  const door = { host: '127.0.0.1', port: 0 };
+  const settings = entrySettingsSchema.parse({
+    node: { name: 'kent-e1', dataCentre: 'kent', region: 'northwest' },
+    callers: door,
+    operators: { ...door, token: TOKEN },
+    link: door,
+    platform: { logUrl: log.url, vmListUrl: list.url },
+    limits,
+  });
+  const metrics = createMetrics();
+  const deps = { clock: systemClock, random: systemRandom, metrics, log: silentLogger };
+  const entry = await startEntry(settings, deps);
+  await entry.ready;
+
+  const operators: TestSite['operators'] = (method, path, body) =>
+    send(`${entry.operators}${path}`, {
+      method,
+      headers: { authorization: `Bearer ${TOKEN}` },
+      ...(body !== undefined && { body: JSON.stringify(body) }),
+    });
+  const accepted = await operators('POST', '/intent', { id: 'first', author: 'test', changes });
+  if (accepted.status !== 200) throw new Error(accepted.text);
+
+  return {
+    entry,
+    metrics,
+    operators,
+    call: (path, options = {}) =>
+      send(`${entry.callers}${path}`, {
+        ...options,
+        headers: { authorization: `Bearer ${KEY}`, ...options.headers },
+      }),
+    close: async () => {
+      await entry.close();
+      await list.close();
+      await log.close();
+    },
+  };
+};
