--- /dev/null
+++ b/packages/plantaindrum/test/streams.test.ts
@@ -0,0 +1,156 @@
+import { expect } from 'chai';
+import type { Dispatch, Link, PeerFrame } from '@plantaindrum/link';
+import type { FakeAgent } from './support/fake-agent.js';
+import { idle, startFakeAgent } from './support/fake-agent.js';
+import type { TestSite } from './support/site.js';
+import { startSite, upstreamVm } from './support/site.js';
+
+const body = JSON.stringify({ model: 'lot-writer', prompt: 'a car', stream: true });
+const event = (at: number): string => `id: ${at}\ndata: {"token":${at}}\n\n`;
+const events = (from: number, to: number): string =>
+  Array.from({ length: to - from }, (_, index) => event(from + index)).join('');
+const DONE = 'data: [DONE]\n\n';
+
+type Send = (text: string) => void;
+
+/** Starts a stream on a link; the result sends its bytes. */
+const startStream = (link: Link, { id }: Dispatch): Send => {
+  let offset = 0;
+  const headers = { 'content-type': 'text/event-stream' };
+  link.send({ t: 'head', id, status: 200, headers });
+  return (text) => {
+    const data = Buffer.from(text);
+    link.send({ t: 'chunk', id, offset, data });
+    offset += data.length;
+  };
+};
+
+const endStream = (link: Link, { id }: Dispatch, length: number): void => {
+  link.send({ t: 'end', id, length, load: idle });
+};
+
+const unknown = ({ id }: Dispatch): PeerFrame => ({
+  t: 'unknown',
+  id,
+  reason: 'upstream-broke-off',
+  load: idle,
+});
+
+describe('streams', () => {
+  const open: { close(): Promise<void> }[] = [];
+
+  const startWith = async (
+    ...scripts: ((frame: PeerFrame, link: Link) => void)[]
+  ): Promise<{ site: TestSite; agents: FakeAgent[] }> => {
+    const agents = await Promise.all(scripts.map((script) => startFakeAgent(script)));
+    const site = await startSite(
+      agents.map(({ address }, index) => upstreamVm(`u${index}`, address)),
+    );
+    open.push(site, ...agents);
+    return { site, agents };
+  };
+
+  afterEach(async () => {
+    for (const part of open.splice(0)) await part.close();
+  });
+
+  it('reach the caller event by event, and end after [DONE]', async () => {
+    const { site } = await startWith((frame, link) => {
+      if (frame.t !== 'dispatch') return;
+      const text = events(0, 3) + DONE;
+      const send = startStream(link, frame);
+      // Cut in the middle of an event: only whole events go on.
+      send(text.slice(0, 20));
+      send(text.slice(20));
+      endStream(link, frame, text.length);
+    });
+    const { text, broken } = await site.call('/v1/completions', { body });
+    expect([text, broken]).to.deep.equal([events(0, 3) + DONE, false]);
+    expect(site.metrics.snapshot().histograms.map(({ name, summary }) => [name, summary.count]))
+      .to.deep.include(['first_token_ms', 1])
+      .and.deep.include(['between_tokens_ms', 3]);
+  });
+
+  /*
+   * The upstream breaks off in the middle of an event and no other can go on. The caller gets the
+   * whole events, then an error event, and the connection breaks: no client takes that for an end.
+   */
+  it('break off with an error event when nobody can go on', async () => {
+    const { site } = await startWith((frame, link) => {
+      if (frame.t !== 'dispatch') return;
+      startStream(link, frame)(`${events(0, 2)}id: 2\nda`);
+      link.send(unknown(frame));
+    });
+    const { text, broken } = await site.call('/v1/completions', { body });
+    expect(broken).to.equal(true);
+    const [whole, error = ''] = text.split('event: error\ndata: ');
+    expect(whole).to.equal(events(0, 2));
+    expect(JSON.parse(error)).to.have.nested.property('error.outcome', 'unknown');
+  });
+
+  it('break off when the end comes without [DONE]', async () => {
+    const { site } = await startWith((frame, link) => {
+      if (frame.t !== 'dispatch') return;
+      startStream(link, frame)(events(0, 2));
+      endStream(link, frame, events(0, 2).length);
+    });
+    const { broken } = await site.call('/v1/completions', { body });
+    expect(broken).to.equal(true);
+    expect(site.metrics.counter('answer_broken', { fault: 'not-whole' })).to.equal(1);
+  });
+
+  /*
+   * The first upstream dies after two events and half of a third. Another one is asked to resume
+   * after the last whole event that went to the caller, who sees one stream without a seam.
+   */
+  const resuming =
+    (from: number) =>
+    (frame: PeerFrame, link: Link): void => {
+      if (frame.t !== 'dispatch') return;
+      const send = startStream(link, frame);
+      if (frame.resumeAfter === undefined) {
+        send(`${events(0, 2)}id: 2\nda`);
+        link.send(unknown(frame));
+        return;
+      }
+      const text = events(from, 5) + DONE;
+      send(text);
+      endStream(link, frame, text.length);
+    };
+
+  it('are resumed after the last whole event on another upstream', async () => {
+    const { site, agents } = await startWith(resuming(2), resuming(2));
+    const { text, broken } = await site.call('/v1/completions', { body });
+    expect([text, broken]).to.deep.equal([events(0, 5) + DONE, false]);
+    const sent = agents.flatMap(({ frames }) => frames.filter((frame) => frame.t === 'dispatch'));
+    expect(sent.map(({ resumeAfter }) => resumeAfter ?? 'start')).to.have.members(['start', '1']);
+  });
+
+  it('drop events that a resumed upstream repeats', async () => {
+    const { site } = await startWith(resuming(0), resuming(0));
+    const { text, broken } = await site.call('/v1/completions', { body });
+    expect([text, broken]).to.deep.equal([events(0, 5) + DONE, false]);
+    expect(site.metrics.counter('events_repeated')).to.equal(2);
+  });
+
+  it('break off when a resumed upstream leaves events out', async () => {
+    const { site } = await startWith(resuming(3), resuming(3));
+    const { text, broken } = await site.call('/v1/completions', { body });
+    expect(broken).to.equal(true);
+    expect(text.startsWith(`${events(0, 2)}event: error`)).to.equal(true);
+  });
+
+  it('are cancelled at the agent when the caller goes in mid stream', async () => {
+    const { site, agents } = await startWith((frame, link) => {
+      if (frame.t === 'dispatch') startStream(link, frame)(events(0, 2));
+    });
+    const caller = new AbortController();
+    const call = site.call('/v1/completions', { body, signal: caller.signal }).catch(() => {});
+    const dispatch = await agents[0]?.next('dispatch');
+    await agents[0]?.next('credit');
+    caller.abort();
+    const cancel = await agents[0]?.next('cancel');
+    expect(cancel?.id).to.equal(dispatch?.id);
+    await call;
+  });
+});
