Agent: the queue and the attempt ledger of packages/requests

Change: deadline queue with fair shares, ledger as the only source of 'not run'; a cancel of an id that was never seen is answered at once.

--- a/packages/agent/src/cli/main.ts
+++ b/packages/agent/src/cli/main.ts
@@ -8,6 +8,7 @@
   exitCodes,
   readSettings,
   systemClock,
+  systemRandom,
 } from '@plantaindrum/common';
 import type { AgentSettings, Logger, Result, SettingsFault } from '@plantaindrum/common';
 import yargs from 'yargs';
@@ -76,6 +77,7 @@
     const agent = await startAgent({
       settings: settings.value,
       clock: systemClock,
+      random: systemRandom,
       metrics: createMetrics(),
       log,
     });
--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -1,27 +1,30 @@
 /** An agent: the queue, the upstream and the links of entries put together. */
 
 import { randomBytes } from 'node:crypto';
-import type { AgentSettings, Clock, Logger, Metrics } from '@plantaindrum/common';
+import type { AgentSettings, Clock, Logger, Metrics, Random } from '@plantaindrum/common';
 import type { LinkLimits, Load } from '@plantaindrum/link';
 import { createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
-import type { DeskTimes } from './attempts/desk.js';
-import { createAttemptDesk, defaultDeskTimes } from './attempts/desk.js';
+import { createAgentQueue, createAttemptLedger } from '@plantaindrum/requests';
+import type { DeskLimits } from './attempts/desk.js';
+import { createAttemptDesk } from './attempts/desk.js';
 import { runAttempt } from './attempts/run-attempt.js';
 import type { QueuedAttempt } from './attempts/types.js';
 import { createEntries } from './entries.js';
 import { openOperatorsDoor } from './operators/door.js';
-import { createFifoQueue } from './queue/fifo-queue.js';
 import { createUpstream } from './upstream/upstream.js';
 
 const UNDELIVERED_FOR_EACH_SLOT = 8;
 
+const defaultDeskLimits = { rememberMs: 60_000, most: 4_096, graceMs: 5_000 };
+
 /** What an agent needs besides its settings. */
 export interface AgentOptions {
   settings: AgentSettings;
   clock: Clock;
+  random: Random;
   metrics: Metrics;
   log: Logger;
-  deskTimes?: DeskTimes;
+  deskLimits?: Partial<DeskLimits>;
   linkLimits?: LinkLimits;
 }
 
@@ -36,12 +39,17 @@
 
 /** Starts an agent; rejects when an address can't be listened on. */
 export const startAgent = async (options: AgentOptions): Promise<Agent> => {
-  const { settings, clock, metrics, log } = options;
+  const { settings, clock, random, metrics, log } = options;
   const { node, limits } = settings;
   const { concurrency } = limits;
   const instance = randomBytes(8).toString('hex');
   const upstream = createUpstream(settings.upstream.url);
-  const queue = createFifoQueue<QueuedAttempt>({ capacity: limits.queue, concurrency, clock });
+  const queue = createAgentQueue<QueuedAttempt>({
+    clock,
+    random,
+    capacity: limits.queue,
+    concurrency,
+  });
   const intentOffset = (): number => -1;
 
   const load = (): Load => {
@@ -51,10 +59,15 @@
 
   const desk = createAttemptDesk({
     queue,
-    run: (attempt, work) => runAttempt(attempt, work, { upstream, metrics }),
+    ledger: createAttemptLedger(),
+    run: (attempt, work, begin) => runAttempt(attempt, work, begin, { upstream, metrics }),
     load,
-    times: options.deskTimes ?? defaultDeskTimes,
-    mostUndelivered: concurrency * UNDELIVERED_FOR_EACH_SLOT,
+    limits: {
+      ...defaultDeskLimits,
+      concurrency,
+      mostUndelivered: concurrency * UNDELIVERED_FOR_EACH_SLOT,
+      ...options.deskLimits,
+    },
     clock,
     metrics,
   });
--- a/packages/agent/src/core/attempts/desk.ts
+++ b/packages/agent/src/core/attempts/desk.ts
@@ -2,48 +2,43 @@
 
 import type { Clock, Metrics } from '@plantaindrum/common';
 import type { AgentReason, AttemptId, Dispatch, Link, Load } from '@plantaindrum/link';
+import type { AgentQueue, AttemptLedger, Rejected } from '@plantaindrum/requests';
+import type { AttemptOutcome } from './answer.js';
 import type { Attempt } from './attempt.js';
 import { createAttempt } from './attempt.js';
-import type { AttemptDesk, QueuedAttempt } from './types.js';
-import type { RejectedWork, WorkQueue } from '../queue/types.js';
-import type { AttemptOutcome } from './answer.js';
-import { createForgottenMarks } from './tombstones.js';
+import { createEndedAttempts } from './ended-attempts.js';
+import type { EndedLimits } from './ended-attempts.js';
+import type { AttemptDesk, AttemptRunner, QueuedAttempt } from './types.js';
+import { costOf } from './work-cost.js';
 
 const SWEEP_MS = 100;
 
-/** How long the desk remembers, in milliseconds. */
-export interface DeskTimes {
-  /** How long the outcome of an ended attempt is kept. */
-  rememberMs: number;
-  /** How long attempts wait for an entry whose link was lost. */
+/** Bounds on what the desk keeps. */
+export interface DeskLimits extends EndedLimits {
+  /** Most attempts that run at once. */
+  concurrency: number;
+  /** How long attempts wait for an entry whose link was lost, in milliseconds. */
   graceMs: number;
+  /** Most answers that are kept for entries after the upstream has finished them. */
+  mostUndelivered: number;
 }
 
-/** Times that suit entries which reconnect within a few seconds. */
-export const defaultDeskTimes: DeskTimes = { rememberMs: 60_000, graceMs: 5_000 };
-
 /** What the desk needs. */
 export interface AttemptDeskOptions {
-  queue: WorkQueue<QueuedAttempt>;
-  /** Runs an attempt that has left the queue; never rejects. */
-  run: (attempt: Attempt, work: Dispatch) => Promise<AttemptOutcome>;
+  queue: AgentQueue<QueuedAttempt>;
+  ledger: AttemptLedger;
+  run: AttemptRunner;
   load: () => Load;
-  times: DeskTimes;
-  /** Most answers that are kept for entries after the upstream has finished them. */
-  mostUndelivered: number;
+  limits: DeskLimits;
   clock: Clock;
   metrics: Metrics;
 }
 
 /** Creates a desk without attempts. */
 export const createAttemptDesk = (options: AttemptDeskOptions): AttemptDesk => {
-  const { queue, load, times, clock, metrics } = options;
+  const { queue, ledger, load, limits, clock, metrics } = options;
   const attempts = new Map<AttemptId, Attempt>();
-  /** Ended attempts, the oldest first. */
-  const ended = new Map<AttemptId, Attempt>();
-  /** Ended attempts whose bytes or outcome the entry doesn't have yet. */
-  const undelivered = new Set<Attempt>();
-  const forgotten = createForgottenMarks();
+  const ended = createEndedAttempts(clock, limits);
   let idleWaiters: (() => void)[] = [];
   let closed = false;
   let stopSweep = (): void => {};
@@ -52,7 +47,7 @@
 
   const isIdle = (): boolean => {
     const { queued, running } = queue.load();
-    return queued === 0 && running === 0 && undelivered.size === 0;
+    return queued === 0 && running === 0 && ended.undelivered() === 0;
   };
 
   const noteIdle = (): void => {
@@ -63,147 +58,153 @@
   };
 
   const noteDelivery = (attempt: Attempt): void => {
-    const { answer } = attempt;
-    if (attempt.state() !== 'ended' || !answer.delivered() || answer.kept() > 0) return;
-    if (!undelivered.delete(attempt)) return;
+    if (attempt.state() !== 'ended' || !ended.noteDelivery(attempt)) return;
     startWaiting();
     noteIdle();
   };
 
-  const add = (id: AttemptId, link?: Link, work?: Dispatch): Attempt => {
+  const add = (id: AttemptId, link: Link, work: Dispatch): Attempt => {
     const arrivedAt = clock.monotonic();
     const attempt = createAttempt({ id, link, work, arrivedAt, load, onDelivered: noteDelivery });
     attempts.set(id, attempt);
     return attempt;
   };
 
-  const end = (attempt: Attempt, outcome: AttemptOutcome): void => {
-    ended.set(attempt.id, attempt);
-    undelivered.add(attempt);
+  const countEnd = (outcome: AttemptOutcome): void => {
     const reason = outcome.outcome === 'answered' ? 'none' : outcome.reason;
     metrics.count('attempts_ended', { outcome: outcome.outcome, reason });
+  };
+
+  const end = (attempt: Attempt, outcome: AttemptOutcome): void => {
+    countEnd(outcome);
+    ended.add(attempt);
     attempt.end(outcome, clock.monotonic());
     noteDelivery(attempt);
   };
 
-  const notRun = (attempt: Attempt, reason: AgentReason, retryAfterMs = 0): void =>
-    end(attempt, { outcome: 'not-run', reason, retryAfterMs });
+  const refuse = ({ item, reason, retryAfterMs }: Rejected<QueuedAttempt>): void => {
+    ledger.refuse(item.attempt.id);
+    end(item.attempt, { outcome: 'not-run', reason, retryAfterMs });
+  };
 
-  /** A record that keeps the attempt from ever being started, should its dispatch still come. */
-  const putTombstone = (id: AttemptId, reason: AgentReason): Attempt => {
-    metrics.count('attempt_tombstones', { reason });
-    const attempt = add(id);
-    notRun(attempt, reason);
-    undelivered.delete(attempt);
-    return attempt;
+  const sayNotRun = (id: AttemptId, link: Link, reason: AgentReason): void => {
+    link.send({ t: 'not-run', id, reason, retryAfterMs: 0, load: load() });
+  };
+
+  const sayUnknown = (id: AttemptId, link: Link, reason: AgentReason): void => {
+    link.send({ t: 'unknown', id, reason, load: load() });
   };
 
-  const rejectAll = (rejected: RejectedWork<QueuedAttempt>[]): void =>
-    rejected.forEach(({ item, reason, retryAfterMs }) =>
-      notRun(item.attempt, reason, retryAfterMs),
-    );
+  const closeInLedger = (id: AttemptId, { outcome }: AttemptOutcome): void => {
+    if (outcome === 'not-run') {
+      if (!ledger.refuse(id)) ledger.endUnsent(id);
+    } else ledger.end(id, outcome);
+  };
 
   const runOne = async (attempt: Attempt, work: Dispatch): Promise<void> => {
+    const { id } = attempt;
     attempt.leaveQueue();
     metrics.record('queue_wait_ms', clock.monotonic() - attempt.arrivedAt, { class: work.class });
-    const outcome = await options.run(attempt, work);
-    queue.finished(attempt.id);
+    const outcome = await options.run(attempt, work, () => ledger.start(id));
+    closeInLedger(id, outcome);
+    queue.finished(id);
     end(attempt, outcome);
     startWaiting();
     noteIdle();
   };
 
-  startWaiting = (): void => {
-    // Entries that don't take their answers must not fill this process's memory with them.
-    while (undelivered.size < options.mostUndelivered) {
+  // Entries that don't take their answers must not fill this process's memory with them.
+  const hasRoom = (): boolean =>
+    queue.load().running < limits.concurrency && ended.undelivered() < limits.mostUndelivered;
+
+  startWaiting = () => {
+    while (hasRoom()) {
       const next = queue.take();
       if (!next) return;
-      const { attempt } = next;
-      const work = attempt.work();
-      if (work) void runOne(attempt, work);
+      const work = next.attempt.work();
+      if (work) void runOne(next.attempt, work);
     }
   };
 
-  const queueItem = (attempt: Attempt, work: Dispatch): QueuedAttempt => ({
-    id: attempt.id,
-    organisation: work.organisation,
-    class: work.class,
-    lane: work.priority,
-    cost: 1,
-    deadline: clock.monotonic() + work.budgetMs,
-    attempt,
-  });
-
-  const refuseKnown = (known: Attempt, link: Link): void => {
-    if (known.state() !== 'ended' || known.started()) {
-      metrics.count('dispatch_refused', { reason: 'duplicate' });
-      return;
-    }
-    metrics.count('dispatch_refused', { reason: 'tombstone' });
-    known.answer.attach(link, { head: false, bytes: 0 });
+  const enqueue = (attempt: Attempt, work: Dispatch): void => {
+    const offer = queue.offer({
+      id: attempt.id,
+      organisation: work.organisation,
+      class: work.class,
+      lane: work.priority,
+      cost: costOf(work),
+      deadline: clock.monotonic() + work.budgetMs,
+      attempt,
+    });
+    offer.rejected.forEach(refuse);
+    startWaiting();
   };
 
   const dispatch = (frame: Dispatch, link: Link): void => {
-    const known = attempts.get(frame.id);
-    if (known) {
-      refuseKnown(known, link);
-      return;
-    }
-    const attempt = add(frame.id, link, frame);
-    if (forgotten.mayBeForgotten(frame.id)) {
-      metrics.count('dispatch_refused', { reason: 'outcome-forgotten' });
-      end(attempt, { outcome: 'unknown', reason: 'outcome-forgotten' });
+    const decision = ledger.dispatch(frame.id);
+    if (decision === 'accept') {
+      enqueue(add(frame.id, link, frame), frame);
       return;
     }
-    rejectAll(queue.offer(queueItem(attempt, frame)).rejected);
-    startWaiting();
+    metrics.count('dispatch_refused', { reason: decision });
+    if (decision === 'refuse-tombstone') sayNotRun(frame.id, link, 'cancelled');
+    if (decision === 'refuse-forgotten') sayUnknown(frame.id, link, 'outcome-forgotten');
   };
 
   /** Work that may not be repeated runs to its end once started, so that its outcome is known. */
-  const cancelRunning = (attempt: Attempt): void => {
-    if (attempt.started() && attempt.work()?.mayNotRepeat) {
-      metrics.count('cancels_ignored', { reason: 'may-not-repeat' });
-      return;
-    }
-    attempt.abort.abort();
+  const stopUpstream = (attempt: Attempt): void => {
+    if (attempt.work()?.mayNotRepeat) metrics.count('cancels_ignored');
+    else attempt.abort.abort();
   };
 
-  const cancelKnown = (attempt: Attempt): void => {
-    if (attempt.state() === 'queued') {
-      queue.cancel(attempt.id);
-      notRun(attempt, 'cancelled');
-      return;
-    }
-    if (attempt.state() === 'running') cancelRunning(attempt);
-    attempt.answer.forgetBytes();
-    noteDelivery(attempt);
+  const withdraw = (attempt: Attempt): void => {
+    if (queue.cancel(attempt.id)) {
+      end(attempt, { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 });
+    } else attempt.abort.abort();
   };
 
-  const cancel = (id: AttemptId): void => {
+  /** Carries out a cancel; true when the attempt is proved not to run, also when it is unknown. */
+  const cancelById = (id: AttemptId): boolean => {
+    const decision = ledger.cancel(id);
     const attempt = attempts.get(id);
-    if (attempt) cancelKnown(attempt);
-    else if (!forgotten.mayBeForgotten(id)) putTombstone(id, 'cancelled');
+    if (attempt && decision === 'not-run') withdraw(attempt);
+    if (attempt && decision === 'stop-upstream') stopUpstream(attempt);
+    attempt?.answer.forgetBytes();
+    if (attempt) noteDelivery(attempt);
+    return decision === 'not-run';
   };
 
-  const answerUnknown = (id: AttemptId, link: Link, reason: AgentReason): void => {
-    link.send({ t: 'unknown', id, reason, load: load() });
+  const cancel = (id: AttemptId, link: Link): void => {
+    const isKnown = attempts.has(id);
+    if (!cancelById(id) || isKnown) return;
+    metrics.count('attempt_tombstones', { reason: 'cancelled' });
+    sayNotRun(id, link, 'cancelled');
+  };
+
+  const queryForgotten = (id: AttemptId, link: Link, isNotRun: boolean): void => {
+    if (!isNotRun) {
+      sayUnknown(id, link, 'outcome-forgotten');
+      return;
+    }
+    metrics.count('attempt_tombstones', { reason: 'never-arrived' });
+    sayNotRun(id, link, 'never-arrived');
   };
 
   const query: AttemptDesk['query'] = (id, holds, link) => {
     metrics.count('attempt_queries');
-    const known = attempts.get(id);
-    if (!known && forgotten.mayBeForgotten(id)) {
-      answerUnknown(id, link, 'outcome-forgotten');
+    const decision = ledger.query(id);
+    const attempt = attempts.get(id);
+    if (!attempt) {
+      queryForgotten(id, link, decision === 'not-run');
       return;
     }
-    const attempt = known ?? putTombstone(id, 'never-arrived');
     if (attempt.state() !== 'ended') {
       link.send({ t: 'in-progress', id, started: attempt.started() });
     }
     if (attempt.answer.attach(link, holds)) return;
     // The bytes between what the entry holds and what is kept are gone: no whole answer any more.
-    answerUnknown(id, link, 'upstream-broke-off');
-    cancelKnown(attempt);
+    sayUnknown(id, link, 'upstream-broke-off');
+    cancelById(id);
   };
 
   const credit: AttemptDesk['credit'] = (id, bytes, link) => {
@@ -216,34 +217,25 @@
     noteDelivery(attempt);
   };
 
+  /** The entry has not come back: nobody waits for the attempt any more. */
   const giveUp = (attempt: Attempt): void => {
     if (attempt.answer.link()) return;
-    metrics.count('attempts_abandoned', { state: attempt.state() });
-    cancelKnown(attempt);
-    if (undelivered.delete(attempt)) noteIdle();
+    const wasDelivered = attempt.state() === 'ended' && !ended.abandon(attempt);
+    if (!wasDelivered) metrics.count('attempts_abandoned', { state: attempt.state() });
+    cancelById(attempt.id);
+    noteIdle();
   };
 
   const linkLost = (link: Link): void => {
     const orphans = [...attempts.values()].filter((attempt) => attempt.answer.link() === link);
     orphans.forEach((attempt) => attempt.answer.detach());
-    if (orphans.length > 0) clock.after(times.graceMs, () => orphans.forEach(giveUp));
-  };
-
-  const forgetOld = (): void => {
-    const before = clock.monotonic() - times.rememberMs;
-    for (const attempt of ended.values()) {
-      if (attempt.endedAt() > before) return;
-      ended.delete(attempt.id);
-      attempts.delete(attempt.id);
-      undelivered.delete(attempt);
-      forgotten.forget(attempt.id);
-    }
+    if (orphans.length > 0) clock.after(limits.graceMs, () => orphans.forEach(giveUp));
   };
 
   const sweep = (): void => {
     if (closed) return;
-    rejectAll(queue.sweep());
-    forgetOld();
+    queue.sweep().forEach(refuse);
+    ended.expire((attempt) => attempts.delete(attempt.id));
     startWaiting();
     noteIdle();
     stopSweep = clock.after(SWEEP_MS, sweep);
@@ -257,7 +249,7 @@
     query,
     credit,
     linkLost,
-    leave: () => rejectAll(queue.leave()),
+    leave: () => queue.leave().forEach(refuse),
     idle: () =>
       new Promise((resolve) => {
         idleWaiters.push(resolve);
@@ -265,7 +257,7 @@
       }),
     counts: () => {
       const { queued, running } = queue.load();
-      return { queued, running, undelivered: undelivered.size };
+      return { queued, running, undelivered: ended.undelivered() };
     },
     close: () => {
       closed = true;
--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -27,8 +27,10 @@
 export const runAttempt = async (
   attempt: Attempt,
   work: Dispatch,
+  begin: () => boolean,
   { upstream, metrics }: RunAttemptOptions,
 ): Promise<AttemptOutcome> => {
+  if (!begin()) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
   const { answer, abort } = attempt;
   const { method, path, body, mayNotRepeat } = work;
   const headers = upstreamHeaders(work.headers, work.resumeAfter);
--- a/packages/agent/src/core/attempts/types.ts
+++ b/packages/agent/src/core/attempts/types.ts
@@ -1,17 +1,24 @@
 import type { AttemptId, Dispatch, Link } from '@plantaindrum/link';
-import type { QueuedWork } from '../queue/types.js';
+import type { QueueItem } from '@plantaindrum/requests';
+import type { AttemptOutcome } from './answer.js';
 import type { Attempt } from './attempt.js';
 
 /** An attempt's place in the queue. */
-export interface QueuedAttempt extends QueuedWork {
+export interface QueuedAttempt extends QueueItem {
   attempt: Attempt;
 }
 
+/** What an entry holds of an answer. */
+export interface AnswerHeld {
+  head: boolean;
+  bytes: number;
+}
+
 /** Takes the frames of entries that concern attempts. */
 export interface AttemptDesk {
   dispatch(frame: Dispatch, link: Link): void;
-  cancel(id: AttemptId): void;
-  query(id: AttemptId, holds: { head: boolean; bytes: number }, link: Link): void;
+  cancel(id: AttemptId, link: Link): void;
+  query(id: AttemptId, holds: AnswerHeld, link: Link): void;
   credit(id: AttemptId, bytes: number, link: Link): void;
   /** The link has ended; its attempts wait a while for the same entry instance to come back. */
   linkLost(link: Link): void;
@@ -22,3 +29,10 @@
   counts(): { queued: number; running: number; undelivered: number };
   close(): void;
 }
+
+/** Runs an attempt that has left the queue; `begin` is false when it must not start any more. */
+export type AttemptRunner = (
+  attempt: Attempt,
+  work: Dispatch,
+  begin: () => boolean,
+) => Promise<AttemptOutcome>;
--- a/packages/agent/src/core/entries.ts
+++ b/packages/agent/src/core/entries.ts
@@ -2,7 +2,7 @@
 
 import type { Logger, Metrics } from '@plantaindrum/common';
 import type { FrameHandler, Link, PeerFrame } from '@plantaindrum/link';
-import { instanceOf } from './attempts/tombstones.js';
+import { parseAttemptId } from '@plantaindrum/requests';
 import type { AttemptDesk } from './attempts/types.js';
 
 /** The entries that are linked to this agent. */
@@ -28,7 +28,7 @@
 
   /** An id of another entry's instance can only be a fault: its answer would go astray. */
   const isForeign = (frame: PeerFrame, link: Link): boolean =>
-    'id' in frame && instanceOf(frame.id) !== link.peer.instance;
+    'id' in frame && parseAttemptId(frame.id).instance !== link.peer.instance;
 
   const take = (frame: PeerFrame, link: Link): void => {
     if (isForeign(frame, link)) {
@@ -41,7 +41,7 @@
         desk.dispatch(frame, link);
         break;
       case 'cancel':
-        desk.cancel(frame.id);
+        desk.cancel(frame.id, link);
         break;
       case 'query':
         desk.query(frame.id, { head: frame.headReceived, bytes: frame.received }, link);
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -76,6 +76,7 @@
     link.send({ t: 'cancel', id: 'e:1' });
     link.send(dispatchOf('e:1'));
     expect((await entry.next()).t).to.equal('not-run');
+    expect((await entry.next()).t).to.equal('not-run');
     link.send({ t: 'query', id: 'e:2', headReceived: false, received: 0 });
     expect(readable(await entry.until('not-run'))).to.deep.equal([
       { t: 'not-run', id: 'e:2', reason: 'never-arrived', retryAfterMs: 0 },
@@ -83,7 +84,7 @@
     link.send(dispatchOf('e:2'));
     expect((await entry.next()).t).to.equal('not-run');
     expect(upstream.requests()).to.equal(0);
-    expect(agent.metrics.counter('dispatch_refused', { reason: 'tombstone' })).to.equal(2);
+    expect(agent.metrics.counter('dispatch_refused', { reason: 'refuse-tombstone' })).to.equal(2);
   });
 
   // The caller goes away while its request waits or streams. Work nobody waits for must not keep
--- a/packages/agent/test/support/agent.ts
+++ b/packages/agent/test/support/agent.ts
@@ -28,6 +28,7 @@
   const agent = await startAgent({
     settings: settingsFor(url, limits),
     clock: systemClock,
+    random: () => 0,
     metrics,
     log: silentLogger,
     ...overrides,
