Test the stand-ins and every fault switch of theirs

Cause: proofs rest on the stand-ins, so their faults need proof themselves. Found: a long poll kept one closure for each change of faults that never came; listeners are now removed when the poll ends.

--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -111,8 +111,13 @@
       req.socket.destroy();
       return;
     }
-    const { memory } = engine;
-    if (fault === 'hold') await engine.ordersReleased.wait();
+    const { counts, memory } = engine;
+    if (fault === 'hold') {
+      counts.heldOrders += 1;
+      onOrder();
+      await engine.ordersReleased.wait();
+      counts.heldOrders -= 1;
+    }
     if (engine.memory !== memory) return;
     increment(engine.counts.orders, name);
     if (fault === 'twice') await carryOut(name, body);
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -43,6 +43,8 @@
   finished: number;
   cancelled: number;
   tokens: number;
+  /** Orders that a `hold` fault keeps back now. */
+  heldOrders: number;
   orders: Record<string, number>;
   refusedOrders: Record<string, number>;
   /** Generations started, by the `idempotency-key` or `x-request-id` that came with them. */
@@ -165,6 +167,7 @@
       finished: 0,
       cancelled: 0,
       tokens: 0,
+      heldOrders: 0,
       orders: {},
       refusedOrders: {},
       startedByKey: {},
--- a/packages/stand-ins/src/log/log-stand-in.ts
+++ b/packages/stand-ins/src/log/log-stand-in.ts
@@ -29,6 +29,8 @@
   appends: number;
   records: number;
   reads: number;
+  /** Long polls that wait now. */
+  polling: number;
   rateLimited: number;
   answersLost: number;
   appendsByClient: Record<string, number>;
@@ -43,6 +45,8 @@
   /** The records still kept. */
   records(topic: string, partition?: number): unknown[];
   stats(): LogStats;
+  /** Resolves when `holds` is true of the figures; checked at each append and long poll. */
+  waitFor(holds: (stats: LogStats) => boolean): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -54,10 +58,12 @@
   const bucket = createTokenBucket(clock, appendsPerSecond, appendsPerSecond);
   const gate = createGate(clock);
   const appended = createSignal();
+  const progressed = createSignal();
   const stats: LogStats = {
     appends: 0,
     records: 0,
     reads: 0,
+    polling: 0,
     rateLimited: 0,
     answersLost: 0,
     appendsByClient: {},
@@ -99,6 +105,7 @@
     }));
     countAppend(req, offsets.length);
     appended.notify();
+    progressed.notify();
     if (gate.losesAnswer()) {
       stats.answersLost += 1;
       req.socket.destroy();
@@ -109,26 +116,27 @@
 
   /** Waits until there is a record at `offset`, the time is over, or the faults change. */
   const awaitRecord = async (
-    req: IncomingMessage,
+    res: ServerResponse,
     partition: Partition,
     offset: number,
     timeoutMs: number,
   ): Promise<void> => {
-    let over = false;
-    const gone = new Promise<void>((resolve) => {
-      req.socket.once('close', resolve);
-    });
-    const timeout = createSignal();
-    const cancel = clock.after(timeoutMs, () => {
-      over = true;
-      timeout.notify();
-    });
-    const ended = Promise.race([timeout.wait(), gone, gate.changed.wait()]).then(() => {
-      over = true;
+    let stops: (() => void)[] = [];
+    stats.polling += 1;
+    progressed.notify();
+    await new Promise<void>((resolve) => {
+      const check = (): void => {
+        if (partition.end() > offset) resolve();
+      };
+      res.once('close', resolve);
+      stops = [
+        appended.listen(check),
+        gate.changed.listen(resolve),
+        clock.after(timeoutMs, resolve),
+      ];
     });
-    while (!over && partition.end() <= offset) await Promise.race([appended.wait(), ended]);
-    cancel();
-    timeout.notify();
+    stops.forEach((stop) => stop());
+    stats.polling -= 1;
   };
 
   const read = async (
@@ -145,7 +153,7 @@
     const partition = partitionOf(topic, index);
     stats.reads += 1;
     if (partition.end() === offset && timeoutMs > 0) {
-      await awaitRecord(req, partition, offset, timeoutMs);
+      await awaitRecord(res, partition, offset, timeoutMs);
       if (!(await gate.pass(req, res, 'read'))) return;
     }
     if (offset < partition.begin() || offset > partition.end()) {
@@ -197,6 +205,9 @@
     expire: (topic, index, before) => partitionOf(topic, index).expire(before),
     records: (topic, index = 0) => partitionOf(topic, index).read(0, Infinity),
     stats: () => structuredClone(stats),
+    waitFor: async (holds) => {
+      while (!holds(stats)) await progressed.wait();
+    },
     close: server.close,
   };
 };
--- a/packages/stand-ins/src/signal.ts
+++ b/packages/stand-ins/src/signal.ts
@@ -2,20 +2,26 @@
 export interface Signal {
   notify(): void;
   wait(): Promise<void>;
+  /** Calls `listener` at each `notify` until the returned function is called. */
+  listen(listener: () => void): () => void;
 }
 
 /** Creates a signal. */
 export const createSignal = (): Signal => {
-  let waiting: (() => void)[] = [];
+  const listeners = new Set<() => void>();
+  const listen = (listener: () => void): (() => void) => {
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  };
   return {
-    notify: () => {
-      const released = waiting;
-      waiting = [];
-      released.forEach((resolve) => resolve());
-    },
+    notify: () => [...listeners].forEach((listener) => listener()),
     wait: () =>
       new Promise((resolve) => {
-        waiting.push(resolve);
+        const stop = listen(() => {
+          stop();
+          resolve();
+        });
       }),
+    listen,
   };
 };
--- /dev/null
+++ b/packages/stand-ins/test/lock-step.test.ts
@@ -0,0 +1,161 @@
+import { expect } from 'chai';
+import type { EngineGroupStandIn, EngineGroupStandInOptions } from '../src/index.js';
+import { createEngineGroupStandIn, createWeightStoreStandIn, dealtMap } from '../src/index.js';
+import { call } from './http.js';
+
+const MAP = { ...dealtMap(2, 2, 8, 2), version: 2 };
+const FAR = 1e9;
+
+describe('lock-step of an engine group', () => {
+  let group: EngineGroupStandIn;
+
+  afterEach(() => group.close());
+
+  const start = async (options: EngineGroupStandInOptions = {}) => {
+    group = await createEngineGroupStandIn({ engines: 2, experts: 8, stepMs: 1, ...options });
+  };
+
+  const order = (engine: number, name: string, body: object) =>
+    call(`${group.engines[engine]}/orders/${name}`, { body: { fence: 5, version: 2, ...body } });
+  const both = (name: string, body: object = {}) =>
+    Promise.all([order(0, name, body), order(1, name, body)]);
+  const ranks = async (engine: number) =>
+    (await call(`${group.engines[engine]}/group`)).json.ranks[0];
+  const steps = () => group.oracle().steps;
+  const awaitSteps = (more: number) => {
+    const until = steps() + more;
+    return group.waitFor(() => steps() >= until);
+  };
+  const upcoming = async () => (await ranks(0)).step + 30;
+
+  it('switches all ranks at the armed step', async () => {
+    await start();
+    await both('prepare_map', { map: MAP });
+    const atStep = await upcoming();
+    await both('arm_map', { at_step: atStep });
+    await both('switch_map');
+    await group.waitFor(() => group.oracle().stepsByVersion['2'] !== undefined);
+    const { recent, mixedSteps } = group.oracle(100);
+    const first = recent.find((step) => step.versions.includes(2));
+    expect([first?.step, first?.versions, mixedSteps]).to.deep.equal([atStep, [2, 2], 0]);
+  });
+
+  it('holds the whole group until the last rank has its decision', async () => {
+    await start();
+    await both('prepare_map', { map: MAP });
+    await both('arm_map', { at_step: await upcoming() });
+    await order(0, 'switch_map', {});
+    while (!(await ranks(1)).holding) await Promise.race([awaitSteps(1), ranks(1)]);
+    const held = steps();
+    await order(1, 'abort_map', { version: 9 });
+    expect(steps()).to.equal(held);
+    await order(1, 'switch_map', {});
+    await awaitSteps(3);
+    expect(group.oracle().holdUs.count).to.equal(1);
+  });
+
+  it('counts a mixed step when decisions contradict each other', async () => {
+    await start();
+    await both('prepare_map', { map: MAP });
+    await both('arm_map', { at_step: await upcoming() });
+    await order(0, 'switch_map', {});
+    await order(1, 'abort_map', {});
+    await group.waitFor(() => group.oracle().mixedSteps > 0);
+    expect(group.oracle().mixed[0]?.versions).to.deep.equal([2, 1]);
+  });
+
+  it('refuses orders that come too soon, too late or twice with another step', async () => {
+    await start();
+    const refusals = [
+      (await order(0, 'arm_map', { at_step: FAR })).json.refused,
+      (await order(0, 'switch_map', {})).json.refused,
+    ];
+    await both('prepare_map', { map: MAP });
+    refusals.push((await order(0, 'arm_map', { at_step: 1 })).json.refused);
+    await order(0, 'arm_map', { at_step: FAR });
+    refusals.push((await order(0, 'arm_map', { at_step: FAR + 1 })).json.refused);
+    await order(0, 'switch_map', {});
+    refusals.push((await order(0, 'abort_map', {})).json.refused);
+    expect(refusals).to.deep.equal([
+      'not-prepared',
+      'not-armed',
+      'late',
+      'armed-otherwise',
+      'decided',
+    ]);
+  });
+
+  for (const checksFence of [true, false]) {
+    it(`${checksFence ? 'refuses' : 'obeys'} an old fence`, async () => {
+      await start({ checksFence });
+      await order(0, 'prepare_map', { map: MAP, fence: 7 });
+      const old = await order(0, 'prepare_map', { map: { ...MAP, version: 3 }, version: 3 });
+      expect([old.status, old.json.refused]).to.deep.equal(
+        checksFence ? [409, 'old-fence'] : [200, undefined],
+      );
+      expect((await ranks(0)).prepared).to.deep.equal(checksFence ? [2] : [2, 3]);
+    });
+  }
+
+  it('stands still without a dead rank until the others are formed anew', async () => {
+    await start();
+    await awaitSteps(3);
+    await group.kill(1);
+    const map = dealtMap(2, 2, 8, 1);
+    await order(0, 'form_group', { group: 'group-1', rank_count: 1, map });
+    await awaitSteps(3);
+    expect(group.oracle(1).recent[0]?.versions).to.deep.equal([2]);
+    await group.restart(1);
+    await both('form_group', { group: 'group-1', rank_count: 2, map: MAP, fence: 6 });
+    await group.waitFor(() => group.oracle(1).recent[0]?.versions.length === 2);
+    expect([group.oracle().mixedSteps, group.oracle().splitSteps]).to.deep.equal([0, 0]);
+  });
+
+  it('is as fast as its slowest rank, and shows the spread', async () => {
+    await start();
+    await awaitSteps(2);
+    const before = group.oracle(1).recent[0];
+    group.setFaults(1, { speeds: [0.25] });
+    await awaitSteps(2);
+    const after = group.oracle(1).recent[0];
+    expect(after?.rankUs[1]).to.be.closeTo(4 * (before?.rankUs[1] ?? 0), 1);
+    expect(after?.skewUs).to.be.greaterThan(before?.skewUs ?? 0);
+  });
+
+  it('moves load among the ranks when popularity shifts', async () => {
+    await start();
+    await awaitSteps(1);
+    const before = group.oracle(1).recent[0]?.rankUs;
+    group.movePopularity('shift', 99);
+    await awaitSteps(2);
+    expect(group.oracle(1).recent[0]?.rankUs).to.not.deep.equal(before);
+  });
+
+  it('loads weights in spite of the rate limit and broken answers', async () => {
+    const store = await createWeightStoreStandIn({ expertBytes: 100 });
+    store.breakOff(2);
+    await start({ weightsUrl: store.url });
+    expect((await order(0, 'prepare_map', { map: MAP })).status).to.equal(200);
+    expect(group.views()[0]?.weights).to.deep.equal({ experts: 8, bytes: 800, retries: 2 });
+    await store.close();
+  });
+
+  it('drops, repeats, delays orders and loses their answers', async () => {
+    await start();
+    const prepare = () => order(0, 'prepare_map', { map: MAP });
+    const preparedAfter = async (fault: 'drop' | 'lose-answer' | 'twice') => {
+      group.setFaults(0, { orders: [{ fault, name: 'prepare_map', count: 1 }] });
+      const { status } = await prepare();
+      return [status, (await ranks(0)).prepared.length];
+    };
+    expect(await preparedAfter('drop')).to.deep.equal([0, 0]);
+    expect(await preparedAfter('lose-answer')).to.deep.equal([0, 1]);
+    expect(await preparedAfter('twice')).to.deep.equal([200, 1]);
+    group.setFaults(0, { orders: [{ fault: 'hold', name: 'arm_map', count: 1 }] });
+    const held = order(0, 'arm_map', { at_step: FAR });
+    await group.waitFor(() => group.views()[0]?.heldOrders === 1);
+    expect((await ranks(0)).armed).to.equal(null);
+    group.releaseOrders(0);
+    expect((await held).json.ranks[0].armed).to.deep.equal({ version: 2, at_step: FAR });
+  });
+});
--- /dev/null
+++ b/packages/stand-ins/test/service.test.ts
@@ -0,0 +1,51 @@
+import { expect } from 'chai';
+import type { ServiceStandIn } from '../src/index.js';
+import { createServiceStandIn } from '../src/index.js';
+import { call } from './http.js';
+
+describe('service stand-in', () => {
+  let service: ServiceStandIn;
+
+  beforeEach(async () => {
+    service = await createServiceStandIn();
+  });
+
+  afterEach(() => service.close());
+
+  const run = (key: string) =>
+    call(`${service.url}/export`, { body: { lot: 7 }, headers: { 'idempotency-key': key } });
+
+  const counts = async () => (await call(`${service.control}/counts`)).json;
+
+  it('counts each run by key and path', async () => {
+    const answer = await run('a');
+    await run('a');
+    await run('b');
+    expect({ answer: answer.json, counts: await counts() }).toMatchSnapshot();
+  });
+
+  it('resets before the effect, after it, or in the middle of the answer', async () => {
+    service.setFaults({ resetBefore: 1 });
+    expect((await run('before')).status).to.equal(0);
+    service.setFaults({ resetAfter: 1 });
+    expect((await run('after')).status).to.equal(0);
+    service.setFaults({ breakOff: 1 });
+    expect((await run('broken')).status).to.equal(0);
+    expect((await counts()).byKey).to.deep.equal({ after: 1, broken: 1 });
+  });
+
+  it('holds calls before they run until it is released', async () => {
+    await call(`${service.control}/faults`, { body: { hold: true } });
+    const held = run('held');
+    await service.waitFor(({ inFlight }) => inFlight === 1);
+    expect((await counts()).total).to.equal(0);
+    service.setFaults({ hold: false });
+    expect((await held).status).to.equal(200);
+  });
+
+  it('answers 503 without running in an outage', async () => {
+    service.setFaults({ outage: true });
+    expect((await run('out')).status).to.equal(503);
+    expect((await counts()).total).to.equal(0);
+  });
+});
