--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -95,7 +95,10 @@
       if (!stillFenced.done) return stillFenced;
     }
     const outcome = applyOrder(memory.state, name, body);
-    if (outcome.done && name === 'form_group') stepper.join(engine);
+    if (outcome.done && name === 'form_group') {
+      engine.tokensByExpert.flat().forEach((tokens) => tokens.fill(0));
+      stepper.join(engine);
+    }
     changed.notify();
     return outcome;
   };
