Intent: checkpoints without a leader, proofs of outages, restarts, retention and replay

Cause: retention removes the records that a starting node needs, and a checkpoint written late must not undo a newer change. Change: checkpoint records that replay from their as-of offset; each entry waits a random time and looks again before it writes one. Ruled out: a leader for checkpoints; taking the newest checkpoint as it stands.

--- a/packages/intent/src/core/document/checkpoint.ts
+++ b/packages/intent/src/core/document/checkpoint.ts
@@ -42,12 +42,32 @@
   snapshot: snapshotSchema,
 }) as unknown as z.ZodType<CheckpointRecord>;
 
-const isCheckpoint = (value: unknown): boolean =>
-  (value as { kind?: unknown } | null)?.kind === 'checkpoint';
+/** Stands for a checkpoint in the history for peers, which need only know that it is there. */
+export interface CheckpointMark {
+  kind: 'checkpoint-mark';
+  asOf: number;
+  at: number;
+}
+
+const markSchema = z.object({
+  kind: z.literal('checkpoint-mark'),
+  asOf: z.number().int(),
+  at: z.number(),
+});
+
+const kindOf = (value: unknown): unknown => (value as { kind?: unknown } | null)?.kind;
 
 /** The checkpoint in a record's value, if it is a sound one. */
 export const parseCheckpoint = (value: unknown): CheckpointRecord | undefined => {
-  if (!isCheckpoint(value)) return undefined;
+  if (kindOf(value) !== 'checkpoint') return undefined;
   const checked = checkpointSchema.safeParse(value);
   return checked.success ? checked.data : undefined;
 };
+
+/** What a record says about checkpoints in the log. */
+export const markOf = (value: unknown): CheckpointMark | undefined => {
+  if (kindOf(value) === 'checkpoint-mark') return markSchema.safeParse(value).data;
+  const checkpoint = parseCheckpoint(value);
+  if (!checkpoint) return undefined;
+  return { kind: 'checkpoint-mark', asOf: checkpoint.snapshot.asOf, at: checkpoint.at };
+};
--- a/packages/intent/src/index.ts
+++ b/packages/intent/src/index.ts
@@ -6,3 +6,4 @@
 export type { FetchAnswer, IntentPeer } from './reader/peers.js';
 export * from './reader/reader.js';
 export * from './types.js';
+export * from './writer/checkpointer.js';
--- a/packages/intent/src/reader/reader.ts
+++ b/packages/intent/src/reader/reader.ts
@@ -74,6 +74,8 @@
   snapshot(): IntentSnapshot;
   /** The newest checkpoint met in the log. */
   checkpoint(): MetCheckpoint | undefined;
+  /** Wall-clock time of the first change that this node replayed, in milliseconds. */
+  firstRecordAt(): number | undefined;
 }
 
 /** Starts a reader. */
@@ -181,5 +183,6 @@
     noticeOffset: asker.noticed,
     snapshot: () => replica.aggregate().snapshot(),
     checkpoint: replica.checkpoint,
+    firstRecordAt: replica.firstRecordAt,
   };
 };
--- a/packages/intent/src/reader/replica.ts
+++ b/packages/intent/src/reader/replica.ts
@@ -3,7 +3,8 @@
 import type { LogRecord } from '@plantaindrum/platform';
 import type { IntentAggregate, IntentSnapshot, ReplayStep } from '../core/document/aggregate.js';
 import { createIntentAggregate } from '../core/document/aggregate.js';
-import { parseCheckpoint } from '../core/document/checkpoint.js';
+import type { CheckpointMark } from '../core/document/checkpoint.js';
+import { markOf, parseCheckpoint } from '../core/document/checkpoint.js';
 
 /** The newest checkpoint that this reader met in the log. */
 export interface MetCheckpoint {
@@ -33,6 +34,8 @@
   /** What a peer that holds everything up to `after` is missing. */
   handover(after: number, limit: number): Handover;
   checkpoint(): MetCheckpoint | undefined;
+  /** Wall-clock time of the first change that this replica replayed, in milliseconds. */
+  firstRecordAt(): number | undefined;
 }
 
 /** Bounds and notices of a replica. */
@@ -47,6 +50,11 @@
   records: LogRecord[];
 }
 
+const timeOf = ({ value }: LogRecord): number | undefined => {
+  const at = (value as { at?: unknown } | null)?.at;
+  return typeof at === 'number' ? at : undefined;
+};
+
 /** Creates an empty replica. */
 export const createIntentReplica = (options: IntentReplicaOptions): IntentReplica => {
   let aggregate = createIntentAggregate();
@@ -55,6 +63,7 @@
   let historyAfter = -1;
   let scan: Scan | undefined;
   let met: MetCheckpoint | undefined;
+  let firstRecordAt: number | undefined;
 
   const trimHistory = (): void => {
     const surplus = history.length - options.historyLimit;
@@ -63,10 +72,18 @@
     history = history.slice(surplus);
   };
 
+  /** A checkpoint may land after one that covers more. */
+  const noteMark = ({ asOf, at }: CheckpointMark): void => {
+    if (!met || asOf > met.asOf) met = { asOf, at };
+  };
+
   const replayOne = (record: LogRecord): void => {
     if (record.offset <= aggregate.offset()) return;
     const step = aggregate.replay(record.offset, record.value);
-    history.push(record);
+    firstRecordAt ??= timeOf(record);
+    const mark = markOf(record.value);
+    if (mark && mark.asOf < record.offset) noteMark(mark);
+    history.push(mark ? { offset: record.offset, value: mark } : record);
     options.onStep(step, record);
   };
 
@@ -81,21 +98,14 @@
     historyAfter = snapshot.asOf;
   };
 
-  const noteCheckpoint = (record: LogRecord): IntentSnapshot | undefined => {
-    const checkpoint = parseCheckpoint(record.value);
-    if (!checkpoint || checkpoint.snapshot.asOf >= record.offset) return undefined;
-    met = { asOf: checkpoint.snapshot.asOf, at: checkpoint.at };
-    return checkpoint.snapshot;
-  };
-
   /** The records between a checkpoint's as-of offset and itself must all be there to be replayed. */
   const isUsable = (snapshot: IntentSnapshot, { beginning }: Scan): boolean =>
     snapshot.asOf + 1 >= beginning && snapshot.asOf > aggregate.offset();
 
   const scanOne = (record: LogRecord, current: Scan): void => {
     current.records.push(record);
-    const snapshot = noteCheckpoint(record);
-    if (!snapshot || !isUsable(snapshot, current)) return;
+    const snapshot = parseCheckpoint(record.value)?.snapshot;
+    if (!snapshot || snapshot.asOf >= record.offset || !isUsable(snapshot, current)) return;
     scan = undefined;
     restore(snapshot);
     replay(current.records);
@@ -106,7 +116,6 @@
       scanOne(record, scan);
       return;
     }
-    noteCheckpoint(record);
     replay([record]);
   };
 
@@ -145,5 +154,6 @@
       return { kind: 'records', records, through: through ?? aggregate.offset() };
     },
     checkpoint: () => met,
+    firstRecordAt: () => firstRecordAt,
   };
 };
--- /dev/null
+++ b/packages/intent/test/checkpoint.test.ts
@@ -0,0 +1,138 @@
+import { expect } from 'chai';
+import { startCheckpointer } from '../src/index.js';
+import type { Checkpointer } from '../src/index.js';
+import type { Fleet, TestNode } from './support/nodes.js';
+import { changeClass, createFleet, submitAt, targetAt } from './support/nodes.js';
+
+const HOUR = 3_600_000;
+
+describe('checkpoints of intent', () => {
+  let fleet: Fleet;
+  let a: TestNode;
+  let running: Checkpointer[] = [];
+
+  beforeEach(async () => {
+    fleet = createFleet();
+    a = fleet.start('a');
+    await fleet.run(10);
+  });
+
+  afterEach(async () => {
+    running.forEach((checkpointer) => checkpointer.close());
+    running = [];
+    await fleet.closeAll();
+  });
+
+  const submitTargets = async (...targets: number[]): Promise<void> => {
+    for (const target of targets) {
+      const base = a.node.current().versions['classes/live'] ?? -1;
+      await submitAt(fleet, a, `set-${target}`, changeClass('live', base, target));
+    }
+  };
+
+  const checkpointNow = () => ({
+    kind: 'checkpoint',
+    id: 'c',
+    at: fleet.clock.now(),
+    snapshot: a.node.snapshot(),
+  });
+
+  const checkpointAt = (node: TestNode, recordsBetween?: number): Checkpointer => {
+    const { clock, log } = fleet;
+    const { metrics } = node;
+    const checkpointer = startCheckpointer({
+      ...{ node: node.node, log: log.client(), clock, random: () => 0.5, metrics },
+      ...{ retentionMs: 8 * HOUR, ...(recordsBetween ? { recordsBetween } : {}) },
+    });
+    running.push(checkpointer);
+    return checkpointer;
+  };
+
+  // A node takes a checkpoint, is slow to append it, and two operators change the key in between.
+  // The stale checkpoint lands last. Readers that run skip it; a reader that starts from it also
+  // replays the records that followed its as-of offset, so the newer changes stand at both.
+  it('cannot undo a newer change by landing late', async () => {
+    await submitTargets(100);
+    const stale = checkpointNow();
+    await submitTargets(200, 300);
+    fleet.log.append(stale);
+    fleet.log.expire(1);
+    const started = fleet.start('b');
+    await fleet.run(10);
+    expect([targetAt(a, 'live'), targetAt(started, 'live')]).to.deep.equal([300, 300]);
+    expect(started.node.current()).to.deep.equal(a.node.current());
+    expect(started.node.freshness()).to.include({ caughtUp: true, behind: 0 });
+  });
+
+  // Retention has removed a record between the checkpoint's as-of offset and the checkpoint. A
+  // reader that took it would miss that change for ever, so it waits for a better one, not ready.
+  it('is not taken when records after its as-of offset are gone', async () => {
+    await submitTargets(100);
+    const stale = checkpointNow();
+    await submitTargets(200, 300);
+    fleet.log.append(stale);
+    fleet.log.expire(2);
+    const started = fleet.start('b');
+    await fleet.run(10_000);
+    expect(started.node.freshness()).to.include({
+      caughtUp: false,
+      reason: 'no-usable-checkpoint',
+    });
+    fleet.log.append(checkpointNow());
+    await fleet.run(5_000);
+    expect(started.node.current()).to.deep.equal(a.node.current());
+    expect(started.node.freshness().caughtUp).to.equal(true);
+  });
+
+  it('is written by one of many nodes when a quarter of the retention has passed', async () => {
+    await submitTargets(100);
+    const nodes = ['b', 'c', 'd'].map((name) => fleet.start(name));
+    nodes.forEach((node) => checkpointAt(node));
+    await fleet.run(2 * HOUR - 60_000);
+    expect(fleet.log.end()).to.equal(1);
+    await fleet.run(2 * HOUR);
+    expect(fleet.log.end()).to.be.within(2, 4);
+    expect(fleet.log.records.at(-1)?.value).to.have.property('kind', 'checkpoint');
+  });
+
+  it('is written after so many records, however young they are', async () => {
+    checkpointAt(a, 3);
+    await submitTargets(100, 200);
+    await fleet.run(2 * HOUR - 300_000);
+    const before = fleet.log.end();
+    await submitTargets(300);
+    await fleet.run(2 * HOUR);
+    expect([before, fleet.log.end()]).to.deep.equal([2, 4]);
+  });
+
+  // The log is down for longer than it keeps records, and comes back with none. The nodes that run
+  // still hold the intent and write it down at once, so a node that starts later can be ready.
+  it('is written at once when an outage outlasted the retention', async () => {
+    await submitTargets(100);
+    checkpointAt(a);
+    fleet.log.faults.down = true;
+    await fleet.run(9 * HOUR);
+    fleet.log.expire(fleet.log.end());
+    fleet.log.faults.down = false;
+    const started = fleet.start('b');
+    await fleet.run(10_000);
+    expect(started.node.freshness().caughtUp).to.equal(false);
+    await fleet.run(120_000);
+    expect(started.node.freshness().caughtUp).to.equal(true);
+    expect(targetAt(started, 'live')).to.equal(100);
+  });
+
+  it('keeps removed keys removed and used ids used', async () => {
+    await submitTargets(100);
+    await submitAt(fleet, a, 'remove', changeClass('live', 0, null));
+    fleet.log.append(checkpointNow());
+    fleet.log.expire(2);
+    const started = fleet.start('b');
+    await fleet.run(10);
+    const again = await submitAt(fleet, started, 'set-100', changeClass('live', -1, 100));
+    expect(again).to.deep.equal({ outcome: 'accepted', version: 0 });
+    const other = await submitAt(fleet, started, 'other', changeClass('live', -1, 100));
+    expect(other.outcome).to.equal('conflict');
+    expect(targetAt(started, 'live')).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/intent/test/spread.test.ts
@@ -0,0 +1,175 @@
+import { expect } from 'chai';
+import type { Fleet, TestNode } from './support/nodes.js';
+import { changeClass, createFleet, submitAt, targetAt } from './support/nodes.js';
+
+describe('spread of intent', () => {
+  let fleet: Fleet;
+  let a: TestNode;
+  let b: TestNode;
+
+  beforeEach(async () => {
+    fleet = createFleet();
+    a = fleet.start('a');
+    b = fleet.start('b');
+    await fleet.run(10);
+  });
+
+  afterEach(() => fleet.closeAll());
+
+  const setLive = (at: TestNode, target: number) => {
+    const base = at.node.current().versions['classes/live'] ?? -1;
+    return submitAt(fleet, at, `set-${target}`, changeClass('live', base, target));
+  };
+
+  // Node b has lost its way to the log, its peer a has not. A change is accepted at a. The next
+  // heartbeat shows b a higher offset than its own, and b fetches the record from a.
+  it('brings a change to a node that is cut off from the log', async () => {
+    fleet.link(a, b);
+    b.faults.down = true;
+    await setLive(a, 100);
+    await fleet.run(1_000);
+    expect(targetAt(b, 'live')).to.equal(100);
+    expect(b.metrics.counter('intent_gap_noticed')).to.equal(1);
+  });
+
+  it('does not fetch from peers what the log brings in time', async () => {
+    fleet.link(a, b);
+    await setLive(a, 100);
+    await fleet.run(10_000);
+    expect(targetAt(b, 'live')).to.equal(100);
+    expect(b.metrics.counter('intent_gap_fetched')).to.equal(0);
+  });
+
+  // Node b is cut off from the log and from its peer for a minute while changes go on. It serves
+  // on with what it has and says that it is isolated; when one way is back it has all changes.
+  it('says that it is isolated, and catches up when a peer is back', async () => {
+    fleet.link(a, b);
+    await setLive(a, 100);
+    await fleet.run(100);
+    b.cutOff = true;
+    b.faults.down = true;
+    await setLive(a, 200);
+    await fleet.run(60_000);
+    expect(targetAt(b, 'live')).to.equal(100);
+    expect(b.node.freshness()).to.include({
+      state: 'isolated',
+      reason: 'log-and-peers-unreachable',
+    });
+    expect(b.metrics.counter('intent_state', { state: 'isolated' })).to.equal(1);
+    b.cutOff = false;
+    await fleet.run(2_500);
+    expect(targetAt(b, 'live')).to.equal(200);
+    expect(b.node.freshness().state).to.equal('fresh');
+  });
+
+  // The log is down for all. Nobody can change intent then, so the nodes serve on; peers in reach
+  // tell a node with a dead log from one that is alone.
+  it('is stale, not isolated, while the log is down for all', async () => {
+    fleet.link(a, b);
+    await setLive(a, 100);
+    fleet.log.faults.down = true;
+    await fleet.run(60_000);
+    expect(a.node.freshness()).to.include({ state: 'stale', reason: 'log-unreachable' });
+    expect(await setLive(a, 200)).to.deep.equal({ outcome: 'unknown', id: 'set-200' });
+    fleet.log.faults.down = false;
+    await fleet.run(5_000);
+    expect([targetAt(a, 'live'), targetAt(b, 'live')]).to.deep.equal([100, 100]);
+    expect(await setLive(b, 200)).to.include({ outcome: 'accepted' });
+  });
+
+  // The log is down when a node starts. It must not serve an older state than callers have seen,
+  // so it takes the highest offset that its peers know before it is ready.
+  it('becomes ready from its peers while the log is down', async () => {
+    await setLive(a, 100);
+    await fleet.run(100);
+    b.faults.down = true;
+    await setLive(a, 200);
+    fleet.log.faults.down = true;
+    const c = fleet.start('c');
+    await fleet.run(5_000);
+    expect(c.node.freshness()).to.include({
+      caughtUp: false,
+      reason: 'log-and-peers-unreachable',
+    });
+    fleet.link(c, b);
+    fleet.link(c, a);
+    await fleet.run(3_000);
+    expect(targetAt(c, 'live')).to.equal(200);
+    expect(c.node.freshness()).to.include({ caughtUp: true, state: 'stale' });
+  });
+
+  it('does not become ready from peers that are starting themselves', async () => {
+    fleet.log.faults.down = true;
+    const c = fleet.start('c');
+    const d = fleet.start('d');
+    fleet.link(c, d);
+    await fleet.run(60_000);
+    expect(c.node.freshness()).to.include({ caughtUp: false, state: 'starting' });
+    expect(d.node.freshness()).to.include({ caughtUp: false, state: 'starting' });
+  });
+
+  it('hands over its whole state when its history does not reach back far enough', async () => {
+    const c = fleet.start('c', { limits: { historyLimit: 2 } });
+    await fleet.run(10);
+    for (const target of [100, 200, 300, 400]) await setLive(c, target);
+    fleet.log.faults.down = true;
+    const d = fleet.start('d');
+    fleet.link(c, d);
+    await fleet.run(3_000);
+    expect(d.node.current()).to.deep.equal(c.node.current());
+  });
+
+  // Every node is replaced, one after the other, while changes go on and the log fails every other
+  // time. No new node is ready with less than its predecessor had.
+  it('never goes back while every node is replaced', async () => {
+    let nodes = [a, b];
+    fleet.link(a, b);
+    await setLive(a, 1);
+    for (let round = 2; round < 12; round += 1) {
+      fleet.log.faults.down = round % 2 === 0;
+      const [oldest, other] = nodes as [TestNode, TestNode];
+      const seen = oldest.node.current().offset;
+      const fresh = fleet.start(`n${round}`);
+      fleet.link(fresh, other);
+      await fleet.run(5_000);
+      expect(fresh.node.freshness().caughtUp).to.equal(true);
+      expect(fresh.node.current().offset).to.be.at.least(seen);
+      await oldest.close();
+      nodes = [other, fresh];
+      if (!fleet.log.faults.down) {
+        expect(await setLive(fresh, round)).to.include({ outcome: 'accepted' });
+      }
+    }
+    expect(targetAt(nodes[1] as TestNode, 'live')).to.equal(11);
+  });
+
+  // The platform restores the log from an old copy that ends before what nodes have replayed. The
+  // records that operators were told are accepted are gone there, but not at the nodes.
+  it('keeps its intent when the log ends earlier than before', async () => {
+    await setLive(a, 100);
+    fleet.log.truncate(0);
+    await fleet.run(10_000);
+    expect(targetAt(a, 'live')).to.equal(100);
+    expect(a.metrics.counter('intent_log_behind')).to.be.greaterThan(0);
+    expect(a.node.freshness().state).to.equal('isolated');
+  });
+
+  // Agents are many, so they leave the log alone while a peer vouches for their intent.
+  it('reads the log only while no peer confirms the intent, where it follows peers', async () => {
+    const c = fleet.start('c', { follow: 'peers' });
+    fleet.link(a, c);
+    await fleet.run(5_000);
+    c.faults.down = true;
+    await setLive(a, 100);
+    await fleet.run(1_000);
+    expect(targetAt(c, 'live')).to.equal(100);
+    await fleet.run(60_000);
+    expect(c.metrics.counter('intent_log_read_failed', { kind: 'unavailable' })).to.equal(0);
+    expect(c.node.freshness().state).to.equal('fresh');
+    c.faults.down = false;
+    a.cutOff = true;
+    await setLive(b, 200);
+    await fleet.run(10_000);
+    expect(targetAt(c, 'live')).to.equal(200);
+  });
+});
--- a/packages/intent/test/support/fake-log.ts
+++ b/packages/intent/test/support/fake-log.ts
@@ -23,6 +23,8 @@
   append(value: unknown): number;
   /** Drops every record below `beginning`. */
   expire(beginning: number): void;
+  /** Forgets every record from `end` on, as a restore from an old copy does. */
+  truncate(end: number): void;
   beginning(): number;
   end(): number;
 }
@@ -121,6 +123,10 @@
       first = Math.max(first, Math.min(beginning, next));
       records = records.filter((record) => record.offset >= first);
     },
+    truncate: (end) => {
+      next = end;
+      records = records.filter((record) => record.offset < end);
+    },
     beginning: () => first,
     end: () => next,
   };
