Intent: proofs found by removing each safeguard in turn

Cause: twelve safeguards were removed one by one; three removals passed every test (ready though behind, vouching though the log answers, no look-up).

--- a/packages/intent/test/spread.test.ts
+++ b/packages/intent/test/spread.test.ts
@@ -98,6 +98,42 @@
     expect(c.node.freshness()).to.include({ caughtUp: true, state: 'stale' });
   });
 
+  // A peer's frame has shown a higher offset, and the peer answers nothing more. Other peers vouch
+  // for less. A node that started with less could show callers an older state than they have seen.
+  it('does not become ready below the highest offset that a peer has shown', async () => {
+    await setLive(a, 100);
+    await fleet.run(100);
+    fleet.log.faults.down = true;
+    const c = fleet.start('c');
+    const silent = { name: 'silent', fetch: async () => undefined };
+    c.node.addPeer(silent);
+    c.node.noticeOffset(silent, 7);
+    fleet.link(c, a);
+    await fleet.run(10_000);
+    expect(c.node.freshness()).to.include({ caughtUp: false, behind: 7 });
+    c.node.removePeer(silent);
+    await fleet.run(3_000);
+    expect(c.node.freshness()).to.include({ caughtUp: true, behind: 0 });
+  });
+
+  // The log is well but slow, and the only peer has been cut off from it before a change. The peer
+  // answers long before the log does; the starting node waits for the log all the same.
+  it('waits for a slow log rather than trust a peer that lost it', async () => {
+    await setLive(a, 100);
+    await fleet.run(100);
+    b.faults.down = true;
+    await setLive(a, 200);
+    await fleet.run(20_000);
+    fleet.log.faults.slowMs = 3_000;
+    const c = fleet.start('c');
+    fleet.link(c, b);
+    await fleet.run(2_500);
+    expect(c.node.freshness().caughtUp).to.equal(false);
+    await fleet.run(10_000);
+    expect(c.node.freshness().caughtUp).to.equal(true);
+    expect(targetAt(c, 'live')).to.equal(200);
+  });
+
   it('does not become ready from peers that are starting themselves', async () => {
     fleet.log.faults.down = true;
     const c = fleet.start('c');
--- a/packages/intent/test/submit.test.ts
+++ b/packages/intent/test/submit.test.ts
@@ -83,6 +83,14 @@
     expect(fleet.log.appends).to.equal(1);
   });
 
+  it('looks a lost answer up before it appends again, also where reads are slow', async () => {
+    a.faults.slowReadMs = 1_000;
+    a.faults.loseNextAnswer = true;
+    const outcome = await submitAt(fleet, a, 'id-1', changeClass('live', -1, 800));
+    expect(outcome).to.deep.equal({ outcome: 'accepted', version: 0 });
+    expect(fleet.log.appends).to.equal(1);
+  });
+
   it('appends again when the lost append had no effect', async () => {
     a.faults.loseNextAppend = true;
     const outcome = await submitAt(fleet, a, 'id-1', changeClass('live', -1, 800));
--- a/packages/intent/test/support/fake-log.ts
+++ b/packages/intent/test/support/fake-log.ts
@@ -1,4 +1,4 @@
-import { fail, ok } from '@plantaindrum/common';
+import { fail, ok, sleep } from '@plantaindrum/common';
 import type { ManualClock, Result } from '@plantaindrum/common';
 import type { Log, LogFailure, LogRecord } from '@plantaindrum/platform';
 
@@ -7,6 +7,8 @@
   down: boolean;
   /** Every answer is this late, in milliseconds. */
   slowMs: number;
+  /** Records reach readers this much later than that, in milliseconds. */
+  slowReadMs: number;
   /** The next append takes effect, and its answer is lost. */
   loseNextAnswer: boolean;
   /** The next append fails as if its answer were lost, without an effect. */
@@ -32,6 +34,7 @@
 const noFaults = (): LogFaults => ({
   down: false,
   slowMs: 0,
+  slowReadMs: 0,
   loseNextAnswer: false,
   loseNextAppend: false,
 });
@@ -58,10 +61,9 @@
     return offset;
   };
 
-  const pause = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      clock.after(ms, resolve);
-    });
+  const pause = async (ms: number): Promise<void> => {
+    if (ms > 0) await sleep(clock, ms);
+  };
 
   const nextRecord = (waitMs: number): Promise<void> =>
     new Promise((resolve) => {
@@ -79,10 +81,10 @@
     const answer = async <T>(
       work: () => Promise<Result<T, LogFailure>>,
     ): Promise<Result<T, LogFailure>> => {
-      const slowMs = faults.slowMs + shared.slowMs;
-      if (slowMs > 0) await pause(slowMs);
       if (isDown()) return failed('unavailable');
       const result = await work();
+      const slowMs = faults.slowMs + shared.slowMs;
+      await pause(slowMs);
       return isDown() ? failed('unknown') : result;
     };
 
@@ -93,6 +95,7 @@
         answer(async () => {
           if (offset < first || offset > next) return failed('out-of-range');
           if (offset === next && waitMs > 0) await nextRecord(waitMs);
+          await pause(faults.slowReadMs);
           return ok(records.filter((record) => record.offset >= offset).slice(0, 100));
         }),
       append: (_topic, _partition, values) =>
