Requests: claims on idempotency keys, replayed from the log

Cause: a call that may not be repeated can come again through another entry, after a lost answer, a crash or a sleep; no clock and no lease may decide who runs it. Change: createClaims. An agent appends a claim to the key's partition and runs only if replay shows it as the first; ends and releases follow in the tail; a lost append answer is looked up by the claim's id; the key's age (UUIDv7) is checked after the replay; partitions are read on demand from where the reader stopped. Ruled out: checking the age before the append only; an agent that sleeps past the retention then runs an old key again (test red).

--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,6 +1,8 @@
 export * from './attempts/attempt-ledger.js';
 export * from './attempts/sent-attempt.js';
 export * from './attempts/types.js';
+export * from './claims/batching-log.js';
+export * from './claims/claims.js';
 export * from './claims/types.js';
 export * from './outcomes.js';
 export * from './queue/agent-queue.js';
@@ -9,4 +11,5 @@
 export * from './retry/types.js';
 export * from './routing/router.js';
 export * from './routing/types.js';
+export { CLAIM_PARTITIONS, CLAIMS_TOPIC } from './claims/records.js';
 export { prefixHash } from './routing/hash.js';
