Entry: routing and retry policy of the requests package; the record of an attempt judges it

Cause: least outstanding and a plain budget stood in for the decisions. Change: router joined to the VM list, links and intent (an upstream's links only where the subset says so; a data centre that starts again gets its share back slowly); retries by the policy; an attempt's outcome by createSentAttempt, so that the property tests of the record cover the entry. Ruled out: keeping link events by VM name alone, as the end of the old link would silence a VM that came back under its name.

--- a/packages/plantaindrum/src/core/attempts/run-attempt.ts
+++ b/packages/plantaindrum/src/core/attempts/run-attempt.ts
@@ -3,6 +3,8 @@
 import type { Clock, Metrics, RefusalReason } from '@plantaindrum/common';
 import { isRefusalReason } from '@plantaindrum/common';
 import type { AttemptId, Chunk } from '@plantaindrum/link';
+import type { AttemptEvent as RecordedEvent, RouteTicket } from '@plantaindrum/requests';
+import { createSentAttempt } from '@plantaindrum/requests';
 import { createInbox } from './inbox.js';
 import type { AnswerSink, AttemptEvent, AttemptOutcome, AttemptUpstream, Work } from './types.js';
 
@@ -31,6 +33,8 @@
   answer: AnswerSink;
   /** Tells of the caller's end; the returned function ends that. */
   onCallerGone: (fn: () => void) => () => void;
+  /** Tells routing how fast the upstream is. */
+  ticket: Pick<RouteTicket, 'started' | 'firstByte'>;
   times: AttemptTimes;
   clock: Clock;
   metrics: Metrics;
@@ -39,19 +43,12 @@
 const reasonOf = (text: string, otherwise: RefusalReason): RefusalReason =>
   isRefusalReason(text) ? text : otherwise;
 
-const notRun = (reason: RefusalReason, retryAfterMs: number): AttemptOutcome => ({
-  outcome: 'not-run',
-  reason,
-  retryAfterMs,
-});
-
-const unknown = (reason: RefusalReason): AttemptOutcome => ({ outcome: 'unknown', reason });
-
 const UNREACHABLE_RETRY_MS = 1_000;
 
 /** Runs one attempt; never rejects. Frames that come after its end are dropped by the upstream. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptOutcome> => {
-  const { id, upstream, work, answer, times, clock, metrics } = options;
+  const { id, upstream, work, answer, ticket, times, clock, metrics } = options;
+  const record = createSentAttempt(id);
   const inbox = createInbox<AttemptEvent>();
   const instance = upstream.instance();
   let received = 0;
@@ -73,11 +70,24 @@
     if (instance) upstream.cancel(id, instance);
   };
 
+  /** The record alone says whether the attempt provably did not run. */
+  const closeBy = (
+    event: RecordedEvent,
+    reason: RefusalReason,
+    retryAfterMs = 0,
+  ): AttemptOutcome => {
+    const step = record.apply(event);
+    const proved = step.step === 'closed' && step.outcome === 'not-run';
+    return proved ? { outcome: 'not-run', reason, retryAfterMs } : { outcome: 'unknown', reason };
+  };
+
+  const giveUp = (reason: RefusalReason): AttemptOutcome => closeBy({ kind: 'gave-up' }, reason);
+
   /** An answer that breaks the link's rules is never passed off as whole. */
   const broken = (fault: string): AttemptOutcome => {
     metrics.count('answer_broken', { fault });
     cancel();
-    return unknown('upstream-broke-off');
+    return giveUp('upstream-broke-off');
   };
 
   const takeChunk = async (chunk: Chunk): Promise<AttemptOutcome | undefined> => {
@@ -90,10 +100,10 @@
   };
 
   const onTimer = (): AttemptOutcome | undefined => {
-    if (cancelled) return unknown('answer-timeout');
+    if (cancelled) return giveUp('answer-timeout');
     // The agent may still find the attempt in its queue; the cancel leaves a tombstone either way.
     cancel();
-    if (!linked) return unknown('link-lost');
+    if (!linked) return giveUp('link-lost');
     armTimer();
     return undefined;
   };
@@ -104,7 +114,7 @@
    */
   const onLinkUp = (peerInstance: string): AttemptOutcome | undefined => {
     linked = true;
-    if (peerInstance !== instance) return unknown('agent-restarted');
+    if (peerInstance !== instance) return closeBy({ kind: 'instance-gone' }, 'agent-restarted');
     metrics.count('attempt_queried');
     upstream.query(id, headSeen, received);
     return undefined;
@@ -112,9 +122,15 @@
 
   const take = async (event: AttemptEvent): Promise<AttemptOutcome | undefined> => {
     switch (event.t) {
+      case 'started':
+        record.apply({ kind: 'started' });
+        ticket.started();
+        return undefined;
       case 'head':
         if (headSeen) return broken('second-head');
         headSeen = true;
+        record.apply({ kind: 'progress' });
+        ticket.firstByte();
         return answer.head(event.status, event.headers) ? undefined : broken('wrong-head');
       case 'chunk':
         return takeChunk(event);
@@ -123,11 +139,16 @@
         return answer.end() ? { outcome: 'answered' } : broken('not-whole');
       case 'not-run':
         if (headSeen) return broken('not-run-after-head');
-        return notRun(reasonOf(event.reason, 'upstream-unreachable'), event.retryAfterMs);
+        return closeBy(
+          { kind: 'not-run' },
+          reasonOf(event.reason, 'upstream-unreachable'),
+          event.retryAfterMs,
+        );
       case 'unknown':
-        return unknown(reasonOf(event.reason, 'upstream-broke-off'));
+        return closeBy({ kind: 'unknown' }, reasonOf(event.reason, 'upstream-broke-off'));
       case 'link-lost':
         linked = false;
+        record.apply({ kind: 'link-lost' });
         return undefined;
       case 'link-up':
         return onLinkUp(event.instance);
@@ -145,7 +166,10 @@
   const offCaller = options.onCallerGone(() => inbox.push({ t: 'caller-gone' }));
   try {
     const sent = await upstream.dispatch({ t: 'dispatch', id, ...work });
-    if (!sent) return notRun('upstream-unreachable', UNREACHABLE_RETRY_MS);
+    if (!sent) {
+      return closeBy({ kind: 'send-failed' }, 'upstream-unreachable', UNREACHABLE_RETRY_MS);
+    }
+    record.apply({ kind: 'sent' });
     for (;;) {
       armTimer();
       const outcome = await take(await inbox.next());
--- a/packages/plantaindrum/src/core/callers/identify.ts
+++ b/packages/plantaindrum/src/core/callers/identify.ts
@@ -11,7 +11,8 @@
 
 /** What a request asks for. */
 export type Target =
-  { kind: 'model'; model: string; stream: boolean } | { kind: 'service'; service: string };
+  | { kind: 'model'; model: string; stream: boolean; prompt: string }
+  | { kind: 'service'; service: string };
 
 /** The class of a request. */
 export interface RequestClass extends ClassIntent {
@@ -97,5 +98,7 @@
   if (stream !== undefined && typeof stream !== 'boolean') {
     return badRequest('"stream" is neither true nor false');
   }
-  return ok({ kind: 'model', model, stream: stream === true });
+  // Prompts may be lists of texts or tokens; routing only needs them to differ as texts do.
+  const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+  return ok({ kind: 'model', model, stream: stream === true, prompt: text });
 };
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -7,13 +7,13 @@
 import type { FrameHandler, LinkServer } from '@plantaindrum/link';
 import { createLinkServer } from '@plantaindrum/link';
 import { createLogClient, createVmListClient } from '@plantaindrum/platform';
+import { createRetryPolicy } from '@plantaindrum/requests';
 import { defaultAttemptTimes } from '../attempts/run-attempt.js';
 import type { CallersDoor } from '../callers/door.js';
 import { openCallersDoor } from '../callers/door.js';
 import type { OperatorsDoor } from '../operators/door.js';
 import { openOperatorsDoor } from '../operators/door.js';
-import { createLeastOutstanding } from '../requests/least-outstanding.js';
-import { createRetryBudget, defaultRetryBudget } from '../requests/retry-budget.js';
+import { createEntryRouter } from '../routing/entry-router.js';
 import { createClassTargets } from '../status/class-targets.js';
 import { entryStatus } from '../status/entry-status.js';
 import type { Directory } from '../upstreams/directory.js';
@@ -48,6 +48,7 @@
 const NOTICE_MS = 1_000;
 const FIRST_LINKS_MS = 2_000;
 const LINK_CHECK_MS = 25;
+const REVIEW_MS = 1_000;
 
 const ignoreFrames: FrameHandler = () => {};
 
@@ -89,15 +90,29 @@
     log: log.child('link'),
   };
   const connect = createConnectAgent(links);
-  const directory = createDirectory({
+  let directory: Directory | undefined;
+  const router = createEntryRouter({
+    self: node,
+    upstreams: () => directory?.upstreams() ?? [],
+    document: () => intent.current().document,
+    clock,
+    random,
+    metrics,
+    log: log.child('routing'),
+  });
+  directory = createDirectory({
     list: vmList,
     connect,
+    onList: router.takeList,
+    eventsOf: router.eventsOf,
     clock,
     random,
     metrics,
     log: log.child('upstreams'),
     intervalMs: LIST_INTERVAL_MS,
   });
+  const known = directory;
+  intent.onChange(router.intentChanged);
   const linkServer: LinkServer = await createLinkServer({
     ...linkOptions(links),
     listen: settings.link,
@@ -116,14 +131,6 @@
   });
   const targets = createClassTargets(clock);
 
-  const serving = () =>
-    directory
-      .upstreams()
-      .filter(
-        (upstream) =>
-          intent.current().document.dataCentres[upstream.vm().dataCentre]?.state !== 'stopped',
-      );
-
   let lastAttempt = 0;
   callers = await openCallersDoor({
     listen: settings.callers,
@@ -131,8 +138,8 @@
     intent,
     closedFor: readiness.closedFor,
     serve: {
-      choose: createLeastOutstanding(serving),
-      budget: createRetryBudget(defaultRetryBudget),
+      choose: router.choose,
+      retries: createRetryPolicy({ clock }),
       nextId: () => {
         lastAttempt += 1;
         return `${instance}:${lastAttempt}`;
@@ -148,7 +155,7 @@
   const door = callers;
 
   const upstreamLink = (name: string) =>
-    directory
+    known
       .upstreams()
       .find((upstream) => upstream.vm().name === name)
       ?.link();
@@ -163,7 +170,8 @@
         node,
         instance,
         intent,
-        directory,
+        directory: known,
+        router,
         targets,
         metrics,
         inFlight,
@@ -172,24 +180,34 @@
     inFlightIn: (dataCentre) =>
       collectInFlight(dataCentre, {
         self: { ...node, inFlight },
-        vms: directory.vms,
+        vms: known.vms,
         askNode: (vm) => askOverLink(upstreamLink(vm.name)),
       }),
     metrics,
   });
 
+  let stopped = false;
+  const review = async (): Promise<void> => {
+    while (!stopped) {
+      await sleep(clock, REVIEW_MS);
+      router.review();
+    }
+  };
+
   const start = async (): Promise<void> => {
-    await directory.refresh();
-    void directory.run();
+    await known.refresh();
+    void known.run();
+    void review();
     await intent.ready();
-    await firstLinks(directory, clock);
+    await firstLinks(known, clock);
     readiness.started();
   };
 
   const close = async (): Promise<void> => {
+    stopped = true;
     await door.close();
     await operators.close();
-    await directory.close();
+    await known.close();
     await linkServer.close();
     await intent.close();
     await logClient.close();
--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -1,19 +1,21 @@
 /** One request, over as many attempts as its class, its deadline and the retry budget allow. */
 
-import type { Clock, Metrics, Refusal, RefusalReason } from '@plantaindrum/common';
+import type { Clock, Metrics, Refusal } from '@plantaindrum/common';
 import type { AttemptId } from '@plantaindrum/link';
+import type { FailedAttempt, RetryPolicy } from '@plantaindrum/requests';
 import type { AttemptTimes } from '../attempts/run-attempt.js';
 import { runAttempt } from '../attempts/run-attempt.js';
 import type { AttemptOutcome } from '../attempts/types.js';
 import type { Answer } from '../callers/answer.js';
-import type { Upstream } from '../upstreams/upstream.js';
-import type { ChooseUpstream, EntryRequest, RequestEnd, RetryBudget } from './types.js';
+import type { Chosen } from '../routing/entry-router.js';
+import type { EntryRequest, RequestEnd } from './types.js';
 import { factsOf, workOf } from './work.js';
 
 /** What serving requests needs. */
 export interface ServeOptions {
-  choose: ChooseUpstream;
-  budget: RetryBudget;
+  /** Chooses an upstream; those tried, by name, are left out. */
+  choose: (request: EntryRequest, tried: ReadonlySet<string>) => Chosen | undefined;
+  retries: RetryPolicy;
   nextId: () => AttemptId;
   times: AttemptTimes;
   clock: Clock;
@@ -23,16 +25,12 @@
 /** Tells of the caller's end; the returned function ends that. */
 export type OnCallerGone = (fn: () => void) => () => void;
 
-/** Reasons that another upstream would give as well, so that none is asked. */
-const FINAL_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-  'cancelled',
-  'claim-key-expired',
-  'claim-key-reused',
-  'claim-lost',
-  'duplicate-in-progress',
-  'duplicate-known',
-  'deadline-passed',
-]);
+type Failed = Extract<AttemptOutcome, { reason: unknown }>;
+
+const refusalOf = (failed: Failed): Refusal => ({
+  reason: failed.reason,
+  ...(failed.outcome === 'not-run' && { retryAfterMs: failed.retryAfterMs }),
+});
 
 /** Serves one request to its end; the answer or refusal has been written when it resolves. */
 export const serveRequest = async (
@@ -41,11 +39,11 @@
   onCallerGone: OnCallerGone,
   options: ServeOptions,
 ): Promise<RequestEnd> => {
-  const { choose, budget, nextId, times, clock, metrics } = options;
-  const tried = new Set<Upstream>();
-  const deadline = request.arrivedAt + request.class.latestAnswerMs;
+  const { choose, retries, nextId, times, clock, metrics } = options;
+  const { latestAnswerMs } = request.class;
+  const tried = new Set<string>();
   // A key is claimed once for all upstreams: a second dispatch could only lose against the first.
-  const repeatable = !request.class.mayNotRepeat && request.idempotencyKey === undefined;
+  const mayNotRepeat = request.class.mayNotRepeat || request.idempotencyKey !== undefined;
   let mayHaveRun = false;
 
   const refuse = (refusal: Refusal): RequestEnd => {
@@ -56,58 +54,55 @@
   };
 
   /** The target of a stream is its first token, so a resumed stream has its whole time again. */
-  const timeLeft = (): number =>
-    answer.begun() ? request.class.latestAnswerMs : deadline - clock.monotonic();
+  const deadline = (): number =>
+    (answer.begun() ? clock.monotonic() : request.arrivedAt) + latestAnswerMs;
 
-  /** Why no other attempt may be made; undefined when one may. */
-  const finalReason = (reason: RefusalReason): string | undefined => {
-    if (FINAL_REASONS.has(reason)) return 'final';
-    if (mayHaveRun && !repeatable) return 'may-not-repeat';
-    if (answer.begun() && answer.resumeAfter() === undefined) return 'not-resumable';
-    if (timeLeft() <= 0) return 'deadline';
-    return undefined;
+  const attempt = async ({ upstream, ticket }: Chosen): Promise<AttemptOutcome> => {
+    tried.add(upstream.vm().name);
+    const budgetMs = Math.max(0, deadline() - clock.monotonic());
+    try {
+      return await runAttempt({
+        id: nextId(),
+        upstream,
+        work: workOf(request, budgetMs, answer.resumeAfter()),
+        answer: answer.attempt(),
+        onCallerGone,
+        ticket,
+        times,
+        clock,
+        metrics,
+      });
+    } finally {
+      ticket.ended();
+    }
   };
 
-  const attempt = (upstream: Upstream): Promise<AttemptOutcome> =>
-    runAttempt({
-      id: nextId(),
-      upstream,
-      work: workOf(request, Math.max(0, timeLeft()), answer.resumeAfter()),
-      answer: answer.attempt(),
-      onCallerGone,
-      times,
-      clock,
-      metrics,
+  /** Whether another attempt may be made; counted either way. */
+  const mayRetry = (failed: Failed): boolean => {
+    const resumeAfter = answer.resumeAfter();
+    const decision = retries.decide({
+      outcome: mayHaveRun ? 'unknown' : 'not-run',
+      reason: failed.reason as FailedAttempt['reason'],
+      mayNotRepeat,
+      attempts: tried.size,
+      deadline: deadline(),
+      answerBegun: answer.begun(),
+      ...(resumeAfter !== undefined && { resumeAfter }),
     });
-
-  /** Whether a retry may be sent now; counted either way. */
-  const mayRetry = (last: Refusal): boolean => {
-    if (!budget.take()) {
-      metrics.count('retries_denied', { reason: 'budget' });
-      return false;
-    }
-    metrics.count('retries', { reason: last.reason });
-    return true;
+    if (decision.retry) metrics.count('retries', { reason: failed.reason });
+    else metrics.count('retries_denied', { reason: decision.reason });
+    return decision.retry;
   };
 
-  budget.onRequest();
+  retries.requested();
   let last: Refusal | undefined;
   for (;;) {
-    const upstream = choose(request, tried);
-    if (!upstream) return refuse(last ?? { reason: 'no-upstream' });
-    if (last && !mayRetry(last)) return refuse(last);
-    tried.add(upstream);
-    const ended = await attempt(upstream);
+    const chosen = choose(request, tried);
+    if (!chosen) return refuse(last ?? { reason: 'no-upstream' });
+    const ended = await attempt(chosen);
     if (ended.outcome === 'answered' || ended.outcome === 'caller-gone') return ended;
     if (ended.outcome === 'unknown') mayHaveRun = true;
-    last = {
-      reason: ended.reason,
-      ...(ended.outcome === 'not-run' && { retryAfterMs: ended.retryAfterMs }),
-    };
-    const final = finalReason(ended.reason);
-    if (final) {
-      metrics.count('retries_denied', { reason: final });
-      return refuse(last);
-    }
+    last = refusalOf(ended);
+    if (!mayRetry(ended)) return refuse(last);
   }
 };
--- /dev/null
+++ b/packages/plantaindrum/src/core/routing/entry-router.ts
@@ -0,0 +1,156 @@
+/** Joins routing to the VM list, the links and the operators' intent of this entry. */
+
+import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import type { IntentDocument } from '@plantaindrum/intent';
+import type { Vm } from '@plantaindrum/platform';
+import type { RouteTicket, UpstreamStatus } from '@plantaindrum/requests';
+import { createRouter, prefixHash } from '@plantaindrum/requests';
+import type { EntryRequest } from '../requests/types.js';
+import type { Upstream, UpstreamEvents } from '../upstreams/upstream.js';
+
+/** A chosen upstream with the ticket that reports on the request there. */
+export interface Chosen {
+  upstream: Upstream;
+  ticket: RouteTicket;
+}
+
+/** Routing of one entry. */
+export interface EntryRouter {
+  choose(request: EntryRequest, tried: ReadonlySet<string>): Chosen | undefined;
+  /** Takes a list of VMs; the result says which upstreams this entry keeps links to. */
+  takeList(vms: readonly Vm[]): (vm: Vm) => boolean;
+  /** To be called when the intent has changed: data centres stop and start. */
+  intentChanged(): void;
+  eventsOf(vm: Vm): UpstreamEvents;
+  /** Ejects slow upstreams and lets them back; to be called about once a second. */
+  review(): void;
+  status(): UpstreamStatus[];
+}
+
+/** What routing needs. */
+export interface EntryRouterOptions {
+  self: { name: string; dataCentre: string; region: string };
+  upstreams: () => Upstream[];
+  document: () => IntentDocument;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** Models and services have names of their own; one of each may be called the same. */
+const targetOf = ({ kind, model, service }: Vm): string =>
+  kind === 'model' ? `model/${model ?? ''}` : `service/${service ?? ''}`;
+
+const targetOfRequest = ({ target }: EntryRequest): string =>
+  target.kind === 'model' ? `model/${target.model}` : `service/${target.service}`;
+
+/** Creates the routing of one entry. */
+export const createEntryRouter = (options: EntryRouterOptions): EntryRouter => {
+  const { self, clock, random, metrics, log } = options;
+  const { name: id, dataCentre, region } = self;
+  const router = createRouter({ clock, random, self: { id, dataCentre, region } });
+  const unlinked = new Set<string>();
+  const owners = new Map<string, symbol>();
+  let vms: readonly Vm[] = [];
+  let stoppedBefore = new Set<string>();
+
+  const isStopped = (name: string): boolean =>
+    options.document().dataCentres[name]?.state === 'stopped';
+
+  const upstreamVms = (): Vm[] => vms.filter(({ role }) => role === 'upstream');
+
+  const update = (): void => {
+    router.setEntries(
+      vms.filter(({ role }) => role === 'entry').map((vm) => ({ ...vm, id: vm.name })),
+    );
+    router.setUpstreams(
+      upstreamVms().map((vm) => ({
+        id: vm.name,
+        dataCentre: vm.dataCentre,
+        region: vm.region,
+        target: targetOf(vm),
+        leaving: vm.state === 'leaving' || isStopped(vm.dataCentre),
+      })),
+    );
+  };
+
+  /** The upstreams of a data centre that starts again have cold caches: their share grows slowly. */
+  const returnSlowly = (name: string): void =>
+    upstreamVms()
+      .filter((vm) => vm.dataCentre === name)
+      .forEach((vm) => {
+        router.silent(vm.name, true);
+        if (!unlinked.has(vm.name)) router.silent(vm.name, false);
+      });
+
+  const drop = (name: string): void => {
+    owners.delete(name);
+    unlinked.delete(name);
+  };
+
+  const findUpstream = (name: string): Upstream | undefined =>
+    options.upstreams().find((upstream) => upstream.vm().name === name);
+
+  const prefixOf = ({ target }: EntryRequest): string | undefined =>
+    target.kind === 'model' ? prefixHash(target.prompt) : undefined;
+
+  return {
+    choose: (request, tried) => {
+      const prefix = prefixOf(request);
+      const route = router.choose({
+        target: targetOfRequest(request),
+        exclude: unlinked.size > 0 ? new Set([...tried, ...unlinked]) : tried,
+        ...(prefix !== undefined && { prefix }),
+      });
+      if (route.upstream === undefined) {
+        metrics.count('route_refused', { reason: route.reason });
+        return undefined;
+      }
+      const upstream = findUpstream(route.upstream);
+      if (!upstream) return undefined;
+      metrics.count('routes', { method: route.method });
+      return { upstream, ticket: router.dispatched(route.upstream) };
+    },
+    takeList: (next) => {
+      vms = next;
+      update();
+      const targets = new Set(upstreamVms().map(targetOf));
+      const kept = new Set([...targets].flatMap(router.subset));
+      [...owners.keys()].filter((name) => !kept.has(name)).forEach(drop);
+      return (vm) => kept.has(vm.name);
+    },
+    intentChanged: () => {
+      update();
+      const now = new Set(Object.keys(options.document().dataCentres).filter(isStopped));
+      [...stoppedBefore].filter((name) => !now.has(name)).forEach(returnSlowly);
+      stoppedBefore = now;
+    },
+    eventsOf: ({ name }) => {
+      // A VM that comes back under its name at another address has a new link; what the old link
+      // still tells, above all its end, must not count against the new one.
+      const owner = Symbol(name);
+      owners.set(name, owner);
+      unlinked.add(name);
+      const ifOwner = (fn: () => void): void => {
+        if (owners.get(name) === owner) fn();
+      };
+      return {
+        load: (load) => ifOwner(() => router.load(name, load)),
+        leaving: () => ifOwner(() => router.leaving(name)),
+        linked: (linked) =>
+          ifOwner(() => {
+            router.silent(name, !linked);
+            if (linked) unlinked.delete(name);
+            else unlinked.add(name);
+          }),
+      };
+    },
+    review: () =>
+      router.review().forEach(({ upstream, from, to, reason }) => {
+        metrics.count('upstream_health', { to, reason });
+        log.info(`upstream ${upstream} goes from ${from} to ${to}: ${reason}`);
+      }),
+    status: router.status,
+  };
+};
--- a/packages/plantaindrum/src/core/status/entry-status.ts
+++ b/packages/plantaindrum/src/core/status/entry-status.ts
@@ -3,6 +3,7 @@
 import type { EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
 import type { IntentFreshness, IntentReader } from '@plantaindrum/intent';
 import type { Directory } from '../upstreams/directory.js';
+import type { EntryRouter } from '../routing/entry-router.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import type { ClassStatus, ClassTargets } from './class-targets.js';
 
@@ -14,6 +15,8 @@
   group?: string;
   linked: boolean;
   leaving: boolean;
+  /** Whether it is in full service, ejected for being slow or silent, or coming back. */
+  health: string;
   /** Requests of this entry that are open there. */
   outstanding: number;
   queued?: number;
@@ -57,6 +60,7 @@
   instance: string;
   intent: IntentReader;
   directory: Directory;
+  router: Pick<EntryRouter, 'status'>;
   targets: ClassTargets;
   metrics: Metrics;
   inFlight: () => number;
@@ -64,7 +68,7 @@
   unready: () => Refusal | undefined;
 }
 
-const upstreamLine = (upstream: Upstream): UpstreamLine => {
+const upstreamLine = (upstream: Upstream, health: string): UpstreamLine => {
   const { name, dataCentre, model, service, group } = upstream.vm();
   const load = upstream.load();
   return {
@@ -74,6 +78,7 @@
     ...(group !== undefined && { group }),
     linked: upstream.link() !== undefined,
     leaving: upstream.leaving(),
+    health,
     outstanding: upstream.outstanding(),
     ...(load && {
       queued: load.queued,
@@ -112,9 +117,13 @@
 
 /** Makes the document of `GET /status`. */
 export const entryStatus = (options: EntryStatusOptions): EntryStatus => {
-  const { node, instance, intent, directory, targets, metrics, inFlight, unready } = options;
+  const { node, instance, intent, directory, router, targets, metrics, inFlight, unready } =
+    options;
   const { document, offset } = intent.current();
-  const upstreams = directory.upstreams().map(upstreamLine);
+  const health = new Map(router.status().map((line) => [line.id, line.health]));
+  const upstreams = directory
+    .upstreams()
+    .map((upstream) => upstreamLine(upstream, health.get(upstream.vm().name) ?? 'serving'));
   const refusal = unready();
   return {
     node: { ...node, role: 'entry', instance },
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -3,7 +3,7 @@
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
 import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
 import type { Vm, VmListClient } from '@plantaindrum/platform';
-import type { Upstream } from './upstream.js';
+import type { Upstream, UpstreamEvents } from './upstream.js';
 import { createUpstream } from './upstream.js';
 
 /** Keeps a link to an agent; the result ends it. */
@@ -14,7 +14,7 @@
 
 /** The upstreams known to this entry. */
 export interface Directory {
-  /** Every upstream in the list, linked or not. */
+  /** Every upstream of the list that this entry keeps a link to, whether it is up or not. */
   upstreams(): Upstream[];
   /** Every VM of the last list, entries included. */
   vms(): Vm[];
@@ -33,6 +33,10 @@
   random: Random;
   metrics: Metrics;
   log: Logger;
+  /** Told of each list; the result says which upstreams of it this entry keeps links to. */
+  onList: (vms: readonly Vm[]) => (vm: Vm) => boolean;
+  /** Takes what the link of one upstream tells. */
+  eventsOf: (vm: Vm) => UpstreamEvents;
   /** Time between two reads of the list, in milliseconds. */
   intervalMs: number;
 }
@@ -55,7 +59,7 @@
   let endWait = (): void => {};
 
   const add = (vm: Vm): void => {
-    const upstream = createUpstream(vm, metrics);
+    const upstream = createUpstream(vm, metrics, options.eventsOf(vm));
     listed.set(keyOf(vm), { upstream, client: connect(vm, upstream.onLink) });
     log.info(`upstream ${vm.name} at ${vm.address} appeared`);
   };
@@ -78,8 +82,9 @@
 
   const take = (next: Vm[]): void => {
     vms = next;
+    const isWanted = options.onList(next);
     const wanted = new Map(
-      next.filter((vm) => vm.role === 'upstream').map((vm) => [keyOf(vm), vm]),
+      next.filter((vm) => vm.role === 'upstream' && isWanted(vm)).map((vm) => [keyOf(vm), vm]),
     );
     listed.forEach((entry, key) => {
       const vm = wanted.get(key);
--- a/packages/plantaindrum/src/core/upstreams/upstream.ts
+++ b/packages/plantaindrum/src/core/upstreams/upstream.ts
@@ -7,6 +7,8 @@
 
 const MOST_PENDING_CANCELS = 1_024;
 
+const noEvents: UpstreamEvents = { load: () => {}, leaving: () => {}, linked: () => {} };
+
 /** An upstream with its agent's link. */
 export interface Upstream extends AttemptUpstream {
   /** The VM as the platform's list last showed it. */
@@ -21,8 +23,19 @@
   onLink(link: Link): FrameHandler;
 }
 
+/** What routing learns from an upstream's link. */
+export interface UpstreamEvents {
+  load(load: Load): void;
+  leaving(): void;
+  linked(linked: boolean): void;
+}
+
 /** Creates an upstream without a link. */
-export const createUpstream = (first: Vm, metrics: Metrics): Upstream => {
+export const createUpstream = (
+  first: Vm,
+  metrics: Metrics,
+  events: UpstreamEvents = noEvents,
+): Upstream => {
   let vm = first;
   let link: Link | undefined;
   let load: Load | undefined;
@@ -34,12 +47,14 @@
   const noteLoad = (next: Load): void => {
     load = next;
     agentLeaving = next.leaving;
+    events.load(next);
   };
 
   const deliver = (frame: PeerFrame): void => {
     if ('load' in frame && frame.load) noteLoad(frame.load);
     if (frame.t === 'leaving') {
       agentLeaving = true;
+      events.leaving();
       return;
     }
     if (!('id' in frame) || frame.t === 'dispatch') return;
@@ -53,6 +68,7 @@
   const onDown = (ended: Link): void => {
     if (link !== ended) return;
     link = undefined;
+    events.linked(false);
     attempts.forEach((attempt) => attempt.push({ t: 'link-lost' }));
   };
 
@@ -68,6 +84,7 @@
     const { instance } = next.peer;
     if (instance !== lastInstance) agentLeaving = false;
     lastInstance = instance;
+    events.linked(true);
     void next.closed.then(() => onDown(next));
     sendPendingCancels(next);
     attempts.forEach((attempt) => attempt.push({ t: 'link-up', instance }));
--- a/packages/plantaindrum/test/run-attempt.test.ts
+++ b/packages/plantaindrum/test/run-attempt.test.ts
@@ -62,6 +62,7 @@
         leave = fn;
         return () => {};
       },
+      ticket: { started: () => {}, firstByte: () => {} },
       times: defaultAttemptTimes,
       clock,
       metrics,
