--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -2,8 +2,8 @@
 
 import { randomBytes } from 'node:crypto';
 import type { AgentSettings, Clock, Logger, Metrics, Random } from '@plantaindrum/common';
-import type { LinkLimits, Load } from '@plantaindrum/link';
-import { createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
+import type { LinkLimits, Load, NodeStatus } from '@plantaindrum/link';
+import { createLinkServer, defaultLinkLimits, NODE_STATUS } from '@plantaindrum/link';
 import { createAgentQueue, createAttemptLedger } from '@plantaindrum/requests';
 import type { DeskLimits } from './attempts/desk.js';
 import { createAttemptDesk } from './attempts/desk.js';
@@ -73,6 +73,11 @@
   });
   const entries = createEntries({ desk, metrics, log });
 
+  const nodeStatus = async (): Promise<NodeStatus> => {
+    const { queued, running } = queue.load();
+    return { inFlight: queued + running };
+  };
+
   const status = (): unknown => ({
     role: 'agent',
     node,
@@ -101,7 +106,7 @@
       frameBytes: limits.frameBytes,
       connections: limits.connections,
     },
-    handlers: {},
+    handlers: { [NODE_STATUS]: nodeStatus },
     onLink: entries.onLink,
     clock,
     metrics,
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -6,3 +6,4 @@
 export * from './options.js';
 export * from './server.js';
 export * from './types.js';
+export * from './node-status.js';
