--- a/packages/stand-ins/src/engine/completions.ts
+++ b/packages/stand-ins/src/engine/completions.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { headerOf, readJson, sendJson } from '../http.js';
 import type { Engine } from './engine.js';
-import { completionBody, DONE_EVENT, tokenEvent } from './text.js';
+import { completionBody, completionId, DONE_EVENT, tokenEvent } from './text.js';
 
 interface CompletionRequest {
   model?: string;
@@ -14,11 +14,11 @@
 
 const DEFAULT_MAX_TOKENS = 16;
 
-const countStart = (engine: Engine, req: IncomingMessage): void => {
-  const { counts } = engine;
+const countStart = (engine: Engine, prompt: string): void => {
+  const { counts, starts } = engine;
+  const id = completionId(prompt);
   counts.started += 1;
-  const key = headerOf(req, 'idempotency-key') ?? headerOf(req, 'x-request-id');
-  if (key !== undefined) counts.startedByKey[key] = (counts.startedByKey[key] ?? 0) + 1;
+  starts.set(id, (starts.get(id) ?? 0) + 1);
 };
 
 const faultOf = (engine: Engine, body: CompletionRequest): [number, string] | undefined => {
@@ -59,7 +59,7 @@
   const { counts } = engine;
   const breakAfter = stream ? takeBreak(engine) : Infinity;
   let written = 0;
-  countStart(engine, req);
+  countStart(engine, prompt);
   if (stream) {
     res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' });
     res.flushHeaders();
--- a/packages/stand-ins/src/engine/control.ts
+++ b/packages/stand-ins/src/engine/control.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Creates the handler: `GET /oracle[?recent=n]`, `POST /oracle/reset`, `GET /state`,
+ * Creates the handler: `GET /oracle[?recent=n]`, `POST /oracle/reset`, `GET /state`, `GET /starts`,
  * `POST /faults`, `POST /popularity` `{"motion","seed"?}`.
  */
 export const createControlHandler = (
@@ -36,6 +36,10 @@
       sendJson(res, 200, group.views());
       return;
     }
+    if (pathname === '/starts') {
+      sendJson(res, 200, group.starts());
+      return;
+    }
     if (req.method !== 'POST') {
       sendJson(res, 404, {});
       return;
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -47,8 +47,6 @@
   heldOrders: number;
   orders: Record<string, number>;
   refusedOrders: Record<string, number>;
-  /** Generations started, by the `idempotency-key` or `x-request-id` that came with them. */
-  startedByKey: Record<string, number>;
 }
 
 /** Options that all engines of a process share. */
@@ -92,6 +90,8 @@
   readonly ranks: number[];
   readonly faults: EngineFaults;
   readonly counts: EngineCounts;
+  /** Generations started, by completion id (which follows from the prompt). */
+  readonly starts: Map<string, number>;
   /** Tokens that each rank computed, by rank, layer and expert. */
   readonly tokensByExpert: Float64Array[][];
   /** Time of each rank in the last step, in microseconds. */
@@ -170,8 +170,8 @@
       heldOrders: 0,
       orders: {},
       refusedOrders: {},
-      startedByKey: {},
     },
+    starts: new Map(),
     tokensByExpert: ranks.map(() =>
       Array.from({ length: shape.layers }, () => new Float64Array(shape.experts)),
     ),
--- a/packages/stand-ins/src/engine/group-stand-in.ts
+++ b/packages/stand-ins/src/engine/group-stand-in.ts
@@ -1,9 +1,8 @@
 /** A group of engines in one process: each has an address, all step together. */
 import type { Clock } from '@plantaindrum/common';
-import { systemClock } from '@plantaindrum/common';
+import { createSeededRandom, systemClock } from '@plantaindrum/common';
 import type { StandInServer } from '../http.js';
 import { listen } from '../http.js';
-import { createSeededRandom } from '../random.js';
 import { createSignal } from '../signal.js';
 import { createControlHandler } from './control.js';
 import type { Engine, EngineCounts, EngineFaults, EngineLoad } from './engine.js';
@@ -72,6 +71,8 @@
   oracle(recent?: number): OracleReport;
   resetOracle(): void;
   views(): EngineView[];
+  /** Generations started over all engines, by completion id. */
+  starts(): Record<string, number>;
   /** Resolves when `holds` is true; checked at each step, order, request and fault. */
   waitFor(holds: () => boolean): Promise<void>;
   close(): Promise<void>;
@@ -210,6 +211,15 @@
     oracle: oracle.report,
     resetOracle: oracle.reset,
     views: () => engines.map(viewOf),
+    starts: () => {
+      const sums: Record<string, number> = {};
+      engines.forEach((engine) =>
+        engine.starts.forEach((count, id) => {
+          sums[id] = (sums[id] ?? 0) + count;
+        }),
+      );
+      return sums;
+    },
     waitFor: async (holds: () => boolean) => {
       while (!holds()) await progressed.wait();
     },
--- a/packages/stand-ins/src/engine/popularity.ts
+++ b/packages/stand-ins/src/engine/popularity.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom } from '../random.js';
+import { createSeededRandom } from '@plantaindrum/common';
 
 /** How the popularity of experts moves: not at all, slowly, or at once. */
 export type PopularityMotion = 'steady' | 'drift' | 'shift';
--- /dev/null
+++ b/packages/stand-ins/src/load/report.ts
@@ -0,0 +1,128 @@
+import type { FigureHistogram, HistogramFigures } from '../histogram.js';
+import { createHistogram } from '../histogram.js';
+import type { CallOutcome } from './answer-check.js';
+import type { CallResult } from './send.js';
+
+/** Counts and times of some of a load's calls; times in microseconds. */
+export interface LoadFigures {
+  sent: number;
+  outcomes: Record<CallOutcome, number>;
+  /** Outcomes other than answers, as `outcome:reason`. */
+  reasons: Record<string, number>;
+  /** Answered within the stream's target. */
+  inTime: number;
+  /** To the first token of a stream, or the whole of another answer. */
+  firstUs: HistogramFigures;
+  /** Between two tokens of a stream. */
+  betweenUs: HistogramFigures;
+  wholeUs: HistogramFigures;
+  /** Until a refusal was there. */
+  refusalUs: HistogramFigures;
+}
+
+/** What a load has seen so far. */
+export interface LoadReport {
+  total: LoadFigures;
+  byClass: Record<string, LoadFigures>;
+  byOrganisation: Record<string, LoadFigures>;
+  /** Refusals without a usable Retry-After; must be 0. */
+  lackingRetryAfter: number;
+  inFlight: number;
+}
+
+interface Tally {
+  outcomes(): Record<CallOutcome, number>;
+  add(result: CallResult): void;
+  figures(): LoadFigures;
+}
+
+const createTally = (): Tally => {
+  const outcomes: Record<CallOutcome, number> = {
+    answered: 0,
+    'not-run': 0,
+    unknown: 0,
+    lost: 0,
+    wrong: 0,
+    error: 0,
+  };
+  const reasons: Record<string, number> = {};
+  const first: FigureHistogram = createHistogram();
+  const between: FigureHistogram = createHistogram();
+  const whole: FigureHistogram = createHistogram();
+  const refusal: FigureHistogram = createHistogram();
+  let sent = 0;
+  let inTime = 0;
+
+  const addAnswer = (result: CallResult): void => {
+    first.record(result.firstUs);
+    whole.record(result.wholeUs);
+    result.gapsUs.forEach(between.record);
+    if (result.firstUs <= result.arrival.stream.targetMs * 1000) inTime += 1;
+  };
+
+  return {
+    add: (result) => {
+      sent += 1;
+      outcomes[result.outcome] += 1;
+      if (result.outcome === 'answered') {
+        addAnswer(result);
+        return;
+      }
+      const reason = `${result.outcome}:${result.reason}`;
+      reasons[reason] = (reasons[reason] ?? 0) + 1;
+      if (result.outcome === 'not-run') refusal.record(result.wholeUs);
+    },
+    outcomes: () => ({ ...outcomes }),
+    figures: () => ({
+      sent,
+      outcomes: { ...outcomes },
+      reasons: { ...reasons },
+      inTime,
+      firstUs: first.figures(),
+      betweenUs: between.figures(),
+      wholeUs: whole.figures(),
+      refusalUs: refusal.figures(),
+    }),
+  };
+};
+
+/** Gathers results. */
+export interface ReportBuilder {
+  add(result: CallResult): void;
+  outcomes(): Record<CallOutcome, number>;
+  report(inFlight: number): LoadReport;
+}
+
+/** Creates an empty report. */
+export const createReportBuilder = (): ReportBuilder => {
+  const total = createTally();
+  const byClass = new Map<string, Tally>();
+  const byOrganisation = new Map<string, Tally>();
+  let lackingRetryAfter = 0;
+
+  const tallyOf = (map: Map<string, Tally>, name: string): Tally => {
+    const tally = map.get(name) ?? createTally();
+    map.set(name, tally);
+    return tally;
+  };
+  const figuresOf = (map: Map<string, Tally>): Record<string, LoadFigures> =>
+    Object.fromEntries([...map].map(([name, tally]) => [name, tally.figures()]));
+
+  return {
+    add: (result) => {
+      const { stream } = result.arrival;
+      total.add(result);
+      tallyOf(byClass, stream.class).add(result);
+      tallyOf(byOrganisation, stream.organisation).add(result);
+      if (result.lacksRetryAfter) lackingRetryAfter += 1;
+    },
+    outcomes: total.outcomes,
+    report: (inFlight) => ({
+      total: total.figures(),
+      byClass: figuresOf(byClass),
+      byOrganisation: figuresOf(byOrganisation),
+      lackingRetryAfter,
+      inFlight,
+    }),
+  };
+};
--- a/packages/stand-ins/test/engine.test.ts
+++ b/packages/stand-ins/test/engine.test.ts
@@ -1,15 +1,9 @@
-import { createManualClock } from '@plantaindrum/common';
+import { createManualClock, createSeededRandom } from '@plantaindrum/common';
 import { expect } from 'chai';
 import { request } from 'undici';
 import { createPrefixCache } from '../src/engine/prefix-cache.js';
 import type { EngineGroupStandIn } from '../src/index.js';
-import {
-  answerText,
-  createEngineGroupStandIn,
-  createSeededRandom,
-  promptBlocks,
-  streamBody,
-} from '../src/index.js';
+import { answerText, createEngineGroupStandIn, promptBlocks, streamBody } from '../src/index.js';
 import { createLagged } from '../src/lagged.js';
 import { call } from './http.js';
 
