Intent: membership, and what the stop and return of a data centre mean for a node

Cause: the platform's list lags both ways, and a planned stop must cut nothing. Change: the list is joined with what links tell; a link overrules it wherever it says that no new work may go. A list that loses most linked VMs at once is not believed. Entries drain first, agents stop last, a returning data centre gets its share little by little. Ruled out: dropping a VM at its first absence from the list.

--- a/packages/intent/src/index.ts
+++ b/packages/intent/src/index.ts
@@ -7,3 +7,6 @@
 export * from './reader/reader.js';
 export * from './types.js';
 export * from './writer/checkpointer.js';
+export * from './core/data-centre/stopping.js';
+export * from './core/membership/dial-delay.js';
+export * from './core/membership/membership.js';
