Stand-ins: sleeping and split groups, outage beyond the retention; cheaper token text

Cause: proofs of the expert groups rely on what the stepper does with a rank that slept through a new group and with a group split in two; neither was tested. Change: three tests; the text follows from one digest a prompt, which is remembered.

--- a/packages/stand-ins/src/engine/text.ts
+++ b/packages/stand-ins/src/engine/text.ts
@@ -1,5 +1,6 @@
 /** Deterministic text: what a model answers follows from the prompt alone. */
 import { createHash } from 'node:crypto';
+import { createSeededRandom } from '@plantaindrum/common';
 
 const WORDS = [
   'sedan',
@@ -36,6 +37,9 @@
   'release',
 ];
 const CHARACTERS_PER_TOKEN = 4;
+const MOST_REMEMBERED = 4096;
+/** Odd, so that two offsets of one prompt never share a seed. */
+const TOKEN_STRIDE = 7919;
 
 /** Characters of a prompt that share one block of the prefix cache (16 tokens). */
 export const BLOCK_CHARACTERS = 64;
@@ -56,10 +60,23 @@
   return blocks;
 };
 
+const remembered = new Map<string, string>();
+
+/** The digest of a prompt; remembered, as each of its tokens asks for it. */
+const promptDigest = (prompt: string): string => {
+  const known = remembered.get(prompt);
+  if (known !== undefined) return known;
+  if (remembered.size >= MOST_REMEMBERED) remembered.clear();
+  const computed = digest(prompt);
+  remembered.set(prompt, computed);
+  return computed;
+};
+
 /** The token at `offset` of the answer to `prompt`. */
 export const tokenText = (prompt: string, offset: number): string => {
-  const seed = Number.parseInt(digest(`${offset}:${prompt}`).slice(0, 6), 16);
-  return `${offset === 0 ? '' : ' '}${WORDS[seed % WORDS.length]}`;
+  const seed = Number.parseInt(promptDigest(prompt).slice(0, 12), 16);
+  const random = createSeededRandom(seed + offset * TOKEN_STRIDE);
+  return `${offset === 0 ? '' : ' '}${WORDS[Math.floor(random() * WORDS.length)]}`;
 };
 
 /** The whole answer to a prompt. */
@@ -67,7 +84,7 @@
   Array.from({ length: maxTokens }, (_, offset) => tokenText(prompt, offset)).join('');
 
 /** The id of a completion; it follows from the prompt, so that a resumed stream keeps it. */
-export const completionId = (prompt: string): string => `cmpl-${digest(prompt).slice(0, 16)}`;
+export const completionId = (prompt: string): string => `cmpl-${promptDigest(prompt).slice(0, 16)}`;
 
 const completion = (model: string, prompt: string, text: string, finish: 'length' | null) => ({
   id: completionId(prompt),
--- a/packages/stand-ins/test/lock-step.test.ts
+++ b/packages/stand-ins/test/lock-step.test.ts
@@ -121,6 +121,32 @@
     expect([group.oracle().mixedSteps, group.oracle().splitSteps]).to.deep.equal([0, 0]);
   });
 
+  // A rank freezes in the group of fence 5 and the others are formed anew without it. When it wakes
+  // it still believes in the old group, which has too few ranks left to make a step.
+  it('lets a rank that slept through a new group make no step', async () => {
+    await start();
+    await awaitSteps(3);
+    group.setFaults(1, { frozen: true });
+    const map = dealtMap(2, 2, 8, 1);
+    await order(0, 'form_group', { group: 'group-1', rank_count: 1, map });
+    await awaitSteps(3);
+    group.setFaults(1, { frozen: false });
+    const slept = (await ranks(1)).step;
+    await awaitSteps(5);
+    expect((await ranks(1)).step).to.equal(slept);
+    expect([group.oracle().mixedSteps, group.oracle().splitSteps]).to.deep.equal([0, 0]);
+  });
+
+  // Two coordinators form one rank each under the same group's name, on engines that ignore the
+  // fence: both halves can step, which the oracle reports.
+  it('counts the steps of a group that was split in two', async () => {
+    await start({ checksFence: false });
+    const map = dealtMap(2, 2, 8, 1);
+    await order(0, 'form_group', { group: 'group-1', rank_count: 1, map, fence: 6 });
+    await order(1, 'form_group', { group: 'group-1', rank_count: 1, map, fence: 5 });
+    await group.waitFor(() => group.oracle().splitSteps > 0);
+  });
+
   it('is as fast as its slowest rank, and shows the spread', async () => {
     await start();
     await awaitSteps(2);
--- a/packages/stand-ins/test/log.test.ts
+++ b/packages/stand-ins/test/log.test.ts
@@ -71,6 +71,22 @@
     expect((await offsets()).json).to.deep.equal({ beginning_offset: 3, end_offset: 3 });
   });
 
+  // The log is down for longer than its retention: a reader that comes back finds its offset gone,
+  // and must learn so instead of reading on as if nothing had been written.
+  it("has lost a reader's place after an outage longer than its retention", async () => {
+    const clock = createManualClock();
+    const { log: standIn, append, read, offsets } = await start({ clock, retention: { ms: 1000 } });
+    await append(1);
+    standIn.setFaults({ outage: 'read' });
+    await append(2);
+    await clock.advance(2000);
+    expect((await read('offset=1')).status).to.equal(503);
+    standIn.setFaults({ outage: 'none' });
+    expect((await read('offset=1')).status).to.equal(404);
+    expect((await offsets()).json).to.deep.equal({ beginning_offset: 2, end_offset: 2 });
+    expect((await append(3)).json.offsets[0].offset).to.equal(2);
+  });
+
   it('loses the answers of the next appends after their effect', async () => {
     const { log: standIn, append } = await start();
     standIn.setFaults({ loseAnswers: 1 });
