Experts: proofs of the change protocol, enumerated over its messages

Cause: one mixed step gives callers garbage without an error, so every message and every process of a change has to be allowed to fail.

--- /dev/null
+++ b/packages/experts/test/fakes/fake-engines.ts
@@ -0,0 +1,209 @@
+import type { Clock } from '@plantaindrum/common';
+import type { EnginePort, EngineState, ExpertMapDocument, OrderOutcome } from '../../src/index.js';
+
+interface Armed {
+  version: number;
+  at_step: number;
+  decided: boolean;
+}
+
+/** An engine's memory; a replaced engine starts with a new one. */
+const createMemory = (layers: number, experts: number) => ({
+  fence: 0,
+  refusedTo: 0,
+  step: 0,
+  map: undefined as ExpertMapDocument | undefined,
+  prepared: new Map<number, ExpertMapDocument>(),
+  armed: null as Armed | null,
+  tokens: Array.from({ length: layers }, () => new Array<number>(experts).fill(0)),
+});
+
+type Memory = ReturnType<typeof createMemory>;
+interface Body {
+  fence: number;
+  version: number;
+  at_step?: number;
+  map?: ExpertMapDocument;
+}
+
+const done: OrderOutcome = { outcome: 'done' };
+const refused = (reason: string): OrderOutcome => ({ outcome: 'refused', reason });
+
+const refuseMap = (memory: Memory, version: number): OrderOutcome => {
+  if (memory.map?.version === version || memory.armed?.version === version) return refused('armed');
+  Object.assign(memory, { refusedTo: Math.max(memory.refusedTo, version) });
+  if (memory.armed?.version !== version) memory.prepared.delete(version);
+  return done;
+};
+
+const arm = (memory: Memory, { version, at_step: atStep = 0 }: Body): OrderOutcome => {
+  if (memory.armed?.version === version) return done;
+  if (memory.armed) return refused('busy');
+  if (version <= memory.refusedTo) return refused('refused');
+  if (!memory.prepared.has(version)) return refused('not-prepared');
+  if (atStep <= memory.step) return refused('late');
+  Object.assign(memory, { armed: { version, at_step: atStep, decided: false } });
+  return done;
+};
+
+const apply = (memory: Memory, name: string, body: Body): OrderOutcome => {
+  const { version, map } = body;
+  const current = memory.map?.version ?? -1;
+  if (name === 'form_group') {
+    if (version <= current) return refused('old-version');
+    memory.prepared.clear();
+    Object.assign(memory, { map, armed: null });
+    return done;
+  }
+  if (name === 'prepare_map') {
+    if (!memory.map) return refused('not-formed');
+    if (version <= current) return refused('old-version');
+    if (version <= memory.refusedTo) return refused('refused');
+    if (map) memory.prepared.set(version, map);
+    return done;
+  }
+  if (name === 'arm_map') return arm(memory, body);
+  if (name === 'refuse_map') return refuseMap(memory, version);
+  if (name === 'switch_map') {
+    const { armed } = memory;
+    if (armed?.version === version) armed.decided = true;
+    return done;
+  }
+  const isOpen = memory.armed?.version === version && !memory.armed.decided;
+  if (isOpen) Object.assign(memory, { armed: null });
+  return refuseMap(memory, version);
+};
+
+const isHolding = ({ armed, step }: Memory): boolean =>
+  armed !== null && !armed.decided && step + 1 >= armed.at_step;
+
+export interface FakeEngine extends EnginePort {
+  readonly rank: number;
+  /** Loses everything in memory, as a replaced engine has. */
+  replace(): void;
+  version(): number | null;
+  isArmed(): boolean;
+  step(): number;
+}
+
+/** What the oracle saw. */
+export interface Oracle {
+  steps: number;
+  /** Steps in which two ranks used different maps; must stay empty. */
+  mixed: { step: number; versions: (number | undefined)[] }[];
+  /** Time that the formed group stood still for a hold, in milliseconds. */
+  heldMs: number;
+  versions: Set<number>;
+}
+
+export interface FakeEnginesOptions {
+  clock: Clock;
+  ranks: number;
+  layers: number;
+  experts: number;
+  checksFence: boolean;
+  stepMs: number;
+  /** Tokens of an expert in each step. */
+  popularity: (layer: number, expert: number) => number;
+  /** Called with each order before it is carried out; `lost` answers may still take effect. */
+  onOrder?: (rank: number, name: string) => 'drop' | 'lose-answer' | 'twice' | undefined;
+}
+
+/**
+ * Engines of one group that step together as soon as every rank is formed, whatever each was
+ * formed with: laxer than real ones, so that nothing but the protocol keeps the maps equal.
+ */
+export const createFakeEngines = (options: FakeEnginesOptions) => {
+  const { clock, layers, experts } = options;
+  const memories = Array.from({ length: options.ranks }, () => createMemory(layers, experts));
+  const oracle: Oracle = { steps: 0, mixed: [], heldMs: 0, versions: new Set() };
+
+  const serveTokens = (memory: Memory, rank: number): void => {
+    memory.map?.layers.forEach((placements, layer) =>
+      placements.forEach(({ expert, ranks }) => {
+        const target = memory.tokens[layer];
+        if (!target || !ranks.includes(rank)) return;
+        target[expert] = (target[expert] ?? 0) + options.popularity(layer, expert) / ranks.length;
+      }),
+    );
+  };
+
+  const beginStep = (memory: Memory, step: number): void => {
+    const { armed } = memory;
+    Object.assign(memory, { step });
+    if (!armed?.decided || step < armed.at_step) return;
+    Object.assign(memory, { map: memory.prepared.get(armed.version), armed: null });
+  };
+
+  const tryStep = (): void => {
+    if (memories.some(({ map }) => !map)) return;
+    if (memories.some(isHolding)) {
+      oracle.heldMs += options.stepMs;
+      return;
+    }
+    const step = Math.max(...memories.map((memory) => memory.step)) + 1;
+    memories.forEach((memory) => beginStep(memory, step));
+    const versions = memories.map(({ map }) => map?.version);
+    oracle.steps += 1;
+    oracle.versions.add(versions[0] ?? -1);
+    if (new Set(versions).size > 1) oracle.mixed.push({ step, versions });
+    memories.forEach(serveTokens);
+  };
+
+  const tick = (): void => {
+    tryStep();
+    clock.after(options.stepMs, tick);
+  };
+
+  const createEngine = (rank: number): FakeEngine => {
+    const memory = (): Memory => memories[rank] ?? createMemory(layers, experts);
+    const carryOut = (name: string, body: Body): OrderOutcome => {
+      const own = memory();
+      if (options.checksFence && body.fence < own.fence) return refused('old-fence');
+      own.fence = Math.max(own.fence, body.fence);
+      return apply(own, name, body);
+    };
+    return {
+      rank,
+      order: async (name, body) => {
+        const fault = options.onOrder?.(rank, name);
+        if (fault === 'drop') return { outcome: 'lost' };
+        const first = carryOut(name, body as Body);
+        if (fault === 'lose-answer') return { outcome: 'lost' };
+        return fault === 'twice' ? carryOut(name, body as Body) : first;
+      },
+      state: async (): Promise<EngineState> => {
+        const { fence, refusedTo, step, map, armed, prepared, tokens } = memory();
+        return structuredClone({
+          group: map ? 'g' : null,
+          fence,
+          refused_to: refusedTo,
+          ranks: [
+            {
+              rank,
+              step,
+              version: map?.version ?? null,
+              prepared: [...prepared.keys()],
+              armed,
+              holding: isHolding(memory()),
+              step_time_us: options.stepMs * 1000,
+              tokens_by_expert: tokens,
+            },
+          ],
+        });
+      },
+      replace: () => {
+        memories[rank] = createMemory(layers, experts);
+      },
+      version: () => memory().map?.version ?? null,
+      isArmed: () => memory().armed !== null,
+      step: () => memory().step,
+    };
+  };
+
+  return {
+    oracle,
+    engines: memories.map((_, rank) => createEngine(rank)),
+    start: () => clock.after(options.stepMs, tick),
+  };
+};
--- /dev/null
+++ b/packages/experts/test/fakes/fake-network.ts
@@ -0,0 +1,62 @@
+import type { Clock } from '@plantaindrum/common';
+import type { ExpertMethod, PeerOutcome } from '../../src/index.js';
+import type { FakeProcess } from './fake-process.js';
+
+/** One message on its way: the request of a call, or its answer. */
+export interface Message {
+  kind: 'request' | 'answer';
+  from: string;
+  to: string;
+  method: ExpertMethod;
+}
+
+/** Delays of the copies that arrive, in milliseconds; none for a lost message. */
+export type Fate = readonly number[];
+
+export interface FakeNode {
+  process: FakeProcess;
+  serve(method: ExpertMethod, args: unknown): Promise<unknown>;
+}
+
+const DELAY_MS = 1;
+
+export const createFakeNetwork = (clock: Clock) => {
+  const nodes = new Map<string, FakeNode>();
+  let fateOf: (message: Message) => Fate | undefined = () => undefined;
+
+  const deliver = (message: Message, fn: () => void): void => {
+    const delays = fateOf(message) ?? [DELAY_MS];
+    delays.forEach((ms) => clock.after(ms, fn));
+  };
+
+  const call = (
+    from: string,
+    to: string,
+    method: ExpertMethod,
+    args: unknown,
+    timeoutMs: number,
+  ): Promise<PeerOutcome> =>
+    new Promise((resolve) => {
+      clock.after(timeoutMs, () => resolve({ outcome: 'lost' }));
+      const answer = (value: unknown): void =>
+        deliver({ kind: 'answer', from: to, to: from, method }, () =>
+          resolve({ outcome: 'answered', value }),
+        );
+      const arrive = (): void => {
+        const node = nodes.get(to);
+        node?.process.whenAwake(() => {
+          void node.process.gate(node.serve(method, structuredClone(args))).then(answer);
+        });
+      };
+      deliver({ kind: 'request', from, to, method }, arrive);
+    });
+
+  return {
+    call,
+    join: (name: string, node: FakeNode) => nodes.set(name, node),
+    /** Decides what becomes of each message from now on. */
+    setFates: (fates: (message: Message) => Fate | undefined) => {
+      fateOf = fates;
+    },
+  };
+};
