--- a/packages/experts/test/fakes/fake-engines.ts
+++ b/packages/experts/test/fakes/fake-engines.ts
@@ -77,9 +77,27 @@
 const isHolding = ({ armed, step }: Memory): boolean =>
   armed !== null && !armed.decided && step + 1 >= armed.at_step;
 
-export interface FakeEngine extends EnginePort {
+const stateOf = (memory: Memory, rank: number, stepMs: number): EngineState => {
+  const { fence, refusedTo, step, map, armed, prepared, tokens } = memory;
+  const state = {
+    rank,
+    step,
+    version: map?.version ?? null,
+    prepared: [...prepared.keys()],
+    armed,
+    holding: isHolding(memory),
+    step_time_us: stepMs * 1000,
+    tokens_by_expert: tokens,
+  };
+  const group = map ? 'g' : null;
+  return structuredClone({ group, fence, refused_to: refusedTo, ranks: [state] });
+};
+
+export interface FakeEngine {
   readonly rank: number;
-  /** Loses everything in memory, as a replaced engine has. */
+  /** A port to the engine as it is now; after `replace` it leads to an engine outside the group. */
+  connect(): EnginePort;
+  /** Another engine takes the rank over, with nothing in memory. */
   replace(): void;
   version(): number | null;
   isArmed(): boolean;
@@ -157,41 +175,27 @@
 
   const createEngine = (rank: number): FakeEngine => {
     const memory = (): Memory => memories[rank] ?? createMemory(layers, experts);
-    const carryOut = (name: string, body: Body): OrderOutcome => {
-      const own = memory();
+    const carryOut = (own: Memory, name: string, body: Body): OrderOutcome => {
       if (options.checksFence && body.fence < own.fence) return refused('old-fence');
-      own.fence = Math.max(own.fence, body.fence);
+      Object.assign(own, { fence: Math.max(own.fence, body.fence) });
       return apply(own, name, body);
     };
+    const connect = (): EnginePort => {
+      const own = memory();
+      return {
+        order: async (name, body) => {
+          const fault = options.onOrder?.(rank, name);
+          if (fault === 'drop') return { outcome: 'lost' };
+          const first = carryOut(own, name, body as unknown as Body);
+          if (fault === 'lose-answer') return { outcome: 'lost' };
+          return fault === 'twice' ? carryOut(own, name, body as unknown as Body) : first;
+        },
+        state: async () => stateOf(own, rank, options.stepMs),
+      };
+    };
     return {
       rank,
-      order: async (name, body) => {
-        const fault = options.onOrder?.(rank, name);
-        if (fault === 'drop') return { outcome: 'lost' };
-        const first = carryOut(name, body as Body);
-        if (fault === 'lose-answer') return { outcome: 'lost' };
-        return fault === 'twice' ? carryOut(name, body as Body) : first;
-      },
-      state: async (): Promise<EngineState> => {
-        const { fence, refusedTo, step, map, armed, prepared, tokens } = memory();
-        return structuredClone({
-          group: map ? 'g' : null,
-          fence,
-          refused_to: refusedTo,
-          ranks: [
-            {
-              rank,
-              step,
-              version: map?.version ?? null,
-              prepared: [...prepared.keys()],
-              armed,
-              holding: isHolding(memory()),
-              step_time_us: options.stepMs * 1000,
-              tokens_by_expert: tokens,
-            },
-          ],
-        });
-      },
+      connect,
       replace: () => {
         memories[rank] = createMemory(layers, experts);
       },
--- a/packages/experts/test/fakes/fake-group.ts
+++ b/packages/experts/test/fakes/fake-group.ts
@@ -72,7 +72,6 @@
     ...(options.onOrder && { onOrder: options.onOrder }),
   });
   const names = engines.map(({ rank }) => `vm-${rank}`);
-  const peers = engines.map(({ rank }) => ({ node: `vm-${rank}`, ranks: [rank] }));
   const agents: FakeAgent[] = [];
   let instances = 0;
 
@@ -88,12 +87,13 @@
     const node = names[rank];
     if (!engine || !node) throw new RangeError(`no rank ${rank}`);
     const process = createFakeProcess(clock);
+    const port = engine.connect();
     instances += 1;
     const shared = {
       group: 'g',
       node,
       instance: `i${instances}`,
-      members: () => peers,
+      members: () => names.map((name, at) => ({ node: name, ranks: [at] })),
       call: (to: string, method: ExpertMethod, args: unknown, timeoutMs: number) =>
         process.gate(network.call(node, to, method, args, timeoutMs)),
       log: gatedLog(process),
@@ -108,8 +108,8 @@
       ranks: [rank],
       rankCount,
       engine: {
-        order: (name, body) => process.gate(engine.order(name, body)),
-        state: () => process.gate(engine.state()),
+        order: (name, body) => process.gate(port.order(name, body)),
+        state: () => process.gate(port.state()),
       },
     });
     const coordinator = createCoordinator({
@@ -144,6 +144,12 @@
     agents,
     names,
     startAgent,
+    /** Another VM, blank and under another name, takes a rank over; the old one may still run. */
+    replaceVm: (rank: number): void => {
+      engines[rank]?.replace();
+      names[rank] = `${names[rank]}-new`;
+      startAgent(rank);
+    },
     /** Ranks whose agents believe that they coordinate the group. */
     acting,
     agent: (rank: number): FakeAgent => {
