--- a/packages/experts/test/fakes/fake-engines.ts
+++ b/packages/experts/test/fakes/fake-engines.ts
@@ -46,11 +46,11 @@
   return done;
 };
 
-const apply = (memory: Memory, name: string, body: Body): OrderOutcome => {
+const apply = (memory: Memory, name: string, body: Body, checks: boolean): OrderOutcome => {
   const { version, map } = body;
   const current = memory.map?.version ?? -1;
   if (name === 'form_group') {
-    if (version <= current) return refused('old-version');
+    if (checks && version <= current) return refused('old-version');
     memory.prepared.clear();
     Object.assign(memory, { map, armed: null });
     return done;
@@ -119,6 +119,7 @@
   ranks: number;
   layers: number;
   experts: number;
+  /** False: orders with old fences, and forming with old versions, are carried out. */
   checksFence: boolean;
   stepMs: number;
   /** Tokens of an expert in each step. */
@@ -178,7 +179,7 @@
     const carryOut = (own: Memory, name: string, body: Body): OrderOutcome => {
       if (options.checksFence && body.fence < own.fence) return refused('old-fence');
       Object.assign(own, { fence: Math.max(own.fence, body.fence) });
-      return apply(own, name, body);
+      return apply(own, name, body, options.checksFence);
     };
     const connect = (): EnginePort => {
       const own = memory();
