Experts: proofs of claims, log outages and late copies

Cause: the answer to a claim can be lost after the effect; the log's oldest claims age out. Change: tests only.

--- a/packages/experts/test/forming.test.ts
+++ b/packages/experts/test/forming.test.ts
@@ -138,4 +138,15 @@
     await expectOneMap(group);
     expect(group.fakeLog.records.length).to.equal(before + 1);
   });
+
+  it('does not take a rank back to the map that it was formed with', async () => {
+    const group = createFakeGroup({ checksFence: false });
+    await group.until(() => group.oracle.versions.size >= 2);
+    const [version = 0] = group.oracle.versions;
+    const map = { version, layers: [[], []] };
+    const copy = { fence: 0, version, rankCount: 3, map };
+    const answer = await group.agent(0).member.serve('experts.form', copy);
+    expect(answer).to.include({ outcome: 'refused', reason: 'old-version' });
+    await expectOneMap(group);
+  });
 });
--- /dev/null
+++ b/packages/experts/test/group-claims.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import { GROUPS_TOPIC, createGroupClaims } from '../src/index.js';
+import type { GroupClaim } from '../src/index.js';
+import { createFakeGroup } from './fakes/fake-group.js';
+import { expectOneMap } from './fakes/faulty-change.js';
+import { createFakeLog } from './fakes/fake-log.js';
+
+const claim = (id: string, replaces: number): GroupClaim => ({
+  kind: 'claim',
+  id,
+  group: 'g',
+  replaces,
+  node: id,
+  instance: id,
+});
+
+const holderAfter = async (values: unknown[], beginning = 0) => {
+  const { log, faults } = createFakeLog();
+  await log.append(GROUPS_TOPIC, 0, values);
+  faults.beginning = beginning;
+  const claims = createGroupClaims(log);
+  await claims.catchUp();
+  return { fence: claims.holder('g')?.fence, floor: claims.floor('g') };
+};
+
+describe('claims of a group', () => {
+  it('are won by the first that replaces the holder', async () => {
+    const race = [claim('a', -1), claim('b', 0), claim('c', 0), { kind: 'other' }];
+    expect(await holderAfter(race)).to.deep.equal({ fence: 1, floor: 1 });
+  });
+
+  it('count once when appended twice', async () => {
+    const copies = [claim('a', -1), claim('a', -1), claim('b', 0)];
+    expect(await holderAfter(copies)).to.deep.equal({ fence: 2, floor: 2 });
+  });
+
+  it('that have aged out of the log are obeyed no more', async () => {
+    const aged = [claim('a', -1), claim('b', 0), { kind: 'other' }];
+    expect(await holderAfter(aged, 2)).to.deep.equal({ fence: undefined, floor: 1 });
+    expect(await holderAfter([...aged, claim('c', 1)], 2)).to.deep.equal({ fence: 3, floor: 3 });
+  });
+});
+
+// The append of a claim takes effect, or does not, and its answer is lost. Were it taken for a
+// failure, the group would have a coordinator in the log that no process feels to be.
+describe('a claim whose answer is lost', () => {
+  for (const fault of ['loseAnswers', 'loseAppends'] as const) {
+    it(`is looked up and holds once (${fault})`, async () => {
+      const group = createFakeGroup();
+      group.fakeLog.faults[fault] = 1;
+      await expectOneMap(group);
+      expect(group.fakeLog.records).to.have.length(1);
+      expect(group.acting()).to.have.length(1);
+    });
+  }
+});
+
+// The log is down when the group starts: nobody can become coordinator, and no step is lost once
+// it has one, whatever the log does after that.
+describe('a group whose log is down', () => {
+  it('forms when the log comes back, and steps through the next outage', async () => {
+    const group = createFakeGroup();
+    group.fakeLog.faults.isDown = true;
+    await group.clock.advance(1_000);
+    expect(group.oracle.steps).to.equal(0);
+    group.fakeLog.faults.isDown = false;
+    await expectOneMap(group);
+    group.fakeLog.faults.isDown = true;
+    await group.until(() => group.oracle.versions.size >= 2);
+    expect(group.oracle).to.deep.include({ mixed: [], heldMs: 0 });
+  });
+
+  it('loses no step with its coordinator', async () => {
+    const group = createFakeGroup();
+    await group.until(() => group.oracle.versions.size >= 2);
+    const [coordinator = 0] = group.acting();
+    group.agent(coordinator).process.kill();
+    const { steps } = group.oracle;
+    await group.clock.advance(500);
+    expect(group.oracle.steps).to.equal(steps + 100);
+  });
+});
