--- /dev/null
+++ b/packages/experts/src/coordinator/rebalancer.ts
@@ -0,0 +1,120 @@
+import type { HeartbeatAnswer, ReportAnswer } from '../messages.js';
+import { createExpertMap } from '../expert-map.js';
+import { createLoadTracker } from '../plan/load-tracker.js';
+import { createPlacementState } from '../plan/placement-state.js';
+import type { LoadView } from '../plan/placement-state.js';
+import { planMap } from '../plan/plan-map.js';
+import type { MapPlan } from '../plan/plan-map.js';
+import { isWorthwhile, limitsFor } from '../plan/policy.js';
+import { createRankSpeeds } from '../plan/rank-speeds.js';
+import { defaultTimings } from '../types.js';
+import type { CoordinatorOptions, ExpertMapDocument, ExpertPlacement } from '../types.js';
+import type { GroupCalls } from './group-calls.js';
+import { isRefused } from './group-calls.js';
+
+/** Popularity is smoothed over this many plan intervals. */
+const HALF_LIFE_INTERVALS = 2;
+/** A report counts for this many plan intervals. */
+const STALE_INTERVALS = 2.5;
+
+/** Decides when a group's map is worth a change, and to what. */
+export interface Rebalancer {
+  /** A new map is in use. */
+  setMap(map: ExpertMapDocument): void;
+  /** Takes in rank times. */
+  recordTimes(beats: ReadonlyMap<string, HeartbeatAnswer>): void;
+  /** Collects reports and plans; undefined when the map should stay. */
+  propose(nodes: readonly string[], fence: number): Promise<ExpertPlacement[][] | undefined>;
+  stragglers(): { rank: number; speed: number }[];
+  imbalance(): number | undefined;
+}
+
+/** Lets other tasks of the process run between two edits of a plan. */
+const breathe = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+/** Creates the rebalancer of one coordinator. */
+export const createRebalancer = (options: CoordinatorOptions, calls: GroupCalls): Rebalancer => {
+  const { layout, clock, metrics, group } = options;
+  const { planMs } = { ...defaultTimings, ...options.timings };
+  const speeds = createRankSpeeds(layout.rankCount);
+  const tracker = createLoadTracker({
+    layout,
+    halfLifeMs: HALF_LIFE_INTERVALS * planMs,
+    staleMs: STALE_INTERVALS * planMs,
+  });
+  let map: ExpertMapDocument | undefined;
+  let imbalance: number | undefined;
+
+  const loadView = (popularity: number[][]): LoadView => ({
+    popularity,
+    speeds: speeds.speeds(),
+    fixedShare: speeds.fixedShare(),
+  });
+
+  const skip = (reason: string): undefined => {
+    metrics.count('expert_plans_skipped', { reason });
+    return undefined;
+  };
+
+  const collect = async (nodes: readonly string[], fence: number): Promise<boolean> => {
+    const answers = await calls.askAll<ReportAnswer>(nodes, 'experts.report', { fence });
+    const now = clock.monotonic();
+    for (const [node, answer] of answers) {
+      if (answer && !isRefused(answer)) tracker.record(node, answer, now);
+      else metrics.count('expert_reports_missing');
+    }
+    return tracker.endRound(nodes, now);
+  };
+
+  const plan = async (current: ExpertMapDocument, popularity: number[][]): Promise<MapPlan> => {
+    const limits = limitsFor(options.weighs(), tracker.lifeMs(), layout.rankCount);
+    const startedAt = clock.monotonic();
+    const made = await planMap(current.layers, layout, loadView(popularity), limits, breathe);
+    metrics.record('expert_plan_ms', clock.monotonic() - startedAt);
+    metrics.gauge('expert_imbalance', made.before, { group });
+    imbalance = made.before;
+    return made;
+  };
+
+  const propose: Rebalancer['propose'] = async (nodes, fence) => {
+    const isComplete = await collect(nodes, fence);
+    if (!isComplete) return skip('reports-missing');
+    const popularity = tracker.popularity();
+    if (!map || !popularity) return skip('no-map');
+    if (!options.mayMove()) return skip('live-traffic');
+    const made = await plan(map, popularity);
+    if (!isWorthwhile(options.weighs(), made)) return skip('gain-too-small');
+    metrics.count('expert_moves_planned', { group }, made.moves.length);
+    return made.layers;
+  };
+
+  const recordTimes: Rebalancer['recordTimes'] = (beats) => {
+    const popularity = tracker.popularity();
+    if (!map || !popularity) return;
+    const even = { popularity, speeds: speeds.speeds().map(() => 1), fixedShare: 0 };
+    const work = createPlacementState(map.layers, layout, even).times;
+    const times = new Array<number | undefined>(layout.rankCount).fill(undefined);
+    for (const { ranks } of beats.values()) {
+      ranks.forEach(({ rank, stepTimeUs }) => {
+        times[rank] = stepTimeUs;
+      });
+    }
+    speeds.record([...work], times);
+    metrics.gauge('expert_stragglers', speeds.stragglers().length, { group });
+  };
+
+  return {
+    setMap: (next) => {
+      if (next.version === map?.version || !createExpertMap(next, layout).ok) return;
+      map = next;
+      tracker.restart();
+    },
+    recordTimes,
+    propose,
+    stragglers: speeds.stragglers,
+    imbalance: () => imbalance,
+  };
+};
--- a/packages/experts/src/group-claims.ts
+++ b/packages/experts/src/group-claims.ts
@@ -35,10 +35,8 @@
    * as beaten: the log can no longer show which of them was the last.
    */
   floor(group: string): number;
-  /** Groups that have a holder. */
-  groups(): string[];
-  /** The offset that a claim with this id got if it won. */
-  fenceOfClaim(id: string): number | undefined;
+  /** What a new claim has to replace: the holder's fence, -1 for none or one that aged out. */
+  current(group: string): number;
 }
 
 const isClaim = (value: unknown): value is GroupClaim => {
@@ -57,13 +55,17 @@
   let next = 0;
   let beginning = 0;
 
+  const current = (group: string): number => {
+    const fence = holders.get(group)?.fence ?? -1;
+    return fence >= beginning ? fence : -1;
+  };
+
   const replay = ({ offset, value }: LogRecord): void => {
     next = offset + 1;
     if (!isClaim(value)) return;
-    const current = holders.get(value.group)?.fence ?? -1;
     // A claim made against a state that has changed since lost the race. One against a state that
     // aged out can't be judged any more; obeying its larger number refuses more, never less.
-    const isCurrent = value.replaces === current;
+    const isCurrent = value.replaces === current(value.group);
     const isUnjudgeable = value.replaces >= 0 && value.replaces < beginning;
     if (isCurrent || isUnjudgeable) holders.set(value.group, { fence: offset, claim: value });
   };
@@ -86,7 +88,6 @@
     catchUp,
     holder: (group) => holders.get(group),
     floor: (group) => Math.max(holders.get(group)?.fence ?? -1, beginning - 1),
-    groups: () => [...holders.keys()],
-    fenceOfClaim: (id) => [...holders.values()].find(({ claim }) => claim.id === id)?.fence,
+    current,
   };
 };
--- a/packages/experts/src/group-member.ts
+++ b/packages/experts/src/group-member.ts
@@ -19,7 +19,7 @@
 } from './messages.js';
 import { createExclusive } from './mutex.js';
 import { createSettlements } from './settlement.js';
-import { sumTokens } from './tokens.js';
+import { sparseTokens } from './tokens.js';
 import { defaultTimings } from './types.js';
 import type {
   ExpertMapDocument,
@@ -90,11 +90,12 @@
     if (refusal) return refusal;
     const state = await engine.state();
     if (!state) return { outcome: 'lost' };
-    const ranks = state.ranks.map(({ rank, step, version, armed }) => ({
+    const ranks = state.ranks.map(({ rank, step, version, armed, step_time_us: usPerStep }) => ({
       rank,
       step,
       version,
       armed: armed?.version ?? null,
+      stepTimeUs: usPerStep,
     }));
     return { outcome: 'ok', instance: options.instance, ranks };
   };
@@ -104,12 +105,7 @@
     if (refusal) return refusal;
     const state = await engine.state();
     if (!state) return { outcome: 'lost' };
-    const ranks = state.ranks.map((rank) => ({
-      rank: rank.rank,
-      step: rank.step,
-      stepTimeUs: rank.step_time_us,
-    }));
-    return { outcome: 'ok', ranks, tokens: sumTokens(state.ranks.map((r) => r.tokens_by_expert)) };
+    return { outcome: 'ok', ...sparseTokens(state.ranks.map((rank) => rank.tokens_by_expert)) };
   };
 
   const form = (args: FormArgs): Promise<Answer<{ outcome: 'done' }>> =>
--- a/packages/experts/src/messages.ts
+++ b/packages/experts/src/messages.ts
@@ -39,18 +39,33 @@
   silentMs: number;
 }
 
+/** One rank in brief. */
+export interface RankBeat {
+  rank: number;
+  step: number;
+  /** The map in use; null for an engine with nothing in memory. */
+  version: number | null;
+  armed: number | null;
+  /** The rank's own work in its last step. */
+  stepTimeUs: number;
+}
+
 /** One engine in brief; rides on heartbeats. */
 export interface HeartbeatAnswer {
   outcome: 'ok';
   instance: string;
-  ranks: { rank: number; step: number; version: number | null; armed: number | null }[];
+  ranks: RankBeat[];
 }
 
-/** Load of one engine: time of each rank, tokens summed over its ranks. */
+/**
+ * Tokens that one engine computed since it was formed. Only the experts that it holds are listed,
+ * so the reports of a group grow with its replicas and not with its ranks times its experts.
+ */
 export interface ReportAnswer {
   outcome: 'ok';
-  ranks: { rank: number; step: number; stepTimeUs: number }[];
-  tokens: number[][];
+  /** Layer times experts in a layer, plus expert. */
+  at: number[];
+  tokens: number[];
 }
 
 /** Start the group with this map. */
--- a/packages/experts/src/tokens.ts
+++ b/packages/experts/src/tokens.ts
@@ -1,19 +1,15 @@
-/** Tokens by layer and expert. */
-export type TokenCounts = number[][];
-
-/** Adds counts up, layer by layer and expert by expert. */
-export const sumTokens = (counts: readonly TokenCounts[]): TokenCounts => {
-  const [first, ...rest] = counts;
-  if (!first) return [];
-  const sum = first.map((layer) => [...layer]);
-  for (const other of rest) {
-    other.forEach((layer, l) => {
-      const target = sum[l] ?? [];
-      layer.forEach((tokens, e) => {
-        target[e] = (target[e] ?? 0) + tokens;
-      });
-      sum[l] = target;
-    });
+/** Adds up the tokens of an engine's ranks, and lists those that are not zero. */
+export const sparseTokens = (
+  byRank: readonly (readonly (readonly number[])[])[],
+): { at: number[]; tokens: number[] } => {
+  const sums = new Map<number, number>();
+  for (const layers of byRank) {
+    layers.forEach((experts, layer) =>
+      experts.forEach((tokens, expert) => {
+        const at = layer * experts.length + expert;
+        if (tokens > 0) sums.set(at, (sums.get(at) ?? 0) + tokens);
+      }),
+    );
   }
-  return sum;
+  return { at: [...sums.keys()], tokens: [...sums.values()] };
 };
