--- a/packages/lab/src/experiments/slopes.ts
+++ b/packages/lab/src/experiments/slopes.ts
@@ -1,6 +1,6 @@
 /** How the cost of control grows with the size of a fleet, each as a line with its fit. */
 
-import { createSeededRandom } from '@plantaindrum/stand-ins';
+import { createSeededRandom } from '@plantaindrum/common';
 import type { ExperimentOptions } from './table.js';
 import type { Line } from './slopes/fit.js';
 import { heartbeatLines } from './slopes/heartbeats.js';
