--- a/packages/lab/src/harness/forwarder.ts
+++ b/packages/lab/src/harness/forwarder.ts
@@ -22,8 +22,12 @@
   close(): Promise<void>;
 }
 
+/** Sees the bytes that pass; `connection` counts the connections from 1. */
+export type ForwardTap = (direction: ForwardDirection, data: Buffer, connection: number) => void;
+
 interface Pipe {
   direction: ForwardDirection;
+  connection: number;
   to: Socket;
   held: Buffer[];
 }
@@ -34,7 +38,10 @@
 };
 
 /** Creates a forwarder on a free loopback port to `target` (`host:port`). */
-export const createForwarder = async (target: string): Promise<Forwarder> => {
+export const createForwarder = async (
+  target: string,
+  tap: ForwardTap = () => {},
+): Promise<Forwarder> => {
   const modes: Record<ForwardDirection, ForwardMode> = {
     'to-target': 'pass',
     'from-target': 'pass',
@@ -43,14 +50,16 @@
   const sockets = new Set<Socket>();
   const pipes = new Set<Pipe>();
   let refused = false;
+  let connections = 0;
 
   const write = (pipe: Pipe, data: Buffer): void => {
     bytes[pipe.direction] += data.length;
+    tap(pipe.direction, data, pipe.connection);
     pipe.to.write(data);
   };
 
   const forward = (from: Socket, to: Socket, direction: ForwardDirection): void => {
-    const pipe: Pipe = { direction, to, held: [] };
+    const pipe: Pipe = { direction, connection: connections, to, held: [] };
     pipes.add(pipe);
     from.on('data', (data: Buffer) => {
       if (modes[direction] === 'pass') write(pipe, data);
@@ -70,6 +79,7 @@
       return;
     }
     const far = connect({ ...parseAddress(target), noDelay: true });
+    connections += 1;
     sockets.add(near);
     sockets.add(far);
     forward(near, far, 'to-target');
--- a/packages/lab/src/harness/operators.ts
+++ b/packages/lab/src/harness/operators.ts
@@ -1,6 +1,12 @@
 import { readFileSync } from 'node:fs';
 import { randomUUID } from 'node:crypto';
-import type { IntentChange, IntentDocument, IntentKey } from '@plantaindrum/intent';
+import type {
+  IntentChange,
+  IntentDocument,
+  IntentKey,
+  IntentView,
+  SubmitOutcome,
+} from '@plantaindrum/intent';
 import { intentDocumentSchema } from '@plantaindrum/intent';
 import { parseSettings } from '@plantaindrum/common';
 import { request } from 'undici';
@@ -8,21 +14,29 @@
 /** Token of every operators' door that the lab starts. */
 export const OPERATORS_TOKEN = 'lab-operators-token';
 
-/** Answer of `POST /intent`. */
-export interface IntentAnswer {
-  outcome: 'accepted' | 'conflict' | 'invalid' | 'unknown';
-  version?: number;
+/** What the lab reads of an entry's status. */
+export interface EntryStatusView {
+  ready: boolean;
+  inFlight: number;
+  upstreams: {
+    name: string;
+    linked: boolean;
+    leaving: boolean;
+    outstanding: number;
+    queued?: number;
+    running?: number;
+  }[];
 }
 
 /** A client of one operators' door. */
 export interface Operators {
   ready(): Promise<boolean>;
-  status(): Promise<Record<string, unknown>>;
+  status(): Promise<EntryStatusView>;
   metrics(): Promise<string>;
   /** The value of one counter in the metrics, summed over the series that match `labels`. */
   counter(name: string, labels?: Record<string, string>): Promise<number>;
-  intent(): Promise<unknown>;
-  change(changes: IntentChange[], author?: string): Promise<IntentAnswer>;
+  intent(): Promise<IntentView>;
+  change(changes: IntentChange[], author?: string): Promise<SubmitOutcome>;
 }
 
 const headers = { authorization: `Bearer ${OPERATORS_TOKEN}`, 'content-type': 'application/json' };
@@ -56,17 +70,17 @@
         return false;
       }
     },
-    status: async () => JSON.parse(await get('/status')) as Record<string, unknown>,
+    status: async () => JSON.parse(await get('/status')) as EntryStatusView,
     metrics,
     counter: async (name, labels) => sumSeries(await metrics(), name, labels),
-    intent: async () => JSON.parse(await get('/intent')) as unknown,
+    intent: async () => JSON.parse(await get('/intent')) as IntentView,
     change: async (changes, author = 'lab') => {
       const res = await request(`${url}/intent`, {
         method: 'POST',
         headers,
         body: JSON.stringify({ id: randomUUID(), author, changes }),
       });
-      return (await res.body.json()) as IntentAnswer;
+      return (await res.body.json()) as SubmitOutcome;
     },
   };
 };
--- a/packages/lab/src/harness/stand-ins.ts
+++ b/packages/lab/src/harness/stand-ins.ts
@@ -75,3 +75,40 @@
   const res = await request(url);
   return (await res.body.json()) as T;
 };
+
+/** What a plain service counted. */
+export interface ServiceCounts {
+  total: number;
+  inFlight: number;
+  byKey: Record<string, number>;
+  byPath: Record<string, number>;
+}
+
+/** What one engine counted. */
+export interface EngineView {
+  url: string;
+  running: number;
+  waiting: number;
+  started: number;
+  finished: number;
+  cancelled: number;
+  tokens: number;
+  startedByKey: Record<string, number>;
+}
+
+/** What the oracle of an expert group saw. */
+export interface GroupOracle {
+  steps: number;
+  mixedSteps: number;
+  splitSteps: number;
+  stepsByVersion: Record<string, number>;
+}
+
+/** A plain service's counts, from its control address. */
+export const serviceCounts = (control: string) => getJson<ServiceCounts>(`${control}/counts`);
+
+/** The state of a group's engines, from its control address. */
+export const engineViews = (control: string) => getJson<EngineView[]>(`${control}/state`);
+
+/** What a group's oracle saw, from its control address. */
+export const groupOracle = (control: string) => getJson<GroupOracle>(`${control}/oracle`);
