Requests: fair shares before lanes in an overload; routing without cache hints

Cause: strict lanes let one organisation's flood of live work shut all other work out, and less urgent work was let in only to be given up later. Change: once work has to be refused, organisations above 1.25 times the mean share come after the others; the expected wait counts the rate of more urgent work. Affinity walks the whole rendezvous order; cache events are no longer used.

--- a/packages/lab/src/experiments/overload-run.ts
+++ b/packages/lab/src/experiments/overload-run.ts
@@ -29,6 +29,8 @@
   /** Cost served in time a second. */
   goodput: number;
   withinTarget: Record<string, number>;
+  /** The same for all organisations but the first, which is the one that floods. */
+  withinTargetOthers: Record<string, number>;
   /** Least cost served in time to one organisation over an equal share. */
   fairness: number;
   refused: Record<string, number>;
@@ -48,6 +50,13 @@
   map.set(key, (map.get(key) ?? 0) + by);
 };
 
+const FIRST_ORGANISATION = 'org0';
+
+const sharesOf = (parts: Map<string, number>, wholes: Map<string, number>) =>
+  Object.fromEntries(
+    [...wholes].sort().map(([name, whole]) => [name, round((parts.get(name) ?? 0) / whole)]),
+  );
+
 /** Runs the model once and gives its figures. */
 export const runOverloadScenario = (scenario: OverloadScenario): OverloadFigures => {
   const clock = createVirtualClock();
@@ -61,6 +70,8 @@
   const firstTokens: number[] = [];
   const offered = new Map<string, number>();
   const inTime = new Map<string, number>();
+  const offeredByOthers = new Map<string, number>();
+  const inTimeOfOthers = new Map<string, number>();
   const costOf = new Map<string, number>();
   let ended = 0;
 
@@ -74,6 +85,7 @@
     firstTokens.push(ms);
     if (ms > request.targetMs) return;
     add(inTime, request.class);
+    if (request.organisation !== FIRST_ORGANISATION) add(inTimeOfOthers, request.class);
     add(costOf, request.organisation, request.cost);
   };
 
@@ -100,6 +112,7 @@
   const arrive = () => {
     const request = source.next(clock.monotonic());
     add(offered, request.class);
+    if (request.organisation !== FIRST_ORGANISATION) add(offeredByOthers, request.class);
     upstream.offer(request);
     clock.after(source.gapMs(scenario.perSecond), arrive);
   };
@@ -119,9 +132,8 @@
     servedPerSecond: round(ended / scenario.seconds),
     servedInTime: round(served / firstTokens.length),
     goodput: round(total / scenario.seconds),
-    withinTarget: Object.fromEntries(
-      [...offered].sort().map(([name, count]) => [name, round((inTime.get(name) ?? 0) / count)]),
-    ),
+    withinTarget: sharesOf(inTime, offered),
+    withinTargetOthers: sharesOf(inTimeOfOthers, offeredByOthers),
     fairness: round(Math.min(...shares) / (total / scenario.organisations)),
     refused,
     refusedAfterMs: {
--- a/packages/lab/src/experiments/overload.ts
+++ b/packages/lab/src/experiments/overload.ts
@@ -45,13 +45,17 @@
 };
 
 const line = (name: string, figures: OverloadFigures): string => {
-  const { withinTarget, refusedAfterMs, firstTokenMs } = figures;
-  const classes = Object.entries(withinTarget).map(([key, share]) => `${key} ${share.toFixed(3)}`);
+  const { refusedAfterMs, firstTokenMs } = figures;
+  const classes = (shares: Record<string, number>) =>
+    Object.entries(shares)
+      .map(([key, share]) => `${key} ${share.toFixed(3)}`)
+      .join(', ');
   return [
     name.padEnd(20),
     `goodput ${figures.goodput.toFixed(0)}`,
     `served in time ${figures.servedInTime.toFixed(3)}`,
-    `within target: ${classes.join(', ')}`,
+    `within target: ${classes(figures.withinTarget)}`,
+    `of the others: ${classes(figures.withinTargetOthers)}`,
     `fair ${figures.fairness.toFixed(3)}`,
     `refused after p50 ${refusedAfterMs.p50} p95 ${refusedAfterMs.p95} ms`,
     `first token p95 ${firstTokenMs.p95} ms`,
--- a/packages/requests/src/queue/agent-queue.ts
+++ b/packages/requests/src/queue/agent-queue.ts
@@ -1,10 +1,8 @@
 import type { Clock, Random } from '@plantaindrum/common';
-import type { Lane } from '../outcomes.js';
-import { LANES } from '../outcomes.js';
+import { createDecayedSums } from './decayed-sums.js';
 import { createDrainMeter } from './drain-meter.js';
-import type { FairGroup } from './fair-group.js';
-import { createLane } from './lane.js';
-import type { LaneQueue } from './lane.js';
+import { createRankedQueue } from './ranked-queue.js';
+import { createShareMeter } from './share-meter.js';
 import type { AgentQueue, Offer, QueueItem, Rejected } from './types.js';
 
 /** Settings of the queue before one upstream. */
@@ -15,14 +13,19 @@
   capacity: number;
   /** Most items that run at once. */
   concurrency: number;
-  /** Over what organisations share fairly: each class by itself, or a whole lane. */
-  fairWithin?: 'class' | 'lane';
+  /** In an overload an organisation is over its share above this multiple of the mean. */
+  shareSlack?: number;
 }
 
 /** Waiting work is given up once its expected wait exceeds what is left by this factor. */
 const SWEEP_TOLERANCE = 1.25;
 /** Refused callers come back spread over this share of the advised time. */
 const RETRY_SPREAD = 0.25;
+/** Time over which the rate of more urgent work is measured, in milliseconds. */
+const RATE_LIFE_MS = 5_000;
+/** Less urgent work is taken to get at least this share of the drain rate. */
+const LEAST_SHARE = 0.02;
+const DEFAULT_SHARE_SLACK = 1.25;
 /** Advised when nothing has been measured yet, in milliseconds. */
 const DEFAULT_RETRY_MS = 1_000;
 
@@ -31,28 +34,32 @@
   options: AgentQueueOptions,
 ): AgentQueue<T> => {
   const { clock, random, capacity, concurrency } = options;
-  const fairWithin = options.fairWithin ?? 'lane';
+  const shares = createShareMeter(clock, options.shareSlack ?? DEFAULT_SHARE_SLACK);
+  const ranked = createRankedQueue<T>(shares.isOver);
+  const servedByRank = createDecayedSums(clock, RATE_LIFE_MS);
   const waiting = new Map<string, T>();
-  const lanes = new Map<Lane, LaneQueue<T>>(LANES.map((lane) => [lane, createLane<T>(fairWithin)]));
   const meter = createDrainMeter(clock, concurrency);
   /** Found too late by `take`; the next sweep hands them out. */
   let expired: T[] = [];
   let leaving = false;
 
-  const laneOf = (item: QueueItem) => lanes.get(item.lane)!;
-
-  const totalCost = () => [...lanes.values()].reduce((sum, lane) => sum + lane.cost(), 0);
-
-  const moreUrgentCost = (lane: Lane): number =>
-    LANES.slice(0, LANES.indexOf(lane)).reduce((sum, name) => sum + lanes.get(name)!.cost(), 0);
+  /** Cost that more urgent work takes a second. */
+  const urgentRate = (rank: number): number => {
+    let sum = 0;
+    for (let above = 0; above < rank; above += 1) sum += servedByRank.of(String(above));
+    return (1000 * sum) / RATE_LIFE_MS;
+  };
 
   /** Expected wait of an item before it can start, in milliseconds, at the measured drain rate. */
   const expectedWait = (item: QueueItem): number => {
     const rate = meter.rate();
     if (rate.cost <= 0) return 0;
-    const ahead = moreUrgentCost(item.lane) + laneOf(item).costAhead(item);
-    const isFree = ahead === 0 && meter.running() < concurrency;
-    return isFree ? 0 : (1000 * ahead) / rate.cost + 1000 / rate.requests;
+    const ahead = ranked.costAhead(item);
+    if (ahead === 0 && meter.running() < concurrency) return 0;
+    // More urgent work that arrives meanwhile goes first too: without it, the least urgent work is
+    // let in, waits for most of its time and is given up then.
+    const left = rate.cost - urgentRate(ranked.rankOf(item));
+    return (1000 * ahead) / Math.max(left, LEAST_SHARE * rate.cost) + 1000 / rate.requests;
   };
 
   const spread = (ms: number): number => Math.ceil(ms * (1 + random() * RETRY_SPREAD));
@@ -63,37 +70,32 @@
 
   const reject = (item: T, reason: Rejected<T>['reason'], waitMs: number): Rejected<T> => {
     const left = Math.max(0, item.deadline - clock.monotonic());
+    if (reason !== 'leaving') shares.refused();
     return { item, reason, retryAfterMs: retryAfter(waitMs, left) };
   };
 
   const forget = (item: T) => {
     waiting.delete(item.id);
-    laneOf(item).remove(item);
+    ranked.remove(item);
   };
 
   const add = (item: T) => {
     waiting.set(item.id, item);
-    laneOf(item).push(item);
-  };
-
-  const heaviestOfLeastUrgent = (): ReturnType<FairGroup<T>['heaviest']> => {
-    const lane = [...LANES].reverse().find((name) => lanes.get(name)!.cost() > 0);
-    return lane && lanes.get(lane)!.heaviest();
+    ranked.push(item);
   };
 
   /**
-   * The item that makes room for a new one: the least urgent of the organisation that holds most
-   * of the least urgent lane. Within a lane only an organisation that holds more than the newcomer's
-   * would hold gives way, so that a flood costs its sender and nobody else.
+   * The item that makes room for a new one, from the organisation that holds most of the least
+   * urgent work. At the same rank only an organisation that holds more than the newcomer's would
+   * hold gives way, so that a flood costs its sender and nobody else.
    */
   const victimFor = (item: T): T | undefined => {
-    const heaviest = heaviestOfLeastUrgent();
-    if (!heaviest) return undefined;
-    const isLessUrgent = LANES.indexOf(heaviest.last.lane) > LANES.indexOf(item.lane);
-    if (isLessUrgent) return heaviest.last;
-    if (heaviest.last.lane !== item.lane) return undefined;
-    const own = laneOf(item).backlogOf(item.organisation) + item.cost;
-    return heaviest.cost > own ? heaviest.last : undefined;
+    const least = ranked.leastUrgent();
+    if (!least) return undefined;
+    const rank = ranked.rankOf(item);
+    if (least.rank > rank) return least.last;
+    const own = ranked.backlogOf(item) + item.cost;
+    return least.rank === rank && least.cost > own ? least.last : undefined;
   };
 
   const offerToFull = (item: T): Offer<T> => {
@@ -122,8 +124,7 @@
   };
 
   const popMostUrgent = (): T | undefined => {
-    const lane = LANES.map((name) => lanes.get(name)!).find((queue) => queue.cost() > 0);
-    const item = lane?.pop();
+    const item = ranked.pop();
     if (item) waiting.delete(item.id);
     return item;
   };
@@ -147,6 +148,8 @@
       const now = clock.monotonic();
       for (let item = popMostUrgent(); item; item = popMostUrgent()) {
         if (item.deadline > now) {
+          servedByRank.add(String(ranked.rankOf(item)), item.cost);
+          shares.served(item.organisation, item.cost);
           meter.started(item.id, item.cost);
           return item;
         }
@@ -183,7 +186,7 @@
       return {
         queued: waiting.size,
         running: meter.running(),
-        queuedCost: totalCost(),
+        queuedCost: ranked.cost(),
         drainPerSecond: rate.requests,
         drainCostPerSecond: rate.cost,
         leaving,
--- a/packages/requests/src/queue/fair-group.ts
+++ b/packages/requests/src/queue/fair-group.ts
@@ -11,24 +11,23 @@
   inTurn: boolean;
 }
 
+/** Which organisations a call is about. */
+export type Belongs = (organisation: string) => boolean;
+
 /**
  * Work of several organisations that share an upstream fairly: deficit round robin over
  * organisations (Shreedhar and Varghese, 1995), earliest deadline first within each.
  */
 export interface FairGroup<T extends QueueItem> {
   push(item: T): void;
-  pop(): T | undefined;
+  pop(belongs?: Belongs): T | undefined;
   remove(item: T): boolean;
-  earliestDeadline(): number;
-  cost(): number;
-  /** Cost that fair shares put before an item of this organisation and deadline. */
-  costAhead(item: QueueItem): number;
-  /** Cost of all that waits with an earlier deadline, whoever owns it. */
-  costBefore(deadline: number): number;
+  cost(belongs?: Belongs): number;
+  /** Cost that fair shares put before an item, or before a new one of its deadline. */
+  costAhead(item: QueueItem, belongs?: Belongs): number;
   backlogOf(organisation: string): number;
-  /** The organisation with the largest backlog, and its least urgent item. */
-  heaviest(): { organisation: string; cost: number; last: T } | undefined;
-  items(): T[];
+  /** The largest backlog, and its item with the latest deadline. */
+  heaviest(belongs?: Belongs): { cost: number; last: T } | undefined;
 }
 
 /** Weight of the newest item in the mean cost. */
@@ -55,6 +54,8 @@
   return sum;
 };
 
+const everyone: Belongs = () => true;
+
 /** Creates an empty group. */
 export const createFairGroup = <T extends QueueItem>(): FairGroup<T> => {
   const backlogs = new Map<string, Backlog<T>>();
@@ -95,47 +96,45 @@
       insertByDeadline(backlog.items, item);
       backlog.cost += item.cost;
     },
-    pop: () => {
-      for (let front = turns[0]; front; [front] = turns) {
-        if (!front.inTurn) {
+    pop: (belongs = everyone) => {
+      if (!turns.some(({ organisation }) => belongs(organisation))) return undefined;
+      for (;;) {
+        const front = turns[0]!;
+        const { cost } = front.items[0]!;
+        const mayTake = belongs(front.organisation);
+        if (mayTake && !front.inTurn) {
           front.inTurn = true;
           // The quantum follows the mean cost, so that a turn is about one request long.
           front.deficit += Math.max(1, meanCost);
         }
-        const { cost } = front.items[0]!;
-        if (front.deficit >= cost) {
+        if (mayTake && front.deficit >= cost) {
           front.deficit -= cost;
           return takeAt(front.organisation, 0);
         }
         front.inTurn = false;
         turns.push(turns.shift()!);
       }
-      return undefined;
     },
     remove: (item) => {
       const index = backlogs.get(item.organisation)?.items.indexOf(item) ?? -1;
       return index >= 0 && takeAt(item.organisation, index) !== undefined;
     },
-    earliestDeadline: () =>
-      turns.reduce((least, backlog) => Math.min(least, backlog.items[0]!.deadline), Infinity),
-    cost: () => turns.reduce((sum, backlog) => sum + backlog.cost, 0),
-    costAhead: (item) => {
+    cost: (belongs = everyone) =>
+      turns.reduce((sum, { organisation, cost }) => sum + (belongs(organisation) ? cost : 0), 0),
+    costAhead: (item, belongs = everyone) => {
       const own = costUpTo(backlogs.get(item.organisation)?.items ?? [], item.deadline, item.id);
       const share = own + item.cost;
-      return turns.reduce((sum, backlog) => {
-        if (backlog.organisation === item.organisation) return sum + own;
-        return sum + Math.min(backlog.cost, share);
+      return turns.reduce((sum, { organisation, cost }) => {
+        if (organisation === item.organisation) return sum + own;
+        return sum + (belongs(organisation) ? Math.min(cost, share) : 0);
       }, 0);
     },
-    costBefore: (deadline) =>
-      turns.reduce((sum, backlog) => sum + costUpTo(backlog.items, deadline), 0),
     backlogOf: (organisation) => backlogs.get(organisation)?.cost ?? 0,
-    heaviest: () => {
-      const [first] = turns;
-      if (!first) return undefined;
-      const found = turns.reduce((most, backlog) => (backlog.cost > most.cost ? backlog : most));
-      return { organisation: found.organisation, cost: found.cost, last: found.items.at(-1)! };
+    heaviest: (belongs = everyone) => {
+      const [found] = turns
+        .filter(({ organisation }) => belongs(organisation))
+        .sort((a, b) => b.cost - a.cost);
+      return found && { cost: found.cost, last: found.items.at(-1)! };
     },
-    items: () => turns.flatMap((backlog) => backlog.items),
   };
 };
--- a/packages/requests/src/routing/router.ts
+++ b/packages/requests/src/routing/router.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from '@plantaindrum/common';
-import { createCacheHints, rendezvousOrder } from './affinity.js';
 import type { Health } from './health.js';
 import { createHealth } from './health.js';
+import { combineHashes, hashText } from './hash.js';
 import type { LoadView } from './load-view.js';
 import { createLoadView } from './load-view.js';
 import { ejectionsDue } from './outliers.js';
@@ -23,8 +23,6 @@
   leastUpstreams?: number;
   /** How far above the mean load a prefix's own upstream may be; 0 turns affinity off. */
   affinityBound?: number;
-  /** How many upstreams of a prefix's order are tried before load alone decides. */
-  affinityTries?: number;
 }
 
 /** All that one entry knows of one upstream. */
@@ -49,9 +47,8 @@
 export const createRouter = (options: RouterOptions): Router => {
   const { clock, random, self } = options;
   const { entriesPerUpstream = 4, leastUpstreams = 16 } = options;
-  const { affinityBound = 1.25, affinityTries = 2 } = options;
+  const { affinityBound = 1.25 } = options;
   const members = new Map<string, Member>();
-  const hints = createCacheHints();
   let entries: readonly EntryNode[] = [];
   let subsets = new Map<string, Member[]>();
 
@@ -84,7 +81,9 @@
   /** Expected wait at an upstream, in milliseconds. */
   const waitOf = (member: Member, fallbackDrain: number): number => {
     const rate = member.load.drainPerSecond() || fallbackDrain;
-    return (1000 * member.load.pending()) / rate + DISTANCE_MS[distanceOf(self, member.upstream)];
+    return (
+      (1000 * (member.load.pending() + 1)) / rate + DISTANCE_MS[distanceOf(self, member.upstream)]
+    );
   };
 
   const isUsable = (member: Member): boolean => {
@@ -115,22 +114,21 @@
     );
   };
 
-  /** Bounded loads (Mirrokni et al., 2018): affinity may not push one upstream above the others. */
-  const byPrefix = (prefix: string, among: readonly Member[]): Member | undefined => {
+  /**
+   * The first upstream in the prefix's rendezvous order that is not loaded above the bound. Bounded
+   * loads (Mirrokni et al., 2018): affinity may not push one upstream above the others.
+   */
+  const byPrefix = (prefix: string, among: readonly Member[]): Member => {
     const near = among.filter((member) => distanceOf(self, member.upstream) !== 'far');
     const local = near.length > 0 ? near : among;
     const drain = meanDrain(local);
-    const waits = new Map(local.map((member) => [member.upstream.id, waitOf(member, drain)]));
-    const mean = [...waits.values()].reduce((sum, wait) => sum + wait, 0) / local.length;
+    const waits = local.map((member) => waitOf(member, drain));
+    const mean = waits.reduce((sum, wait) => sum + wait, 0) / local.length;
     const bound = affinityBound * mean + 1000 / drain;
-    const order = rendezvousOrder(
-      prefix,
-      local.map((member) => member.upstream.id),
-    ).slice(0, affinityTries);
-    const holders = hints.holders(prefix);
-    const preferred = [...order.filter((id) => holders.has(id)), ...order];
-    const found = preferred.find((id) => waits.get(id)! <= bound);
-    return local.find((member) => member.upstream.id === found);
+    const seed = hashText(prefix);
+    const within = local.filter((_, n) => waits[n]! <= bound);
+    const score = (member: Member) => combineHashes(seed, hashText(member.upstream.id));
+    return within.reduce((best, member) => (score(member) > score(best) ? member : best));
   };
 
   const lastResort = (among: readonly Member[]): Route => {
@@ -148,11 +146,9 @@
     const [only] = usable;
     if (!only) return lastResort(candidates);
     if (usable.length === 1) return { upstream: only.upstream.id, method: 'only-one' };
-    const wanted =
-      request.prefix !== undefined && affinityBound > 0
-        ? byPrefix(request.prefix, usable)
-        : undefined;
-    if (wanted) return { upstream: wanted.upstream.id, method: 'prefix' };
+    if (request.prefix !== undefined && affinityBound > 0) {
+      return { upstream: byPrefix(request.prefix, usable).upstream.id, method: 'prefix' };
+    }
     return { upstream: twoChoices(usable).upstream.id, method: 'two-choices' };
   };
 
@@ -191,7 +187,6 @@
       const member = members.get(upstream);
       if (member) member.agentLeaves = true;
     },
-    cacheHint: (upstream, prefix, holds) => hints.note(upstream, prefix, holds),
     review: () => {
       const moved = [...members.values()].map((member) => member.health.advance());
       const targets = new Set([...members.values()].map((member) => member.upstream.target));
--- a/packages/requests/src/routing/types.ts
+++ b/packages/requests/src/routing/types.ts
@@ -70,8 +70,6 @@
   silent(upstream: string, silent: boolean): void;
   /** Its agent takes no new work from now on; a load of a new agent instance takes that back. */
   leaving(upstream: string): void;
-  /** A cache event says that the upstream holds the prefix (or dropped it): only a hint. */
-  cacheHint(upstream: string, prefix: string, holds: boolean): void;
   /** Ejects slow upstreams and lets ejected ones return; call it once a second or so. */
   review(): HealthChange[];
   status(): UpstreamStatus[];
