--- /dev/null
+++ b/packages/lab/src/cli/demo/answers.ts
@@ -0,0 +1,29 @@
+/** Judges answers by the text that the stand-ins derive from a call, not by status codes. */
+import { checkCompletion, checkService, createStreamCheck } from '@plantaindrum/stand-ins';
+import type { LoadCall } from '../../harness/load.js';
+
+interface CompletionBody {
+  prompt: string;
+  max_tokens: number;
+  stream: boolean;
+}
+
+const isCompletion = (body: unknown): body is CompletionBody =>
+  typeof (body as CompletionBody | undefined)?.prompt === 'string';
+
+const isOwnCompletion = (text: string, body: CompletionBody): boolean => {
+  if (!body.stream) {
+    return checkCompletion(text, body.prompt, body.max_tokens).outcome === 'answered';
+  }
+  const check = createStreamCheck(body.prompt, body.max_tokens);
+  check.feed(text);
+  return check.end(true).outcome === 'answered';
+};
+
+/** True when the answer of an answered call is whole and belongs to this call. */
+export const isOwnWholeAnswer = ({ spec, result }: LoadCall): boolean => {
+  if (isCompletion(spec.body)) return isOwnCompletion(result.body, spec.body);
+  const sent = spec.body === undefined ? '' : JSON.stringify(spec.body);
+  const verdict = checkService(result.body, spec.path, spec.idempotencyKey, sent);
+  return verdict.outcome === 'answered';
+};
--- a/packages/lab/src/cli/demo/summary.ts
+++ b/packages/lab/src/cli/demo/summary.ts
@@ -1,5 +1,6 @@
 import type { LoadCall } from '../../harness/load.js';
 import { percentile } from '../../harness/statistics.js';
+import { isOwnWholeAnswer } from './answers.js';
 
 /** Counts of one class of work. */
 export interface ClassCounts {
@@ -22,6 +23,8 @@
   errors: Record<string, number>;
   /** Connections that ended without a whole answer or an explanation. */
   broken: number;
+  /** Answers that ended cleanly, yet are not whole or belong to another call. */
+  wrongAnswers: number;
   mayNotRepeat: {
     calls: number;
     executions: number;
@@ -90,9 +93,11 @@
   const names = [...new Set(calls.map((call) => call.class))].sort();
   const broken = by('broken').length;
   const answered = by('answered').length;
+  const wrongAnswers = by('answered').filter((call) => !isOwnWholeAnswer(call)).length;
   const promises = [
     answered > 0,
     broken === 0,
+    wrongAnswers === 0,
     executions.most <= 1,
     executions.ranThoughNotRun === 0,
     oracle.mixedSteps === 0,
@@ -104,6 +109,7 @@
     unknown: tally(by('unknown'), (call) => call.result.reason),
     errors: tally(by('error'), (call) => String(call.result.status)),
     broken,
+    wrongAnswers,
     mayNotRepeat: executions,
     steps: oracle.steps,
     mixedSteps: oracle.mixedSteps,
@@ -134,6 +140,7 @@
     `outcome unknown      ${listed(summary.unknown)}`,
     `other errors         ${listed(summary.errors)}`,
     `broken off           ${summary.broken}`,
+    `wrong answers        ${summary.wrongAnswers}`,
     `may not repeat       ${mayNotRepeat.calls} calls, ${mayNotRepeat.executions} executions, at most ${mayNotRepeat.most} each`,
     `lock-step groups     ${summary.steps} steps, ${summary.mixedSteps} with mixed expert maps`,
     ...classes,
