Operators' page with tables from the code; slopes of claims; help for every metric

Cause: reasons, settings, exit codes and metrics were listed nowhere. Change: docs/OPERATING.md; its tables are made by npm run docs and compared by a test; another test finds metrics without an explanation.

--- a/packages/lab/src/experiments/slopes.ts
+++ b/packages/lab/src/experiments/slopes.ts
@@ -2,6 +2,7 @@
 
 import { createSeededRandom } from '@plantaindrum/common';
 import type { ExperimentOptions } from './table.js';
+import { claimLines } from './slopes/claims.js';
 import type { Line } from './slopes/fit.js';
 import { heartbeatLines } from './slopes/heartbeats.js';
 import { intentLines } from './slopes/intent.js';
@@ -19,6 +20,8 @@
   changes: number[];
   depths: number[];
   waitingOrganisations: number[];
+  earlierCalls: number[];
+  callsAtOnce: number[];
   upstreams: number[];
   ranks: number[];
   vms: number[];
@@ -32,6 +35,8 @@
   changes: [1, 4, 16, 64],
   depths: [2, 8, 32, 128, 512, 1_024],
   waitingOrganisations: [2, 8, 32, 128, 512],
+  earlierCalls: [500, 2_000, 8_000],
+  callsAtOnce: [1, 2, 4, 8, 16, 32],
   upstreams: [500, 2_000, 6_000, 12_000],
   ranks: [4, 16, 32, 64, 128, 256],
   vms: [32, 500, 2_000, 12_430],
@@ -45,6 +50,8 @@
   changes: [1, 2],
   depths: [2, 4],
   waitingOrganisations: [2, 4],
+  earlierCalls: [5, 10],
+  callsAtOnce: [1, 2],
   upstreams: [50, 100],
   ranks: [4, 8],
   vms: [10, 20],
@@ -61,6 +68,7 @@
     ...(await heartbeatLines(sizes.peers, sizes.windowMs, sizes.rounds)),
     ...(await intentLines(sizes.organisations, sizes.changes)),
     ...(await queueLines(sizes.depths, sizes.waitingOrganisations, random)),
+    ...(await claimLines(sizes.earlierCalls, sizes.callsAtOnce)),
     ...(await routingLines(sizes.upstreams, random)),
     ...(await planningLines(sizes.ranks, random)),
     ...(await nodeLines(sizes.organisations, sizes.vms)),
--- /dev/null
+++ b/packages/lab/test/operating-page.test.ts
@@ -0,0 +1,40 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { metricHelp } from '@plantaindrum/common';
+import { committedPage, currentPage } from '../src/docs/operating-page.js';
+import { repositoryRoot } from '../src/harness/child.js';
+
+const packages = join(repositoryRoot, 'packages');
+const shipped = [
+  'agent',
+  'common',
+  'experts',
+  'intent',
+  'link',
+  'plantaindrum',
+  'platform',
+  'requests',
+];
+const METRIC = /metrics\s*\??\.(?:count|gauge|record)\(\s*'([a-z_]+)'/g;
+
+const sourcesOf = (name: string): string[] => {
+  const folder = join(packages, name, 'src');
+  return readdirSync(folder, { recursive: true, encoding: 'utf8' })
+    .filter((file) => file.endsWith('.ts'))
+    .map((file) => readFileSync(join(folder, file), 'utf8'));
+};
+
+describe("the operators' page", () => {
+  it('has the tables that the catalogues of the code give (npm run docs)', async () => {
+    expect(committedPage()).to.equal(await currentPage());
+  });
+
+  it('explains every metric that the code records', () => {
+    const recorded = shipped
+      .flatMap(sourcesOf)
+      .flatMap((text) => [...text.matchAll(METRIC)].map(([, name]) => name ?? ''));
+    const unexplained = recorded.filter((name) => !Object.hasOwn(metricHelp, name));
+    expect(unexplained).to.deep.equal([]);
+  });
+});
