--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -18,6 +18,7 @@
 /** Every experiment, each in the module `NAME.ts`, which exports `run`. */
 export const experimentNames = [
   'balance',
+  'claims',
   'drain',
   'intent',
   'overload',
