Experiment overload-processes: real entries, agents and engines under three times their capacity

Cause: the overload experiment decides over modelled queues; nothing yet put the processes under it, with answers verified and refusals held against what the upstreams counted. Change: experiment overload-processes with the load generator of the stand-ins.

--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -22,6 +22,7 @@
   'drain',
   'intent',
   'overload',
+  'overload-processes',
   'path',
   'recovery',
   'routing',
