Agent: the operators' intent, its expert group, stop of its data centre

Cause: agents kept no intent, so ranks had nobody to obey and a stopping data centre still took work. Ruled out: announcing 'leaving' when the data centre stops; the entries beside it still need the agent for what they hold, so only entries of other data centres are turned away. Change: embedded intent reader (peers first), group member and coordinator with links between the agents of a group (the node whose name comes first dials), /ready once the intent is up to date.

--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -1,16 +1,26 @@
-/** An agent: the queue, the upstream and the links of entries put together. */
+/** An agent: the queue, the upstream, the links, the intent and the expert group put together. */
 
 import { randomBytes } from 'node:crypto';
 import type { AgentSettings, Clock, Logger, Metrics, Random } from '@plantaindrum/common';
-import type { LinkLimits, Load, NodeStatus } from '@plantaindrum/link';
-import { createLinkServer, defaultLinkLimits, NODE_STATUS } from '@plantaindrum/link';
+import type { GroupTimings } from '@plantaindrum/experts';
+import type { IntentNode } from '@plantaindrum/intent';
+import { createIntentReader, isStopped, joinIntentToLinks } from '@plantaindrum/intent';
+import type { Link, LinkLimits, Load } from '@plantaindrum/link';
+import { NODE_STATUS } from '@plantaindrum/link';
+import type { Log } from '@plantaindrum/platform';
+import { createLogClient, createVmListClient } from '@plantaindrum/platform';
+import type { AgentQueue } from '@plantaindrum/requests';
 import { createAgentQueue, createAttemptLedger } from '@plantaindrum/requests';
 import type { DeskLimits } from './attempts/desk.js';
 import { createAttemptDesk } from './attempts/desk.js';
 import { runAttempt } from './attempts/run-attempt.js';
 import type { QueuedAttempt } from './attempts/types.js';
 import { createEntries } from './entries.js';
+import { createExpertGroup } from './group/group.js';
+import { createAgentLinks } from './links.js';
 import { openOperatorsDoor } from './operators/door.js';
+import { agentStatus } from './status.js';
+import type { Upstream } from './upstream/upstream.js';
 import { createUpstream } from './upstream/upstream.js';
 
 const UNDELIVERED_FOR_EACH_SLOT = 8;
@@ -25,7 +35,8 @@
   metrics: Metrics;
   log: Logger;
   deskLimits?: Partial<DeskLimits>;
-  linkLimits?: LinkLimits;
+  linkLimits?: Partial<LinkLimits>;
+  groupTimings?: Partial<GroupTimings>;
 }
 
 /** A running agent. */
@@ -37,31 +48,34 @@
   stop(): Promise<void>;
 }
 
-/** Starts an agent; rejects when an address can't be listened on. */
-export const startAgent = async (options: AgentOptions): Promise<Agent> => {
-  const { settings, clock, random, metrics, log } = options;
-  const { node, limits } = settings;
-  const { concurrency } = limits;
-  const instance = randomBytes(8).toString('hex');
-  const upstream = createUpstream(settings.upstream.url);
-  const queue = createAgentQueue<QueuedAttempt>({
-    clock,
-    random,
-    capacity: limits.queue,
-    concurrency,
-  });
-  const intentOffset = (): number => -1;
+const createIntent = (options: AgentOptions, log: Log): IntentNode => {
+  const { clock, random, metrics } = options;
+  const logger = options.log.child('intent');
+  return createIntentReader({ log, clock, random, metrics, logger, follow: 'peers' });
+};
 
-  const load = (): Load => {
-    const { queued, running, drainPerSecond, leaving } = queue.load();
-    return { queued, running, drainPerSecond, leaving };
-  };
+const createQueue = ({ settings, clock, random }: AgentOptions): AgentQueue<QueuedAttempt> => {
+  const { queue: capacity, concurrency } = settings.limits;
+  return createAgentQueue({ clock, random, capacity, concurrency });
+};
+
+interface DeskParts {
+  upstream: Upstream;
+  queue: AgentQueue<QueuedAttempt>;
+  load: () => Load;
+  isClosedTo: (entry: Link) => boolean;
+}
 
-  const desk = createAttemptDesk({
+const createDesk = (options: AgentOptions, parts: DeskParts) => {
+  const { clock, metrics } = options;
+  const { concurrency } = options.settings.limits;
+  const { upstream, queue, load, isClosedTo } = parts;
+  return createAttemptDesk({
     queue,
     ledger: createAttemptLedger(),
     run: (attempt, work, begin) => runAttempt(attempt, work, begin, { upstream, metrics }),
     load,
+    isClosedTo,
     limits: {
       ...defaultDeskLimits,
       concurrency,
@@ -71,70 +85,97 @@
     clock,
     metrics,
   });
-  const entries = createEntries({ desk, metrics, log });
+};
+
+/** Starts an agent; rejects when an address can't be listened on. */
+export const startAgent = async (options: AgentOptions): Promise<Agent> => {
+  const { settings, clock, random, metrics, log } = options;
+  const { node, platform } = settings;
+  const instance = randomBytes(8).toString('hex');
+
+  const platformLog = createLogClient({ url: platform.logUrl, client: node.name });
+  const vmList = createVmListClient({ url: platform.vmListUrl, client: node.name });
+  const upstream = createUpstream(settings.upstream.url);
+  const intent = createIntent(options, platformLog);
+  const queue = createQueue(options);
 
-  const nodeStatus = async (): Promise<NodeStatus> => {
-    const { queued, running } = queue.load();
-    return { inFlight: queued + running };
+  const load = (): Load => {
+    const { queued, running, drainPerSecond, leaving } = queue.load();
+    return { queued, running, drainPerSecond, leaving };
   };
+  // Agents stop last: the entries of a data centre that is being stopped still finish their work.
+  const isClosedTo = (entry: Link): boolean =>
+    entry.peer.dataCentre !== node.dataCentre &&
+    isStopped(intent.current().document, node.dataCentre);
+  const isReady = (): boolean => intent.freshness().caughtUp && !load().leaving;
 
-  const status = (): unknown => ({
-    role: 'agent',
-    node,
+  const desk = createDesk(options, { upstream, queue, load, isClosedTo });
+  const entries = createEntries({ desk, isLeaving: () => load().leaving, metrics, log });
+  const links = createAgentLinks({
+    settings,
     instance,
-    upstream: settings.upstream,
-    load: load(),
-    attempts: desk.counts(),
-    entries: entries.count(),
-    intent: { offset: intentOffset() },
-  });
-
-  const links = await createLinkServer({
-    listen: settings.link,
-    identity: {
-      role: 'agent',
-      node: node.name,
-      instance,
-      dataCentre: node.dataCentre,
-      region: node.region,
-    },
-    intentOffset,
+    intent: joinIntentToLinks(intent),
     load,
-    limits: {
-      ...defaultLinkLimits,
-      ...options.linkLimits,
-      frameBytes: limits.frameBytes,
-      connections: limits.connections,
-    },
-    handlers: { [NODE_STATUS]: nodeStatus },
-    onLink: entries.onLink,
+    onEntry: entries.onLink,
+    ...(options.linkLimits && { limits: options.linkLimits }),
     clock,
+    random,
     metrics,
     log: log.child('link'),
   });
+  const group = createExpertGroup({
+    node,
+    instance,
+    upstream: settings.upstream,
+    vmList,
+    platformLog,
+    connect: links.connect,
+    weighs: (name) => intent.current().document.balance[name]?.weighs ?? 'skew',
+    mayMove: () => queue.load().queued === 0,
+    ...(options.groupTimings && { timings: options.groupTimings }),
+    clock,
+    random,
+    metrics,
+    log: log.child('group'),
+  });
+  const status = () =>
+    agentStatus({
+      settings,
+      instance,
+      ready: isReady,
+      load,
+      desk,
+      entries: entries.count,
+      intent,
+      group: () => group?.status(),
+    });
+  links.serve({ ...group?.handlers, [NODE_STATUS]: async () => status() });
+  if (group) links.onAgent(group.onLink);
+
+  const server = await links.listen();
   const door = await openOperatorsDoor({
     listen: settings.operators,
     token: settings.operators.token,
-    connections: limits.connections,
-    ready: () => !queue.load().leaving,
+    connections: settings.limits.connections,
+    ready: isReady,
     metrics: metrics.exposition,
     status,
-    intent: () => ({ offset: intentOffset() }),
+    intent: intent.current,
   });
+  group?.run();
 
   const stop = async (): Promise<void> => {
     log.info('leaving: no new work');
-    entries.leave();
     desk.leave();
+    entries.announceLeaving();
     await desk.idle();
-    await links.close();
+    await group?.close();
+    await server.close();
     desk.close();
-    await Promise.all([door.close(), upstream.close()]);
+    await intent.close();
+    await Promise.all([door.close(), upstream.close(), platformLog.close(), vmList.close()]);
   };
 
-  return {
-    operators: door.url,
-    link: `${links.address.host}:${links.address.port}`,
-    stop,
-  };
+  const { host, port } = server.address;
+  return { operators: door.url, link: `${host}:${port}`, stop };
 };
--- a/packages/agent/src/core/attempts/desk.ts
+++ b/packages/agent/src/core/attempts/desk.ts
@@ -12,6 +12,7 @@
 import { costOf } from './work-cost.js';
 
 const SWEEP_MS = 100;
+const TURNED_AWAY_RETRY_MS = 1_000;
 
 /** Bounds on what the desk keeps. */
 export interface DeskLimits extends EndedLimits {
@@ -29,6 +30,8 @@
   ledger: AttemptLedger;
   run: AttemptRunner;
   load: () => Load;
+  /** Whether new work of this entry is turned away for now. */
+  isClosedTo: (entry: Link) => boolean;
   limits: DeskLimits;
   clock: Clock;
   metrics: Metrics;
@@ -140,10 +143,17 @@
     startWaiting();
   };
 
+  const turnAway = (attempt: Attempt): void => {
+    ledger.refuse(attempt.id);
+    end(attempt, { outcome: 'not-run', reason: 'leaving', retryAfterMs: TURNED_AWAY_RETRY_MS });
+  };
+
   const dispatch = (frame: Dispatch, link: Link): void => {
     const decision = ledger.dispatch(frame.id);
     if (decision === 'accept') {
-      enqueue(add(frame.id, link, frame), frame);
+      const attempt = add(frame.id, link, frame);
+      if (options.isClosedTo(link)) turnAway(attempt);
+      else enqueue(attempt, frame);
       return;
     }
     metrics.count('dispatch_refused', { reason: decision });
--- a/packages/agent/src/core/entries.ts
+++ b/packages/agent/src/core/entries.ts
@@ -7,24 +7,25 @@
 
 /** The entries that are linked to this agent. */
 export interface Entries {
-  /** Takes each new link; the result takes its frames. */
+  /** Takes each new link of an entry; the result takes its frames. */
   onLink(link: Link): FrameHandler;
-  /** Tells every entry, and each that comes later, that this agent takes no new work. */
-  leave(): void;
+  /** Tells every entry that this agent takes no new work from now on. */
+  announceLeaving(): void;
   count(): number;
 }
 
 /** What the entries' links need. */
 export interface EntriesOptions {
   desk: AttemptDesk;
+  isLeaving: () => boolean;
   metrics: Metrics;
   log: Logger;
 }
 
 /** Creates an empty set of entries. */
-export const createEntries = ({ desk, metrics, log }: EntriesOptions): Entries => {
+export const createEntries = (options: EntriesOptions): Entries => {
+  const { desk, metrics, log } = options;
   const links = new Map<string, Link>();
-  let leaving = false;
 
   /** An id of another entry's instance can only be a fault: its answer would go astray. */
   const isForeign = (frame: PeerFrame, link: Link): boolean =>
@@ -64,18 +65,16 @@
 
   return {
     onLink: (link) => {
-      if (link.peer.role !== 'entry') return () => {};
       const { instance, node } = link.peer;
       // A dispatch that waits on the older link would come after the query on the newer one.
       links.get(instance)?.close();
       links.set(instance, link);
       log.info(`entry ${node} is linked`);
       void link.closed.then((reason) => onEnded(link, reason));
-      if (leaving) link.send({ t: 'leaving' });
+      if (options.isLeaving()) link.send({ t: 'leaving' });
       return (frame) => take(frame, link);
     },
-    leave: () => {
-      leaving = true;
+    announceLeaving: () => {
       links.forEach((link) => link.send({ t: 'leaving' }));
     },
     count: () => links.size,
--- /dev/null
+++ b/packages/agent/src/core/group/engine-port.ts
@@ -0,0 +1,26 @@
+import type { EnginePort, EngineState, OrderOutcome } from '@plantaindrum/experts';
+import type { EngineOrderClient, PlatformFailure } from '@plantaindrum/platform';
+
+/** Only an answer of the engine proves that an order has no effect; any other failure may. */
+const failedOrder = (failure: PlatformFailure): OrderOutcome =>
+  failure.kind === 'rejected'
+    ? { outcome: 'refused', reason: failure.detail }
+    : { outcome: 'lost' };
+
+const isEngineState = (value: unknown): value is EngineState => {
+  const state = value as Partial<EngineState> | null;
+  return Array.isArray(state?.ranks) && typeof state.fence === 'number';
+};
+
+/** The engine beside this agent, as the group member sees it. */
+export const createEnginePort = (client: EngineOrderClient): EnginePort => ({
+  order: async (name, body) => {
+    const sent = await client.order(name, body as { fence: number } & Record<string, unknown>);
+    if (!sent.ok) return failedOrder(sent.err);
+    return sent.value.outcome === 'done' ? { outcome: 'done' } : sent.value;
+  },
+  state: async () => {
+    const sent = await client.group();
+    return sent.ok && isEngineState(sent.value) ? sent.value : undefined;
+  },
+});
--- /dev/null
+++ b/packages/agent/src/core/group/group.ts
@@ -0,0 +1,112 @@
+/** This agent's part in its expert group: a member, and a coordinator that stands by. */
+
+import type { AgentSettings, Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import type { ExpertMethod, GroupTimings, Weighs } from '@plantaindrum/experts';
+import { createCoordinator, createGroupMember, EXPERT_METHODS } from '@plantaindrum/experts';
+import type { CallHandler, Link, LinkClient } from '@plantaindrum/link';
+import type { Log, VmListClient } from '@plantaindrum/platform';
+import { createEngineOrderClient } from '@plantaindrum/platform';
+import { createEnginePort } from './engine-port.js';
+import { createGroupPeers } from './peers.js';
+
+/** What an agent needs to take part in its group. */
+export interface ExpertGroupOptions {
+  node: AgentSettings['node'];
+  instance: string;
+  upstream: AgentSettings['upstream'];
+  vmList: VmListClient;
+  platformLog: Log;
+  /** Starts to keep another agent linked. */
+  connect: (address: { host: string; port: number }) => LinkClient;
+  /** The operator's word for a group. */
+  weighs: (group: string) => Weighs;
+  /** False while live traffic needs the machine. */
+  mayMove: () => boolean;
+  timings?: Partial<GroupTimings>;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** The agent's part in its group. */
+export interface ExpertGroup {
+  /** Link calls of the group, by method. */
+  handlers: Record<string, CallHandler>;
+  /** Starts the tasks of member and coordinator. */
+  run(): void;
+  /** Takes each link with another agent. */
+  onLink(link: Link): void;
+  status(): unknown;
+  close(): Promise<void>;
+}
+
+/** Creates the agent's part; undefined for an upstream without a group. */
+export const createExpertGroup = (options: ExpertGroupOptions): ExpertGroup | undefined => {
+  const { node, instance, upstream, clock, random, metrics, log } = options;
+  const { group, ranks, layout } = upstream;
+  if (group === undefined) return undefined;
+  if (layout === undefined) {
+    log.warn(`group ${group}: no layout in the settings, so its maps are left alone`);
+    return undefined;
+  }
+
+  const engineClient = createEngineOrderClient({ url: upstream.url, client: node.name });
+  const peers = createGroupPeers({
+    group,
+    self: { node: node.name, ranks },
+    rankCount: layout.rankCount,
+    list: options.vmList.list,
+    connect: options.connect,
+    clock,
+    random,
+    metrics,
+  });
+  const context = {
+    group,
+    node: node.name,
+    instance,
+    members: peers.members,
+    call: peers.call,
+    log: options.platformLog,
+    clock,
+    random,
+    metrics,
+    logger: log,
+    ...(options.timings && { timings: options.timings }),
+  };
+  const member = createGroupMember({
+    ...context,
+    rankCount: layout.rankCount,
+    ranks,
+    engine: createEnginePort(engineClient),
+  });
+  const coordinator = createCoordinator({
+    ...context,
+    member,
+    layout,
+    weighs: () => options.weighs(group),
+    mayMove: options.mayMove,
+  });
+
+  const handlerOf = (method: ExpertMethod): [string, CallHandler] => [
+    method,
+    (args) => member.serve(method, args),
+  ];
+
+  return {
+    handlers: Object.fromEntries(EXPERT_METHODS.map(handlerOf)),
+    run: () => {
+      void member.run();
+      void coordinator.run();
+    },
+    onLink: peers.onLink,
+    status: () => ({ ...member.status(), coordinator: coordinator.status() }),
+    close: async () => {
+      coordinator.close();
+      member.close();
+      await peers.close();
+      await engineClient.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/group/peers.ts
@@ -0,0 +1,136 @@
+/** The other agents of an expert group: found in the VM list, and kept linked. */
+
+import type { Clock, Metrics, Random, Result } from '@plantaindrum/common';
+import type { GroupPeer, PeerCall } from '@plantaindrum/experts';
+import type { Link, LinkClient } from '@plantaindrum/link';
+import type { PlatformFailure, Vm } from '@plantaindrum/platform';
+
+const SEARCH_MS = 1_000;
+const WATCH_MS = 30_000;
+
+/** What keeping the peers linked needs. */
+export interface GroupPeersOptions {
+  group: string;
+  self: GroupPeer;
+  rankCount: number;
+  list: () => Promise<Result<Vm[], PlatformFailure>>;
+  /** Starts to keep an agent linked; its links come back through `onLink`. */
+  connect: (address: { host: string; port: number }) => LinkClient;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+}
+
+/** The peers of a group. */
+export interface GroupPeers {
+  /** The group's agents as the list last showed them, this one included. */
+  members(): readonly GroupPeer[];
+  call: PeerCall;
+  /** Takes each link with another agent, from whichever side it came. */
+  onLink(link: Link): void;
+  close(): Promise<void>;
+}
+
+interface Dialled {
+  address: string;
+  client: LinkClient;
+}
+
+const addressOf = (address: string): { host: string; port: number } => {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+};
+
+/** Starts to look for the peers of a group. */
+export const createGroupPeers = (options: GroupPeersOptions): GroupPeers => {
+  const { group, self, rankCount, clock, random, metrics } = options;
+  const links = new Map<string, Link>();
+  const dialled = new Map<string, Dialled>();
+  let others: Vm[] = [];
+  let closed = false;
+  let endWait = (): void => {};
+
+  const members = (): GroupPeer[] => [
+    self,
+    ...others.map(({ name, ranks }) => ({ node: name, ranks: ranks ?? [] })),
+  ];
+
+  const isComplete = (): boolean => {
+    const reached = members().filter(({ node }) => node === self.node || links.has(node));
+    return new Set(reached.flatMap(({ ranks }) => ranks)).size >= rankCount;
+  };
+
+  /** Of each pair the node whose name comes first dials, so that there is one link and not two. */
+  const isOursToDial = ({ name }: Vm): boolean => self.node < name;
+
+  const dial = ({ name, address }: Vm): void => {
+    const old = dialled.get(name);
+    if (old?.address === address) return;
+    void old?.client.close();
+    dialled.set(name, { address, client: options.connect(addressOf(address)) });
+  };
+
+  const dropUnlisted = (): void => {
+    const listed = new Set(others.map(({ name }) => name));
+    [...dialled].forEach(([name, { client }]) => {
+      if (listed.has(name)) return;
+      dialled.delete(name);
+      void client.close();
+    });
+  };
+
+  const refresh = async (): Promise<void> => {
+    const listed = await options.list();
+    if (closed) return;
+    if (!listed.ok) {
+      metrics.count('vm_list_failed', { kind: listed.err.kind });
+      return;
+    }
+    others = listed.value.filter((vm) => vm.group === group && vm.name !== self.node);
+    others.filter(isOursToDial).forEach(dial);
+    dropUnlisted();
+  };
+
+  const wait = (ms: number): Promise<void> =>
+    new Promise((resolve) => {
+      const cancel = clock.after(ms, resolve);
+      endWait = () => {
+        cancel();
+        resolve();
+      };
+    });
+
+  // The list is long in a large fleet, so it is only read often while a peer is missing.
+  const watch = async (): Promise<void> => {
+    while (!closed) {
+      await refresh();
+      await wait((isComplete() ? WATCH_MS : SEARCH_MS) * (0.5 + random()));
+    }
+  };
+
+  const onLink = (link: Link): void => {
+    const { node } = link.peer;
+    links.set(node, link);
+    void link.closed.then(() => {
+      if (links.get(node) === link) links.delete(node);
+      endWait();
+    });
+  };
+
+  const task = watch();
+
+  return {
+    members,
+    call: async (node, method, args, timeoutMs) => {
+      const link = links.get(node);
+      return link ? link.call(method, args, timeoutMs) : { outcome: 'lost' };
+    },
+    onLink,
+    close: async () => {
+      closed = true;
+      endWait();
+      await task;
+      await Promise.all([...dialled.values()].map(({ client }) => client.close()));
+    },
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/links.ts
@@ -0,0 +1,90 @@
+/** This agent's links: from entries, and with the other agents of its expert group. */
+
+import type { AgentSettings, Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import type { IntentLinks } from '@plantaindrum/intent';
+import type {
+  CallHandler,
+  FrameHandler,
+  Link,
+  LinkClient,
+  LinkLimits,
+  LinkOptions,
+  LinkServer,
+  Load,
+} from '@plantaindrum/link';
+import {
+  createLinkClient,
+  createLinkServer,
+  defaultBackoff,
+  defaultLinkLimits,
+} from '@plantaindrum/link';
+
+/** What links need. */
+export interface AgentLinksOptions {
+  settings: AgentSettings;
+  instance: string;
+  intent: IntentLinks;
+  load: () => Load;
+  /** Takes each link of an entry; the result takes its frames. */
+  onEntry: (link: Link) => FrameHandler;
+  limits?: Partial<LinkLimits>;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: Logger;
+}
+
+/** The links of an agent. */
+export interface AgentLinks {
+  /** Serves further methods that peers may call. */
+  serve(handlers: Record<string, CallHandler>): void;
+  /** Tells of each link with another agent. */
+  onAgent(fn: (link: Link) => void): void;
+  /** Starts to keep another agent linked. */
+  connect(address: { host: string; port: number }): LinkClient;
+  /** Starts to accept links; rejects when the address can't be listened on. */
+  listen(): Promise<LinkServer>;
+}
+
+const ignoreFrames: FrameHandler = () => {};
+
+/** Creates the links of an agent, none open yet. */
+export const createAgentLinks = (options: AgentLinksOptions): AgentLinks => {
+  const { settings, instance, intent, clock, random, metrics, log } = options;
+  const { name, dataCentre, region } = settings.node;
+  const { frameBytes, connections } = settings.limits;
+  const handlers: Record<string, CallHandler> = { ...intent.handlers };
+  let tellOfAgent: (link: Link) => void = () => {};
+
+  const onLink = (link: Link): FrameHandler => {
+    intent.onLink(link);
+    if (link.peer.role === 'entry') return options.onEntry(link);
+    tellOfAgent(link);
+    return ignoreFrames;
+  };
+
+  const linkOptions: LinkOptions = {
+    identity: { role: 'agent', node: name, instance, dataCentre, region },
+    intentOffset: intent.intentOffset,
+    onPeerOffset: intent.onPeerOffset,
+    load: options.load,
+    limits: { ...defaultLinkLimits, ...options.limits, frameBytes, connections },
+    handlers,
+    onLink,
+    clock,
+    metrics,
+    log,
+  };
+
+  return {
+    serve: (more) => {
+      Object.assign(handlers, more);
+    },
+    onAgent: (fn) => {
+      tellOfAgent = fn;
+    },
+    connect: (address) =>
+      createLinkClient({ ...linkOptions, connect: address, backoff: defaultBackoff, random }),
+    listen: () => createLinkServer({ ...linkOptions, listen: settings.link }),
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/status.ts
@@ -0,0 +1,52 @@
+/** What this agent tells operators. */
+
+import type { AgentSettings } from '@plantaindrum/common';
+import type { IntentFreshness, IntentReader } from '@plantaindrum/intent';
+import type { Load } from '@plantaindrum/link';
+import type { AttemptDesk } from './attempts/types.js';
+
+/** The document of `GET /status`, and of the call `node.status`. */
+export interface AgentStatus {
+  node: AgentSettings['node'] & { role: 'agent'; instance: string };
+  ready: boolean;
+  upstream: AgentSettings['upstream'];
+  /** Requests that are queued or running. */
+  inFlight: number;
+  load: Load;
+  attempts: ReturnType<AttemptDesk['counts']>;
+  /** Entries that are linked. */
+  entries: number;
+  intent: { offset: number; freshness: IntentFreshness };
+  /** Its part in its expert group. */
+  group?: unknown;
+}
+
+/** What a status is made from. */
+export interface AgentStatusOptions {
+  settings: AgentSettings;
+  instance: string;
+  ready: () => boolean;
+  load: () => Load;
+  desk: AttemptDesk;
+  entries: () => number;
+  intent: IntentReader;
+  group: () => unknown;
+}
+
+/** Makes the document of `GET /status`. */
+export const agentStatus = (options: AgentStatusOptions): AgentStatus => {
+  const { settings, instance, desk, intent } = options;
+  const attempts = desk.counts();
+  const group = options.group();
+  return {
+    node: { ...settings.node, role: 'agent', instance },
+    ready: options.ready(),
+    upstream: settings.upstream,
+    inFlight: attempts.queued + attempts.running,
+    load: options.load(),
+    attempts,
+    entries: options.entries(),
+    intent: { offset: intent.current().offset, freshness: intent.freshness() },
+    ...(group !== undefined && { group }),
+  };
+};
