--- a/packages/plantaindrum/src/core/upstreams/upstream.ts
+++ b/packages/plantaindrum/src/core/upstreams/upstream.ts
@@ -116,7 +116,9 @@
       const chosen = link;
       if (!chosen) return false;
       await chosen.drained();
-      return chosen.send(frame);
+      const isSent = chosen.send(frame);
+      if (isSent) metrics.count('dispatches', { upstream: vm.name });
+      return isSent;
     },
     query: (id, headReceived, received) =>
       link?.send({ t: 'query', id, headReceived, received }) ?? false,
