Experiments drain and recovery over real processes

Cause: a stop must cut nothing, and a dead upstream must get nothing new soon. Change: two data centres under the live-sale load with long streams in it; stop of a data centre, of an upstream's VM, of an entry; an agent killed or frozen while the list goes on to show it.

--- /dev/null
+++ b/packages/lab/src/experiments/drain.ts
@@ -0,0 +1,130 @@
+/** A planned stop under load: what is cut, and how long it takes until nothing is in flight. */
+
+import { setTimeout as delay } from 'node:timers/promises';
+import { request } from 'undici';
+import type { LoadCall } from '../harness/load.js';
+import { OPERATORS_TOKEN } from '../harness/operators.js';
+import type { Site } from '../harness/site-types.js';
+import {
+  countOutcomes,
+  probeEntries,
+  setDataCentre,
+  startMixedLoad,
+  startTwoDataCentres,
+  STOPPED,
+} from './drain-site.js';
+import type { ExperimentOptions } from './table.js';
+
+interface DrainFigures {
+  what: string;
+  sent: number;
+  outcomes: Record<string, number>;
+  /** Ended without a whole answer or a refusal that says that it did not run. */
+  cut: number;
+  /** From the order to nothing in flight (a data centre) or the end of the process (one VM). */
+  drainMs: number;
+  exitCode: number | null | undefined;
+}
+
+const BEFORE_MS = 3_000;
+const AFTER_MS = 5_000;
+const POLL_MS = 100;
+const QUIET_READINGS = 3;
+const LONGEST_DRAIN_MS = 60_000;
+
+interface NodeInFlight {
+  node: string;
+  role: string;
+  inFlight?: number;
+}
+
+const isCut = ({ result }: LoadCall): boolean =>
+  result.outcome !== 'answered' && result.outcome !== 'not-run';
+
+const inFlight = async (site: Site, dataCentre: string): Promise<NodeInFlight[]> => {
+  const door = site.entry(1).process.ready.operators;
+  const headers = { authorization: `Bearer ${OPERATORS_TOKEN}` };
+  const res = await request(`${door}/in-flight?data-centre=${dataCentre}`, { headers });
+  return (await res.body.json()) as NodeInFlight[];
+};
+
+/** What `plantaindrum data-centre stop` waits for, and the time that it took. */
+const untilQuiet = async (site: Site): Promise<number> => {
+  const begun = performance.now();
+  for (let quiet = 0; quiet < QUIET_READINGS;) {
+    const nodes = await inFlight(site, STOPPED);
+    quiet = nodes.some((node) => (node.inFlight ?? 0) > 0) ? 0 : quiet + 1;
+    if (performance.now() - begun > LONGEST_DRAIN_MS) return Infinity;
+    await delay(POLL_MS);
+  }
+  return performance.now() - begun;
+};
+
+interface Drained {
+  drainMs: number;
+  exitCode?: number | null;
+}
+
+const stopDataCentre = async (site: Site): Promise<Drained> => {
+  await setDataCentre(site, STOPPED, 'stopped');
+  return { drainMs: await untilQuiet(site) };
+};
+
+const stopAgent = async (site: Site): Promise<Drained> => {
+  const begun = performance.now();
+  const exit = await site.upstream(`lot-writer-${STOPPED}-1`).agent.stop(LONGEST_DRAIN_MS);
+  return { drainMs: performance.now() - begun, exitCode: exit.code };
+};
+
+const stopEntry = async (site: Site): Promise<Drained> => {
+  const begun = performance.now();
+  const exit = await site.entry(0).process.stop(LONGEST_DRAIN_MS);
+  return { drainMs: performance.now() - begun, exitCode: exit.code };
+};
+
+const measure = async (
+  what: string,
+  stop: (site: Site) => Promise<Drained>,
+  options: ExperimentOptions,
+): Promise<DrainFigures> => {
+  const site = await startTwoDataCentres();
+  const probed = probeEntries(site.entries);
+  try {
+    const load = startMixedLoad(probed.urls, {
+      seed: options.seed,
+      durationMs: BEFORE_MS + AFTER_MS,
+      run: what,
+      scale: options.quick ? 1 : 2,
+    });
+    await delay(BEFORE_MS);
+    const { drainMs, exitCode } = await stop(site);
+    const calls = await load.finished;
+    const figures = {
+      what,
+      sent: calls.length,
+      outcomes: countOutcomes(calls),
+      cut: calls.filter(isCut).length,
+      drainMs: Math.round(drainMs),
+      exitCode,
+    };
+    options.print(
+      `${what}: ${figures.sent} calls, ${figures.cut} cut, drained after ${figures.drainMs} ms, ${JSON.stringify(figures.outcomes)}`,
+    );
+    return figures;
+  } finally {
+    probed.stop();
+    await site.close();
+  }
+};
+
+/** Stops a data centre, one upstream's VM and one entry, each under load. */
+export const runDrain = async (options: ExperimentOptions): Promise<Record<string, unknown>> => ({
+  experiment: 'drain',
+  runs: [
+    await measure('data-centre-stop', stopDataCentre, options),
+    await measure('upstream-vm-sigterm', stopAgent, options),
+    await measure('entry-vm-sigterm', stopEntry, options),
+  ],
+});
+
+export { runDrain as run };
--- /dev/null
+++ b/packages/lab/src/experiments/recovery.ts
@@ -0,0 +1,130 @@
+/** Death of an upstream's VM under load: when the last request goes there, and what is lost. */
+
+import { setTimeout as delay } from 'node:timers/promises';
+import type { LoadCall } from '../harness/load.js';
+import type { Site, SiteUpstream } from '../harness/site-types.js';
+import {
+  countOutcomes,
+  probeEntries,
+  startMixedLoad,
+  startTwoDataCentres,
+  STOPPED,
+} from './drain-site.js';
+import type { ExperimentOptions } from './table.js';
+
+interface RecoveryFigures {
+  what: string;
+  sent: number;
+  outcomes: Record<string, number>;
+  /** Ended with no whole answer, no refusal and no statement: must be 0. */
+  lost: number;
+  refused: number;
+  unknown: number;
+  /** From the failure to the last request dispatched to that upstream, seen every 25 ms. */
+  lastDispatchMs: number;
+  /** Requests dispatched there after the failure. */
+  dispatchedAfter: number;
+}
+
+const BEFORE_MS = 3_000;
+const AFTER_MS = 9_000;
+const POLL_MS = 25;
+
+const dispatchedTo = async (site: Site, upstream: string): Promise<number> => {
+  const name = 'plantaindrum_dispatches_total';
+  const counts = await Promise.all(
+    site.entries.map(({ operators }) => operators.counter(name, { upstream })),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+};
+
+interface Watch {
+  lastMs: number;
+  dispatched: number;
+}
+
+/** Watches the dispatches to one upstream until `done`. */
+const watchDispatches = async (
+  site: Site,
+  upstream: string,
+  done: Promise<unknown>,
+): Promise<Watch> => {
+  let running = true;
+  void done.then(() => {
+    running = false;
+  });
+  const begun = performance.now();
+  const first = await dispatchedTo(site, upstream);
+  let count = first;
+  let lastMs = 0;
+  while (running) {
+    const now = await dispatchedTo(site, upstream);
+    if (now > count) lastMs = performance.now() - begun;
+    count = now;
+    await delay(POLL_MS);
+  }
+  return { lastMs, dispatched: count - first };
+};
+
+const figuresOf = (
+  what: string,
+  calls: LoadCall[],
+  lastMs: number,
+  dispatchedAfter: number,
+): RecoveryFigures => {
+  const count = (...outcomes: string[]): number =>
+    calls.filter(({ result }) => outcomes.includes(result.outcome)).length;
+  return {
+    what,
+    sent: calls.length,
+    outcomes: countOutcomes(calls),
+    lost: count('broken', 'error'),
+    refused: count('not-run'),
+    unknown: count('unknown'),
+    lastDispatchMs: Math.round(lastMs),
+    dispatchedAfter,
+  };
+};
+
+const measure = async (
+  what: string,
+  fail: (upstream: SiteUpstream) => void,
+  options: ExperimentOptions,
+): Promise<RecoveryFigures> => {
+  const site = await startTwoDataCentres();
+  const probed = probeEntries(site.entries);
+  const upstream = site.upstream(`lot-writer-${STOPPED}-1`);
+  try {
+    const load = startMixedLoad(probed.urls, {
+      seed: options.seed,
+      durationMs: BEFORE_MS + AFTER_MS,
+      run: what,
+      scale: options.quick ? 1 : 2,
+    });
+    await delay(BEFORE_MS);
+    fail(upstream);
+    const { lastMs, dispatched } = await watchDispatches(site, upstream.name, load.finished);
+    const calls = await load.finished;
+    const figures = figuresOf(what, calls, lastMs, dispatched);
+    options.print(
+      `${what}: last dispatch ${figures.lastDispatchMs} ms after the failure (${dispatched} after it), lost ${figures.lost}, ${JSON.stringify(figures.outcomes)}`,
+    );
+    return figures;
+  } finally {
+    probed.stop();
+    await site.close();
+  }
+};
+
+/** Kills, and freezes, the agent of an upstream; the list shows it as live for the whole run. */
+export const runRecovery = async (
+  options: ExperimentOptions,
+): Promise<Record<string, unknown>> => ({
+  experiment: 'recovery',
+  runs: [
+    await measure('agent-killed', ({ agent }) => agent.signal('SIGKILL'), options),
+    await measure('agent-frozen', ({ agent }) => agent.signal('SIGSTOP'), options),
+  ],
+});
+
+export { runRecovery as run };
