Claims: a release can be waited for

Cause: work that a first agent gave back as not run can be retried through another agent before the release is in the log; it is then refused as held. Change: release resolves once the log has the record, at most after waitMs.

--- a/packages/requests/src/claims/claims.ts
+++ b/packages/requests/src/claims/claims.ts
@@ -54,6 +54,8 @@
 const REAPPEND_PAUSE_MS = 50;
 /** A log that fails this often in a row is given up on. */
 const MOST_TRIES = 3;
+/** How long a release is waited for, in milliseconds. */
+const DEFAULT_RELEASE_WAIT_MS = 500;
 /** A larger answer is not kept with its key, in bytes of base64. */
 const MOST_KEPT_BODY = 1_024;
 
@@ -116,8 +118,11 @@
     };
   };
 
-  const release = ({ partition, record }: Pick<Attempt, 'partition' | 'record'>) => {
-    tail.add(partition, { kind: 'release', id: record.id, key: record.key });
+  const release = (partition: number, id: ClaimId, key: string): Promise<void> =>
+    tail.add(partition, { kind: 'release', id, key });
+
+  const giveBack = ({ partition, record }: Attempt) => {
+    void release(partition, record.id, record.key);
   };
 
   const pause = (ms: number) =>
@@ -153,7 +158,7 @@
     // Checked after the replay, not before: an agent that slept in between could otherwise find its
     // claim first only because the log has dropped the earlier one.
     if (isExpired(request.key)) {
-      if (standing === 'first') release(attempt);
+      if (standing === 'first') giveBack(attempt);
       return { verdict: 'key-expired' };
     }
     if (standing === 'first') {
@@ -207,7 +212,7 @@
     });
     const verdict = await Promise.race([settle(attempt, () => isLate), timeout]);
     cancelTimer();
-    if (verdict?.verdict === 'not-confirmed') release(attempt);
+    if (verdict?.verdict === 'not-confirmed') giveBack(attempt);
     return verdict;
   };
 
@@ -239,11 +244,18 @@
       const ended = end(claim);
       if (!ended) return;
       const { key, partition } = ended;
-      tail.add(partition, { kind: 'finish', id: claim, key, outcome: withoutLargeBody(outcome) });
+      void tail.add(partition, {
+        kind: 'finish',
+        id: claim,
+        key,
+        outcome: withoutLargeBody(outcome),
+      });
     },
-    release: (claim) => {
+    release: async (claim, waitMs = DEFAULT_RELEASE_WAIT_MS) => {
       const ended = end(claim);
-      if (ended) tail.add(ended.partition, { kind: 'release', id: claim, key: ended.key });
+      if (!ended) return;
+      const landed = release(ended.partition, claim, ended.key);
+      await Promise.race([landed, pause(waitMs)]);
     },
     abandon: (claim) => {
       end(claim);
--- a/packages/requests/src/claims/tail-appender.ts
+++ b/packages/requests/src/claims/tail-appender.ts
@@ -5,7 +5,8 @@
 
 /** Appends records that nobody waits for (ends and releases) until the log has them. */
 export interface TailAppender {
-  add(partition: number, record: ClaimLogRecord): void;
+  /** Resolves when the record has landed or is given up. */
+  add(partition: number, record: ClaimLogRecord): Promise<void>;
   /** Resolves when all has landed, or after `ms` milliseconds. */
   flush(ms: number): Promise<void>;
   close(): void;
@@ -58,7 +59,7 @@
   return {
     add: (partition, record) => {
       pending += 1;
-      void run(partition, record);
+      return run(partition, record);
     },
     flush: (ms) =>
       new Promise((resolve) => {
--- a/packages/requests/src/claims/types.ts
+++ b/packages/requests/src/claims/types.ts
@@ -46,8 +46,12 @@
   claim(request: ClaimRequest): Promise<ClaimVerdict>;
   /** The call of a `first` claim was answered; a later call with its key gets this outcome. */
   finish(claim: ClaimId, outcome: ClaimOutcome): void;
-  /** The call of a `first` claim provably never ran: its key is free again. */
-  release(claim: ClaimId): void;
+  /**
+   * The call of a `first` claim provably never ran: its key is free again. Resolves when the log has
+   * taken the release, or after `waitMs`; a retry through another agent before that is refused as
+   * held.
+   */
+  release(claim: ClaimId, waitMs?: number): Promise<void>;
   /** The call of a `first` claim ended in an unknown way: the key stays taken. */
   abandon(claim: ClaimId): void;
   /** Resolves when nothing waits to be appended any more, or `ms` have passed. */
--- a/packages/requests/test/claims.test.ts
+++ b/packages/requests/test/claims.test.ts
@@ -92,8 +92,8 @@
   it('frees the key of a call that provably never ran', async () => {
     const { clock, agent } = worldWith();
     const [kent, lynnwood] = [agent('kent'), agent('lynnwood')];
-    kent.release(claimIdOf(await settled(clock, kent.claim(request()))));
-    await settled(clock, kent.flush(1000));
+    const first = claimIdOf(await settled(clock, kent.claim(request())));
+    await settled(clock, kent.release(first));
     const second = await settled(clock, lynnwood.claim(request()));
     expect(second.verdict).to.equal('first');
     expect((await settled(clock, kent.claim(request()))).verdict).to.equal('held');
@@ -236,7 +236,7 @@
         if (verdict.verdict === 'first') {
           if (end !== 'release') runs.set(key, (runs.get(key) ?? 0) + 1);
           if (end === 'finish') claims.finish(verdict.claim, { status: 200 });
-          if (end === 'release') claims.release(verdict.claim);
+          if (end === 'release') void claims.release(verdict.claim);
           if (end === 'abandon') claims.abandon(verdict.claim);
           if (end === 'crash') agents.set(name, agent(`${name}-again-${open}`));
         }
