Engine stand-in: stale, missing and noisy reports, popularity that changes to and fro

Cause: a plan must not flap on lagging or missing reports, nor on release cycles; no live test could cause them. Change: groupReport and timeNoise among an engine's faults, the motion cycle; lab reads starts by completion id in place of a field that the engines no longer have.

--- a/packages/lab/src/experiments/overload-processes.ts
+++ b/packages/lab/src/experiments/overload-processes.ts
@@ -3,7 +3,7 @@
 import { startSite } from '../harness/site.js';
 import type { Site, SiteSpec } from '../harness/site-types.js';
 import { smallSite } from '../harness/small-site.js';
-import { getJson, groupOracle, serviceCounts } from '../harness/stand-ins.js';
+import { generationStarts, groupOracle, serviceCounts } from '../harness/stand-ins.js';
 import { round } from '../harness/statistics.js';
 import { exampleKey } from '../harness/traffic.js';
 import type { ExperimentOptions } from './table.js';
@@ -99,9 +99,7 @@
   const services = site.services.flatMap(({ processes }) => processes);
   const counts = await Promise.all(services.map(({ ready }) => serviceCounts(ready.control)));
   const starts = await Promise.all(
-    site.groups.map(({ process }) =>
-      getJson<Record<string, number>>(`${process.ready.control}/starts`),
-    ),
+    site.groups.map(({ process }) => generationStarts(process.ready.control)),
   );
   return { byPath: sumOf(counts.map(({ byPath }) => byPath)), byCompletion: sumOf(starts) };
 };
--- a/packages/lab/src/harness/stand-ins.ts
+++ b/packages/lab/src/harness/stand-ins.ts
@@ -93,7 +93,6 @@
   finished: number;
   cancelled: number;
   tokens: number;
-  startedByKey: Record<string, number>;
 }
 
 /** What the oracle of an expert group saw. */
@@ -110,5 +109,9 @@
 /** The state of a group's engines, from its control address. */
 export const engineViews = (control: string) => getJson<EngineView[]>(`${control}/state`);
 
+/** Generations started over a group's engines, by completion id, from its control address. */
+export const generationStarts = (control: string) =>
+  getJson<Record<string, number>>(`${control}/starts`);
+
 /** What a group's oracle saw, from its control address. */
 export const groupOracle = (control: string) => getJson<GroupOracle>(`${control}/oracle`);
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -78,6 +78,20 @@
   return true;
 };
 
+/** Serves `GET /group`; a stale report stays as the last live one was. */
+const createGroupReport = (engine: Engine): ((res: ServerResponse) => void) => {
+  let last: unknown;
+  return (res) => {
+    const { groupReport } = engine.faults;
+    if (groupReport === 'missing') {
+      sendJson(res, 503, {});
+      return;
+    }
+    if (groupReport === 'live' || last === undefined) last = groupView(engine);
+    sendJson(res, 200, last);
+  };
+};
+
 /** Creates the handler of one engine's address. */
 export const createEngineHandler = (
   engine: Engine,
@@ -85,6 +99,8 @@
   changed: Signal,
   onOrder: () => void,
 ): Handler => {
+  const sendGroup = createGroupReport(engine);
+
   const carryOut = async (name: string, body: OrderBody): Promise<OrderOutcome> => {
     const { memory } = engine;
     const fenced = checkFence(memory.state, body, engine.faults.checksFence);
@@ -165,7 +181,7 @@
     }
     if (pathname === '/metrics') res.end(metricsText(engine));
     else if (pathname === '/kv-events') serveEvents(engine, res);
-    else if (pathname === '/group') sendJson(res, 200, groupView(engine));
+    else if (pathname === '/group') sendGroup(res);
     else if (pathname === '/health') sendJson(res, engine.faults.healthy ? 200 : 503, {});
     else sendJson(res, 404, {});
   };
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -27,6 +27,10 @@
   speeds: number[];
   /** Refuses orders with an old fence. */
   checksFence: boolean;
+  /** What `GET /group` shows: the state now, as its last live report was, or nothing (503). */
+  groupReport: 'live' | 'stale' | 'missing';
+  /** Each step's time varies by up to this share. */
+  timeNoise: number;
   /** Share of cache events that are lost. */
   eventDropShare: number;
   healthy: boolean;
@@ -117,6 +121,8 @@
     frozen: false,
     speeds: ranks.map(() => 1),
     checksFence: options.checksFence,
+    groupReport: 'live',
+    timeNoise: 0,
     eventDropShare: options.eventDropShare,
     healthy: true,
     refuses: false,
--- a/packages/stand-ins/src/engine/group-stand-in.ts
+++ b/packages/stand-ins/src/engine/group-stand-in.ts
@@ -120,6 +120,7 @@
   const stepper = createStepper({
     engines,
     clock: cfg.clock,
+    random: createSeededRandom(cfg.seed + 1),
     popularity,
     oracle,
     stepUs: cfg.stepMs * 1000,
--- a/packages/stand-ins/src/engine/stepper.ts
+++ b/packages/stand-ins/src/engine/stepper.ts
@@ -1,5 +1,5 @@
 /** Lock-step: the ranks that were formed into one group make each step together or not at all. */
-import type { Clock } from '@plantaindrum/common';
+import type { Clock, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import type { Signal } from '../signal.js';
 import type { Engine } from './engine.js';
@@ -14,6 +14,8 @@
 export interface StepperOptions {
   engines: Engine[];
   clock: Clock;
+  /** Draws the noise of step times. */
+  random: Random;
   popularity: Popularity;
   oracle: Oracle;
   /** Time of a step under the base load spread evenly, in microseconds. */
@@ -100,8 +102,10 @@
       engine.ranks.forEach((rank, at) => {
         const load = (loads.get(rank) ?? 0) / usual;
         const us = options.stepUs * (FIXED_SHARE + (1 - FIXED_SHARE) * load);
+        const { speeds, timeNoise } = engine.faults;
+        const noise = timeNoise === 0 ? 1 : 1 + timeNoise * (2 * options.random() - 1);
         // eslint-disable-next-line no-param-reassign
-        engine.rankUs[at] = us / (engine.faults.speeds[at] ?? 1);
+        engine.rankUs[at] = (us * noise) / (speeds[at] ?? 1);
       }),
     );
   };
--- a/packages/stand-ins/test/engine.test.ts
+++ b/packages/stand-ins/test/engine.test.ts
@@ -1,6 +1,7 @@
 import { createManualClock, createSeededRandom } from '@plantaindrum/common';
 import { expect } from 'chai';
 import { request } from 'undici';
+import { createPopularity } from '../src/engine/popularity.js';
 import { createPrefixCache } from '../src/engine/prefix-cache.js';
 import type { EngineGroupStandIn } from '../src/index.js';
 import { answerText, createEngineGroupStandIn, promptBlocks, streamBody } from '../src/index.js';
@@ -134,3 +135,30 @@
     expect(lagged.get()).to.equal('new');
   });
 });
+
+describe('popularity of experts', () => {
+  const moves = (motion: 'steady' | 'drift' | 'shift' | 'cycle') => {
+    const popularity = createPopularity(1, 16, 5);
+    const before = popularity.at(1)[0];
+    popularity.move(motion);
+    return [1, 2, 2001, 4001].map((step) => {
+      const shares = popularity.at(step)[0] ?? [];
+      expect(shares.reduce((sum, share) => sum + share, 0)).to.be.closeTo(1, 1e-9);
+      return shares.every((share, expert) => share === before?.[expert]) ? 'same' : 'other';
+    });
+  };
+
+  it('stays, drifts, shifts at once, or changes to and fro', () => {
+    expect({
+      steady: moves('steady'),
+      drift: moves('drift'),
+      shift: moves('shift'),
+      cycle: moves('cycle'),
+    }).to.deep.equal({
+      steady: ['same', 'same', 'same', 'same'],
+      drift: ['other', 'other', 'other', 'other'],
+      shift: ['other', 'other', 'other', 'other'],
+      cycle: ['same', 'same', 'other', 'same'],
+    });
+  });
+});
--- a/packages/stand-ins/test/lock-step.test.ts
+++ b/packages/stand-ins/test/lock-step.test.ts
@@ -167,6 +167,24 @@
     expect(group.oracle(1).recent[0]?.rankUs).to.not.deep.equal(before);
   });
 
+  it('shows a stale report or none while it steps on, and noisy step times', async () => {
+    await start();
+    const step = async () => (await ranks(0)).step as number;
+    await step();
+    await call(`${group.control}/faults`, { body: { engine: 0, groupReport: 'stale' } });
+    const stale = await step();
+    await awaitSteps(2);
+    expect(await step()).to.equal(stale);
+    group.setFaults(0, { groupReport: 'missing' });
+    expect((await call(`${group.engines[0]}/group`)).status).to.equal(503);
+    group.setFaults(0, { groupReport: 'live', timeNoise: 0.2 });
+    await awaitSteps(4);
+    expect(await step()).to.be.greaterThan(stale);
+    const times = group.oracle(2).recent.map(({ rankUs }) => rankUs);
+    expect(times[0]?.[0]).to.not.equal(times[1]?.[0]);
+    expect(times[0]?.[1]).to.equal(times[1]?.[1]);
+  });
+
   it('loads weights in spite of the rate limit and broken answers', async () => {
     const store = await createWeightStoreStandIn({ expertBytes: 100 });
     store.breakOff(2);
