Agent: keyed calls run at most once, by claims in the log

Cause: a client that comes again through another entry had its call run twice. Ruled out: taking the claim on arrival; a refusal by the queue would then need a second append. Change: claim when the call's turn has come; finish, release or abandon it by the outcome; a repeat gets the known answer, marked x-plantaindrum-replayed. Reasons duplicate-in-progress and duplicate-known.

--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -9,12 +9,13 @@
 import { NODE_STATUS } from '@plantaindrum/link';
 import type { Log } from '@plantaindrum/platform';
 import { createLogClient, createVmListClient } from '@plantaindrum/platform';
-import type { AgentQueue } from '@plantaindrum/requests';
-import { createAgentQueue, createAttemptLedger } from '@plantaindrum/requests';
+import type { AgentQueue, Claims } from '@plantaindrum/requests';
+import { createAgentQueue, createAttemptLedger, createClaims } from '@plantaindrum/requests';
 import type { DeskLimits } from './attempts/desk.js';
 import { createAttemptDesk } from './attempts/desk.js';
 import { runAttempt } from './attempts/run-attempt.js';
-import type { QueuedAttempt } from './attempts/types.js';
+import { createKeyedRunner } from './attempts/run-keyed.js';
+import type { AttemptRunner, QueuedAttempt } from './attempts/types.js';
 import { createEntries } from './entries.js';
 import { createExpertGroup } from './group/group.js';
 import { createAgentLinks } from './links.js';
@@ -23,6 +24,8 @@
 import type { Upstream } from './upstream/upstream.js';
 import { createUpstream } from './upstream/upstream.js';
 
+/** Longest wait for the ends of keyed calls to reach the log when the agent stops. */
+const CLAIMS_FLUSH_MS = 3_000;
 const UNDELIVERED_FOR_EACH_SLOT = 8;
 
 const defaultDeskLimits = { rememberMs: 60_000, most: 4_096, graceMs: 5_000 };
@@ -59,8 +62,26 @@
   return createAgentQueue({ clock, random, capacity, concurrency });
 };
 
+const createRunner = (
+  { clock, metrics }: AgentOptions,
+  upstream: Upstream,
+  claims: Claims,
+): AttemptRunner => {
+  const runKeyed = createKeyedRunner({
+    claims,
+    run: (attempt, work, begin, observe) =>
+      runAttempt(attempt, work, begin, { upstream, metrics, observe }),
+    clock,
+    metrics,
+  });
+  return (attempt, work, begin) =>
+    work.idempotency
+      ? runKeyed(attempt, work, work.idempotency, begin)
+      : runAttempt(attempt, work, begin, { upstream, metrics });
+};
+
 interface DeskParts {
-  upstream: Upstream;
+  run: AttemptRunner;
   queue: AgentQueue<QueuedAttempt>;
   load: () => Load;
   isClosedTo: (entry: Link) => boolean;
@@ -69,11 +90,11 @@
 const createDesk = (options: AgentOptions, parts: DeskParts) => {
   const { clock, metrics } = options;
   const { concurrency } = options.settings.limits;
-  const { upstream, queue, load, isClosedTo } = parts;
+  const { run, queue, load, isClosedTo } = parts;
   return createAttemptDesk({
     queue,
     ledger: createAttemptLedger(),
-    run: (attempt, work, begin) => runAttempt(attempt, work, begin, { upstream, metrics }),
+    run,
     load,
     isClosedTo,
     limits: {
@@ -98,6 +119,8 @@
   const upstream = createUpstream(settings.upstream.url);
   const intent = createIntent(options, platformLog);
   const queue = createQueue(options);
+  const claims = createClaims({ clock, log: platformLog, metrics, instance });
+  const run = createRunner(options, upstream, claims);
 
   const load = (): Load => {
     const { queued, running, drainPerSecond, leaving } = queue.load();
@@ -109,7 +132,7 @@
     isStopped(intent.current().document, node.dataCentre);
   const isReady = (): boolean => intent.freshness().caughtUp && !load().leaving;
 
-  const desk = createDesk(options, { upstream, queue, load, isClosedTo });
+  const desk = createDesk(options, { run, queue, load, isClosedTo });
   const entries = createEntries({ desk, isLeaving: () => load().leaving, metrics, log });
   const links = createAgentLinks({
     settings,
@@ -169,6 +192,8 @@
     desk.leave();
     entries.announceLeaving();
     await desk.idle();
+    await claims.flush(CLAIMS_FLUSH_MS);
+    claims.close();
     await group?.close();
     await server.close();
     desk.close();
--- /dev/null
+++ b/packages/agent/src/core/attempts/answer-copy.ts
@@ -0,0 +1,36 @@
+import type { ClaimOutcome } from '@plantaindrum/requests';
+import type { AnswerObserver } from './run-attempt.js';
+
+/** Longer answers are not kept with their key. */
+const MAX_COPIED_BYTES = 768;
+
+/** A copy of a small answer, taken as it passes. */
+export interface AnswerCopy extends AnswerObserver {
+  /** The answer as a claim keeps it; without a body when that was too long. */
+  outcome(): ClaimOutcome;
+}
+
+/** Creates an empty copy. */
+export const createAnswerCopy = (): AnswerCopy => {
+  let status = 0;
+  let contentType: string | undefined;
+  let parts: Uint8Array[] | undefined = [];
+  let bytes = 0;
+
+  return {
+    head: (code, headers) => {
+      status = code;
+      contentType = headers['content-type'];
+    },
+    data: (part) => {
+      bytes += part.length;
+      if (bytes > MAX_COPIED_BYTES) parts = undefined;
+      parts?.push(part);
+    },
+    outcome: () => ({
+      status,
+      ...(contentType !== undefined && { contentType }),
+      ...(parts && { body: Buffer.concat(parts).toString('base64') }),
+    }),
+  };
+};
--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -7,10 +7,17 @@
 
 const UNREACHABLE_RETRY_MS = 1_000;
 
+/** Sees an answer as it passes. */
+export interface AnswerObserver {
+  head(status: number, headers: Record<string, string>): void;
+  data(bytes: Uint8Array): void;
+}
+
 /** What running an attempt needs. */
 export interface RunAttemptOptions {
   upstream: Upstream;
   metrics: Metrics;
+  observe?: AnswerObserver;
 }
 
 const outcomeOf = (ended: UpstreamOutcome, cancelled: boolean): AttemptOutcome => {
@@ -28,7 +35,7 @@
   attempt: Attempt,
   work: Dispatch,
   begin: () => boolean,
-  { upstream, metrics }: RunAttemptOptions,
+  { upstream, metrics, observe }: RunAttemptOptions,
 ): Promise<AttemptOutcome> => {
   if (!begin()) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
   const { answer, abort } = attempt;
@@ -42,8 +49,14 @@
         metrics.count('attempts_started', { class: work.class, organisation: work.organisation });
         answer.link()?.send({ t: 'started', id: attempt.id });
       },
-      head: answer.head,
-      data: answer.write,
+      head: (status, fields) => {
+        observe?.head(status, fields);
+        answer.head(status, fields);
+      },
+      data: (bytes) => {
+        observe?.data(bytes);
+        return answer.write(bytes);
+      },
     },
     abort.signal,
   );
--- /dev/null
+++ b/packages/agent/src/core/attempts/run-keyed.ts
@@ -0,0 +1,107 @@
+/** Runs calls that carry an idempotency key, each at most once over all agents. */
+
+import type { Clock, Metrics } from '@plantaindrum/common';
+import type { AgentReason, Dispatch, IdempotencyKey } from '@plantaindrum/link';
+import type { ClaimId, ClaimOutcome, Claims, ClaimVerdict } from '@plantaindrum/requests';
+import type { AttemptOutcome } from './answer.js';
+import { createAnswerCopy } from './answer-copy.js';
+import type { Attempt } from './attempt.js';
+import type { AnswerObserver } from './run-attempt.js';
+
+/** Least time that a claim is given, in milliseconds. */
+const MIN_CLAIM_MS = 100;
+const DUPLICATE_RETRY_MS = 1_000;
+/** Tells the caller that the call ran earlier and this is the answer it had. */
+const REPLAYED = { 'x-plantaindrum-replayed': 'true' };
+
+/** What running keyed calls needs. */
+export interface KeyedRunnerOptions {
+  claims: Claims;
+  /** Runs the call at the upstream. */
+  run: (
+    attempt: Attempt,
+    work: Dispatch,
+    begin: () => boolean,
+    observe: AnswerObserver,
+  ) => Promise<AttemptOutcome>;
+  clock: Clock;
+  metrics: Metrics;
+}
+
+const notRun = (reason: AgentReason, retryAfterMs: number): AttemptOutcome => ({
+  outcome: 'not-run',
+  reason,
+  retryAfterMs,
+});
+
+/** Why a call without the right to run did not run. */
+const refusalOf = (
+  verdict: Exclude<ClaimVerdict, { verdict: 'first' | 'known' }>,
+): AttemptOutcome => {
+  switch (verdict.verdict) {
+    case 'held':
+      return notRun(
+        verdict.runningHere ? 'duplicate-in-progress' : 'claim-lost',
+        DUPLICATE_RETRY_MS,
+      );
+    case 'key-reused':
+      return notRun('claim-key-reused', 0);
+    case 'key-expired':
+      return notRun('claim-key-expired', 0);
+    case 'log-down':
+      return notRun('claim-log-down', verdict.retryAfterMs);
+    default:
+      return notRun('claim-not-confirmed', verdict.retryAfterMs);
+  }
+};
+
+/** Gives the answer of the earlier call with the same key, if it is still held. */
+const replay = (attempt: Attempt, known: ClaimOutcome, begin: () => boolean): AttemptOutcome => {
+  if (known.body === undefined) return notRun('duplicate-known', DUPLICATE_RETRY_MS);
+  if (!begin()) return notRun('cancelled', 0);
+  const headers: Record<string, string> = { ...REPLAYED };
+  if (known.contentType !== undefined) headers['content-type'] = known.contentType;
+  attempt.answer.head(known.status, headers);
+  const body = Buffer.from(known.body, 'base64');
+  if (body.length > 0) void attempt.answer.write(body);
+  return { outcome: 'answered' };
+};
+
+const settle = (
+  claims: Claims,
+  claim: ClaimId,
+  { outcome }: AttemptOutcome,
+  answered: ClaimOutcome,
+): void => {
+  if (outcome === 'answered') claims.finish(claim, answered);
+  else if (outcome === 'not-run') claims.release(claim);
+  // Nobody can tell whether the call ran: the key stays taken, so that it never runs again.
+  else claims.abandon(claim);
+};
+
+/** Creates the runner; it takes the claim when the call's turn has come, not while it waits. */
+export const createKeyedRunner = (options: KeyedRunnerOptions) => {
+  const { claims, clock, metrics } = options;
+
+  const claimFor = (attempt: Attempt, work: Dispatch, { key, bodyHash }: IdempotencyKey) => {
+    const waitedMs = clock.monotonic() - attempt.arrivedAt;
+    const budgetMs = Math.max(MIN_CLAIM_MS, work.budgetMs - waitedMs);
+    return claims.claim({ organisation: work.organisation, key, bodyHash, budgetMs });
+  };
+
+  return async (
+    attempt: Attempt,
+    work: Dispatch,
+    key: IdempotencyKey,
+    begin: () => boolean,
+  ): Promise<AttemptOutcome> => {
+    const verdict = await claimFor(attempt, work, key);
+    metrics.count('claims', { verdict: verdict.verdict });
+    if (verdict.verdict === 'known') return replay(attempt, verdict.outcome, begin);
+    if (verdict.verdict !== 'first') return refusalOf(verdict);
+    const copy = createAnswerCopy();
+    const outcome = await options.run(attempt, work, begin, copy);
+    settle(claims, verdict.claim, outcome, copy.outcome());
+    return outcome;
+  };
+};
--- /dev/null
+++ b/packages/agent/test/keyed.test.ts
@@ -0,0 +1,126 @@
+import type { AttemptId, Dispatch } from '@plantaindrum/link';
+import { createLogStandIn } from '@plantaindrum/stand-ins';
+import type { LogStandIn } from '@plantaindrum/stand-ins';
+import { expect } from 'chai';
+import { startTestAgent } from './support/agent.js';
+import { createFakeEntry, dispatchOf, readable, textOf } from './support/entry.js';
+import { createFakeUpstream } from './support/upstream.js';
+import type { FakeUpstream } from './support/upstream.js';
+
+const keyedOf = (id: AttemptId, overrides: Partial<Dispatch> = {}): Dispatch =>
+  dispatchOf(id, {
+    class: 'title-check',
+    mayNotRepeat: true,
+    path: '/title-check',
+    idempotency: { key: 'order-1', bodyHash: 'a'.repeat(64) },
+    ...overrides,
+  });
+
+describe('keyed calls', () => {
+  let log: LogStandIn;
+  const upstreams: FakeUpstream[] = [];
+  const opened: { close(): Promise<void> }[] = [];
+
+  beforeEach(async () => {
+    log = await createLogStandIn();
+  });
+
+  afterEach(async () => {
+    await Promise.all(opened.splice(0).map((one) => one.close()));
+    await Promise.all(upstreams.splice(0).map((one) => one.close()));
+    await log.close();
+  });
+
+  /** An agent with its upstream, and an entry that is linked to it. */
+  const startNode = async (instance: string) => {
+    const upstream = await createFakeUpstream();
+    upstreams.push(upstream);
+    const agent = await startTestAgent(upstream.url, {}, {}, log.url);
+    const entry = createFakeEntry(agent.link, instance);
+    opened.push({ close: agent.stop }, entry);
+    const link = await entry.nextLink();
+    return { agent, upstream, entry, link };
+  };
+
+  const runs = (): number => upstreams.reduce((sum, upstream) => sum + upstream.requests(), 0);
+
+  // A client comes again with the same key through another entry, while its first call still runs.
+  // One call runs; the other is told so. Once the first has ended, a repeat gets its answer.
+  it('run at most once over two agents, and a repeat gets the known answer', async () => {
+    const one = await startNode('e');
+    const two = await startNode('f');
+    one.link.send(keyedOf('e:1'));
+    const { res } = await one.upstream.next();
+    two.link.send(keyedOf('f:1'));
+    expect(readable(await two.entry.until('not-run')).at(-1)).to.include({ reason: 'claim-lost' });
+    res.setHeader('content-type', 'application/json');
+    res.end('{"title":"clear"}');
+    await one.entry.until('end');
+    await log.waitFor(({ records }) => records === 3);
+    two.link.send(keyedOf('f:2'));
+    const repeat = await two.entry.until('end');
+    expect(repeat[0]).to.deep.include({
+      t: 'head',
+      headers: { 'content-type': 'application/json', 'x-plantaindrum-replayed': 'true' },
+    });
+    expect(textOf(repeat)).to.equal('{"title":"clear"}');
+    two.link.send(keyedOf('f:3', { idempotency: { key: 'order-1', bodyHash: 'b'.repeat(64) } }));
+    expect(readable(await two.entry.until('not-run')).at(-1)).to.include({
+      reason: 'claim-key-reused',
+    });
+    expect(runs()).to.equal(1);
+  });
+
+  // The log is down, so nobody can prove that a keyed call has not run before. It is refused at
+  // once and not run; calls without a key don't need the log and go on.
+  it('are refused while the log is down', async () => {
+    const node = await startNode('e');
+    log.setFaults({ outage: 'all' });
+    node.link.send(keyedOf('e:1'));
+    expect(readable(await node.entry.until('not-run')).at(-1)).to.include({
+      reason: 'claim-log-down',
+    });
+    node.link.send(dispatchOf('e:2'));
+    (await node.upstream.next()).res.end('answer');
+    expect(textOf(await node.entry.until('end'))).to.equal('answer');
+    expect(runs()).to.equal(1);
+  });
+
+  // The claim's append takes effect, but its answer is lost. Replay shows the claim in the log, so
+  // the call runs, once.
+  it('run once when the answer to the append is lost', async () => {
+    const node = await startNode('e');
+    log.setFaults({ loseAnswers: 1 });
+    node.link.send(keyedOf('e:1'));
+    (await node.upstream.next()).res.end('clear');
+    expect(textOf(await node.entry.until('end'))).to.equal('clear');
+    expect(runs()).to.equal(1);
+  });
+
+  // The upstream dies after it was given the call. Nobody knows whether it ran, so the key stays
+  // taken: a repeat, also elsewhere, is never run.
+  it('never run again after an unknown outcome', async () => {
+    const one = await startNode('e');
+    const two = await startNode('f');
+    one.link.send(keyedOf('e:1'));
+    (await one.upstream.next()).req.socket.destroy();
+    await one.entry.until('unknown');
+    two.link.send(keyedOf('f:1'));
+    expect(readable(await two.entry.until('not-run')).at(-1)).to.include({ reason: 'claim-lost' });
+    expect(runs()).to.equal(1);
+  });
+
+  // The upstream refuses the connection, so the call provably didn't run. Its key is released, and
+  // the same call runs at another upstream.
+  it('run elsewhere after a proved "not run"', async () => {
+    const one = await startNode('e');
+    const two = await startNode('f');
+    await one.upstream.close();
+    one.link.send(keyedOf('e:1'));
+    await one.entry.until('not-run');
+    await log.waitFor(({ records }) => records === 2);
+    two.link.send(keyedOf('f:1'));
+    (await two.upstream.next()).res.end('clear');
+    expect(textOf(await two.entry.until('end'))).to.equal('clear');
+  });
+});
--- a/packages/agent/test/support/agent.ts
+++ b/packages/agent/test/support/agent.ts
@@ -27,10 +27,11 @@
   url: string,
   limits: Record<string, number> = {},
   overrides: Partial<AgentOptions> = {},
+  logUrl?: string,
 ) => {
   const metrics = createMetrics();
   const agent = await startAgent({
-    settings: settingsFor(url, limits),
+    settings: settingsFor(url, limits, logUrl),
     clock: systemClock,
     random: () => 0,
     metrics,
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -139,7 +139,9 @@
   | 'agent-restarted'
   | 'displaced'
   | 'never-arrived'
-  | 'outcome-forgotten';
+  | 'outcome-forgotten'
+  | 'duplicate-in-progress'
+  | 'duplicate-known';
 
 /** Agent to entry: the attempt did not run and never will; its id has a tombstone. */
 export interface NotRun {
--- a/packages/requests/src/retry/retry-policy.ts
+++ b/packages/requests/src/retry/retry-policy.ts
@@ -24,6 +24,8 @@
   'claim-lost',
   'claim-key-reused',
   'claim-key-expired',
+  'duplicate-in-progress',
+  'duplicate-known',
 ]);
 
 /**
