--- a/packages/requests/src/queue/agent-queue.ts
+++ b/packages/requests/src/queue/agent-queue.ts
@@ -50,18 +50,20 @@
     return (1000 * sum) / RATE_LIFE_MS;
   };
 
-  /** Expected wait of an item before it can start, in milliseconds, at the measured drain rate. */
-  const expectedWait = (item: QueueItem): number => {
+  /** Expected wait behind work of a cost, in milliseconds, at the measured drain rate. */
+  const expectedWaitBehind = (ahead: number, rank: number): number => {
     const rate = meter.rate();
     if (rate.cost <= 0) return 0;
-    const ahead = ranked.costAhead(item);
     if (ahead === 0 && meter.running() < concurrency) return 0;
     // More urgent work that arrives meanwhile goes first too: without it, the least urgent work is
     // let in, waits for most of its time and is given up then.
-    const left = rate.cost - urgentRate(ranked.rankOf(item));
+    const left = rate.cost - urgentRate(rank);
     return (1000 * ahead) / Math.max(left, LEAST_SHARE * rate.cost) + 1000 / rate.requests;
   };
 
+  const expectedWait = (item: QueueItem): number =>
+    expectedWaitBehind(ranked.costAhead(item), ranked.rankOf(item));
+
   const spread = (ms: number): number => Math.ceil(ms * (1 + random() * RETRY_SPREAD));
 
   /** Time until the queue has drained so far that a call like this one can meet its target. */
@@ -110,11 +112,22 @@
   };
 
   /** The reason to give up an item that waits, if there is one. */
-  const hopeless = (item: T, now: number): Rejected<T> | undefined => {
-    if (item.deadline <= now) return reject(item, 'deadline-passed', expectedWait(item));
-    const waitMs = expectedWait(item);
-    if (waitMs <= (item.deadline - now) * SWEEP_TOLERANCE) return undefined;
-    return reject(item, 'deadline-unreachable', waitMs);
+  const hopeless = (item: T, waitMs: number): Rejected<T>['reason'] | undefined => {
+    const left = item.deadline - clock.monotonic();
+    if (left <= 0) return 'deadline-passed';
+    return waitMs > left * SWEEP_TOLERANCE ? 'deadline-unreachable' : undefined;
+  };
+
+  const giveUpHopeless = (): Rejected<T>[] => {
+    const given: Rejected<T>[] = [];
+    ranked.review((item, rank, ahead) => {
+      const waitMs = expectedWaitBehind(ahead, rank);
+      const reason = hopeless(item, waitMs);
+      if (reason) given.push(reject(item, reason, waitMs));
+      return !reason;
+    });
+    given.forEach(({ item }) => forget(item));
+    return given;
   };
 
   const takeExpired = (): Rejected<T>[] => {
@@ -163,18 +176,7 @@
       return item;
     },
     finished: (id) => meter.finished(id, waiting.size > 0),
-    sweep: () => {
-      const now = clock.monotonic();
-      const given = takeExpired();
-      for (const item of [...waiting.values()]) {
-        const rejected = hopeless(item, now);
-        if (rejected) {
-          forget(item);
-          given.push(rejected);
-        }
-      }
-      return given;
-    },
+    sweep: () => [...takeExpired(), ...giveUpHopeless()],
     leave: () => {
       leaving = true;
       const given = [...waiting.values()].map((item) => reject(item, 'leaving', 0));
--- a/packages/requests/src/queue/fair-group.ts
+++ b/packages/requests/src/queue/fair-group.ts
@@ -25,6 +25,13 @@
   cost(belongs?: Belongs): number;
   /** Cost that fair shares put before an item, or before a new one of its deadline. */
   costAhead(item: QueueItem, belongs?: Belongs): number;
+  /**
+   * Visits each item with the cost ahead of it in this group; what `visit` doesn't want to keep
+   * counts no more for those behind it. Answers the cost that is kept; takes nothing out itself.
+   */
+  review(belongs: Belongs, visit: (item: T, ahead: number) => boolean): number;
+  /** Organisations with work here. */
+  organisations(): string[];
   backlogOf(organisation: string): number;
   /** The largest backlog, and its item with the latest deadline. */
   heaviest(belongs?: Belongs): { cost: number; last: T } | undefined;
@@ -129,6 +136,24 @@
         return sum + (belongs(organisation) ? Math.min(cost, share) : 0);
       }, 0);
     },
+    review: (belongs, visit) => {
+      const inside = turns.filter(({ organisation }) => belongs(organisation));
+      const costs = inside.map(({ cost }) => cost);
+      inside.forEach(({ items }, index) => {
+        let own = 0;
+        items.forEach((item) => {
+          const share = own + item.cost;
+          let ahead = own;
+          costs.forEach((cost, other) => {
+            if (other !== index) ahead += Math.min(cost, share);
+          });
+          if (visit(item, ahead)) own = share;
+          else costs[index]! -= item.cost;
+        });
+      });
+      return costs.reduce((sum, cost) => sum + cost, 0);
+    },
+    organisations: () => [...backlogs.keys()],
     backlogOf: (organisation) => backlogs.get(organisation)?.cost ?? 0,
     heaviest: (belongs = everyone) => {
       const [found] = turns
--- a/packages/requests/src/queue/ranked-queue.ts
+++ b/packages/requests/src/queue/ranked-queue.ts
@@ -24,6 +24,8 @@
   rankOf(item: QueueItem): number;
   /** Cost of all that will start before the item. */
   costAhead(item: QueueItem): number;
+  /** Visits every item with its rank and the cost ahead; see `FairGroup.review`. */
+  review(visit: (item: T, rank: number, ahead: number) => boolean): void;
   /** Cost that the item's organisation holds in the item's lane. */
   backlogOf(item: QueueItem): number;
   cost(): number;
@@ -73,6 +75,22 @@
           0,
         );
     },
+    review: (visit) => {
+      // A refusal in mid review can put an organisation over its share: who is over is settled at
+      // the start, or its work would be visited again among those over their share.
+      const over = new Set(
+        lanes
+          .flatMap((lane) => lane.organisations())
+          .filter((organisation) => isOver(organisation)),
+      );
+      let above = 0;
+      levels.forEach(({ rank, lane }) => {
+        const base = above;
+        const isOverRank = rank >= LANES.length;
+        const belongs = (organisation: string) => over.has(organisation) === isOverRank;
+        above += lane.review(belongs, (item, ahead) => visit(item, rank, base + ahead));
+      });
+    },
     backlogOf: (item) => laneOf(item).backlogOf(item.organisation),
     cost: () => lanes.reduce((sum, lane) => sum + lane.cost(), 0),
     leastUrgent: () => {
--- a/packages/requests/test/agent-queue.test.ts
+++ b/packages/requests/test/agent-queue.test.ts
@@ -150,6 +150,25 @@
     expect(given.length).to.be.within(20, 38);
   });
 
+  // The first refusal of a sweep begins an overload, which moves an organisation to the ranks of
+  // those over their share. A sweep that looked at it again there would refuse its work twice.
+  it('refuses each item of a sweep once, also when the sweep begins an overload', async () => {
+    const world = queueWith();
+    for (let n = 0; n < 12; n += 1) world.queue.offer(itemOf({ organisation: 'flood' }));
+    world.queue.offer(itemOf({ organisation: 'small' }));
+    for (let item = world.queue.take(); item; item = world.queue.take()) {
+      await world.clock.advance(100);
+      world.queue.finished(item.id);
+    }
+    const deadline = world.clock.monotonic() + 400;
+    for (let n = 0; n < 3; n += 1) {
+      world.queue.offer(itemOf({ organisation: 'flood', lane: 'live', deadline }));
+    }
+    await world.clock.advance(500);
+    expect(world.queue.sweep()).to.have.length(3);
+    expect(world.queue.load().queued).to.equal(0);
+  });
+
   it('hands every expired or leaving item back once', async () => {
     const { clock, queue } = queueWith();
     queue.offer(itemOf({ id: 'late', deadline: 5 }));
