Keyed calls: unknown, not 'not run', when another agent holds the key

Cause: a key held elsewhere may belong to a call that ran and was lost with its agent. Told 'not run', its caller sends the call again under another key, and it runs twice. A retry after a proved 'not run' could also meet its own claim before the release was in the log. And each claim was counted twice. Change: such a call ends unknown (reason claim-lost); a release is waited for before 'not run' is sent; the claims counter is kept by createClaims alone.

--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -72,7 +72,6 @@
     run: (attempt, work, begin, observe) =>
       runAttempt(attempt, work, begin, { upstream, metrics, observe }),
     clock,
-    metrics,
   });
   return (attempt, work, begin) =>
     work.idempotency
--- a/packages/agent/src/core/attempts/run-keyed.ts
+++ b/packages/agent/src/core/attempts/run-keyed.ts
@@ -1,6 +1,6 @@
 /** Runs calls that carry an idempotency key, each at most once over all agents. */
 
-import type { Clock, Metrics } from '@plantaindrum/common';
+import type { Clock } from '@plantaindrum/common';
 import type { AgentReason, Dispatch, IdempotencyKey } from '@plantaindrum/link';
 import type { ClaimId, ClaimOutcome, Claims, ClaimVerdict } from '@plantaindrum/requests';
 import type { AttemptOutcome } from './answer.js';
@@ -25,7 +25,6 @@
     observe: AnswerObserver,
   ) => Promise<AttemptOutcome>;
   clock: Clock;
-  metrics: Metrics;
 }
 
 const notRun = (reason: AgentReason, retryAfterMs: number): AttemptOutcome => ({
@@ -36,14 +35,9 @@
 
 /** Why a call without the right to run did not run. */
 const refusalOf = (
-  verdict: Exclude<ClaimVerdict, { verdict: 'first' | 'known' }>,
+  verdict: Exclude<ClaimVerdict, { verdict: 'first' | 'known' | 'held' }>,
 ): AttemptOutcome => {
   switch (verdict.verdict) {
-    case 'held':
-      return notRun(
-        verdict.runningHere ? 'duplicate-in-progress' : 'claim-lost',
-        DUPLICATE_RETRY_MS,
-      );
     case 'key-reused':
       return notRun('claim-key-reused', 0);
     case 'key-expired':
@@ -55,6 +49,17 @@
   }
 };
 
+/**
+ * Another call holds the key. One that runs here will end; one elsewhere may run, or may have been
+ * lost with its agent. Told "not run", the caller would send the call again under another key, and
+ * it would run twice: so the outcome is unknown.
+ */
+const refuseHeld = (runningHere: boolean, begin: () => boolean): AttemptOutcome => {
+  if (runningHere) return notRun('duplicate-in-progress', DUPLICATE_RETRY_MS);
+  if (!begin()) return notRun('cancelled', 0);
+  return { outcome: 'unknown', reason: 'claim-lost' };
+};
+
 /** Gives the answer of the earlier call with the same key, if it is still held. */
 const replay = (attempt: Attempt, known: ClaimOutcome, begin: () => boolean): AttemptOutcome => {
   if (known.body === undefined) return notRun('duplicate-known', DUPLICATE_RETRY_MS);
@@ -67,21 +72,22 @@
   return { outcome: 'answered' };
 };
 
-const settle = (
+const settle = async (
   claims: Claims,
   claim: ClaimId,
   { outcome }: AttemptOutcome,
   answered: ClaimOutcome,
-): void => {
+): Promise<void> => {
   if (outcome === 'answered') claims.finish(claim, answered);
-  else if (outcome === 'not-run') claims.release(claim);
+  // Waited for: the entry may try another upstream, whose claim would find the key still held.
+  else if (outcome === 'not-run') await claims.release(claim);
   // Nobody can tell whether the call ran: the key stays taken, so that it never runs again.
   else claims.abandon(claim);
 };
 
 /** Creates the runner; it takes the claim when the call's turn has come, not while it waits. */
 export const createKeyedRunner = (options: KeyedRunnerOptions) => {
-  const { claims, clock, metrics } = options;
+  const { claims, clock } = options;
 
   const claimFor = (attempt: Attempt, work: Dispatch, { key, bodyHash }: IdempotencyKey) => {
     const waitedMs = clock.monotonic() - attempt.arrivedAt;
@@ -96,12 +102,12 @@
     begin: () => boolean,
   ): Promise<AttemptOutcome> => {
     const verdict = await claimFor(attempt, work, key);
-    metrics.count('claims', { verdict: verdict.verdict });
     if (verdict.verdict === 'known') return replay(attempt, verdict.outcome, begin);
+    if (verdict.verdict === 'held') return refuseHeld(verdict.runningHere, begin);
     if (verdict.verdict !== 'first') return refusalOf(verdict);
     const copy = createAnswerCopy();
     const outcome = await options.run(attempt, work, begin, copy);
-    settle(claims, verdict.claim, outcome, copy.outcome());
+    await settle(claims, verdict.claim, outcome, copy.outcome());
     return outcome;
   };
 };
