Entry joins the VM list with its links

Cause: a list that came back empty made an entry forget every upstream, though each of them answered on its link; a VM missing from one reading was dropped. Change: the directory takes the list through the membership of packages/intent. Help for the new dispatch counter. Ruled out: keeping every VM that was ever listed, which never lets one go.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -20,6 +20,7 @@
   upstream_health: 'Upstreams ejected or let back, by new state and reason.',
   vm_list_failed: 'Readings of the VM list that failed, by kind.',
   vm_list_not_believed: 'VM lists that lacked most of the linked VMs, and were not followed.',
+  dispatches: 'Attempts sent to an upstream, by its name.',
   // Attempts, at an agent.
   attempt_queries: 'Questions of entries about an attempt, after a lost link.',
   attempt_tombstones: 'Attempts proved never to run before they arrived, by reason.',
@@ -47,7 +48,7 @@
   intent_append_failed: 'Appends of changes that failed, by kind.',
   intent_checkpoint: 'Checkpoints that were due, by outcome.',
   intent_fetch_failed: 'Questions to peers for missing records that had no sound answer.',
-  intent_fetch_sent: 'Questions to peers for missing records, by cause.',
+  intent_fetch_sent: 'Questions to peers for missing records.',
   intent_gap_fetched: 'Gaps filled by a peer before the log brought the records.',
   intent_gap_noticed: "Frames whose offset was higher than this node's.",
   intent_log_behind: 'Readings of a log that ended before what this node has replayed.',
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -1,6 +1,7 @@
 /** The upstreams that this entry knows, from the platform's lagging list and its own links. */
 
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import { createMembership } from '@plantaindrum/intent';
 import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
 import type { Vm, VmListClient } from '@plantaindrum/platform';
 import type { Upstream, UpstreamEvents } from './upstream.js';
@@ -53,6 +54,7 @@
   const { list, connect, clock, random, metrics, log, intervalMs } = options;
   const listed = new Map<string, Entry>();
   const forgotten = new Set<Entry>();
+  const membership = createMembership<Vm>({ clock, metrics });
   let vms: Vm[] = [];
   let listAnswers = true;
   let stopped = false;
@@ -60,7 +62,13 @@
 
   const add = (vm: Vm): void => {
     const upstream = createUpstream(vm, metrics, options.eventsOf(vm));
-    listed.set(keyOf(vm), { upstream, client: connect(vm, upstream.onLink) });
+    const onLink = (link: Link): FrameHandler => {
+      const { instance } = link.peer;
+      membership.linked(vm.name, instance);
+      void link.closed.then(() => membership.unlinked(vm.name, instance));
+      return upstream.onLink(link);
+    };
+    listed.set(keyOf(vm), { upstream, client: connect(vm, onLink) });
     log.info(`upstream ${vm.name} at ${vm.address} appeared`);
   };
 
@@ -97,13 +105,20 @@
     closeForgotten();
   };
 
+  /** The list as far as the links don't contradict it: it lags, and may have lost its records. */
+  const believed = (next: Vm[]): Vm[] => {
+    membership.listed(next.filter(({ role }) => role === 'upstream'));
+    const upstreams = membership.members().filter(({ standing }) => standing !== 'forgotten');
+    return [...next.filter(({ role }) => role === 'entry'), ...upstreams.map(({ vm }) => vm)];
+  };
+
   /** An outage of the list is no reason to drop upstreams that still answer. */
   const refresh = async (): Promise<void> => {
     const read = await list.list();
     if (stopped) return;
     if (read.ok !== listAnswers) log.warn(`VM list ${read.ok ? 'answers again' : 'is down'}`);
     listAnswers = read.ok;
-    if (read.ok) take(read.value);
+    if (read.ok) take(believed(read.value));
     else metrics.count('vm_list_failed', { kind: read.err.kind });
   };
 
--- /dev/null
+++ b/packages/plantaindrum/test/directory.test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai';
+import { createManualClock, createMetrics, ok, silentLogger } from '@plantaindrum/common';
+import type { ManualClock, Metrics } from '@plantaindrum/common';
+import type { Link, LinkCloseReason } from '@plantaindrum/link';
+import type { Vm } from '@plantaindrum/platform';
+import type { Directory } from '../src/core/upstreams/directory.js';
+import { createDirectory } from '../src/core/upstreams/directory.js';
+
+describe('directory of upstreams', () => {
+  let clock: ManualClock;
+  let metrics: Metrics;
+  let list: Vm[];
+  let directory: Directory;
+  let endLink: Map<string, (reason: LinkCloseReason) => void>;
+
+  const vm = (name: string): Vm => ({
+    ...{ name, address: '127.0.0.1:1', role: 'upstream', dataCentre: 'kent', region: 'northwest' },
+    ...{ state: 'live', kind: 'service', service: 's' },
+  });
+
+  const linkTo = (name: string): Link => {
+    const closed = new Promise<LinkCloseReason>((resolve) => {
+      endLink.set(name, resolve);
+    });
+    return { peer: { instance: `${name}-1` }, closed, send: () => true } as unknown as Link;
+  };
+
+  beforeEach(async () => {
+    clock = createManualClock();
+    metrics = createMetrics();
+    endLink = new Map();
+    list = ['a', 'b', 'c'].map(vm);
+    directory = createDirectory({
+      list: { list: async () => ok(list) },
+      connect: ({ name }, onLink) => {
+        onLink(linkTo(name));
+        return { close: async () => {} };
+      },
+      onList: () => () => true,
+      eventsOf: () => ({ load: () => {}, leaving: () => {}, linked: () => {} }),
+      ...{ clock, metrics, random: () => 0.5, log: silentLogger, intervalMs: 1_000 },
+    });
+    await directory.refresh();
+  });
+
+  const names = (): string[] => directory.upstreams().map((upstream) => upstream.vm().name);
+
+  // The platform's list comes back empty after a fault of its own. Every agent still answers on its
+  // link; an entry that believed the list would refuse each caller with "no upstream".
+  it('goes on with its links when the list has lost most VMs at once', async () => {
+    list = [];
+    await directory.refresh();
+    await clock.advance(60_000);
+    await directory.refresh();
+    expect(names()).to.deep.equal(['a', 'b', 'c']);
+    expect(metrics.counter('vm_list_not_believed')).to.equal(2);
+  });
+
+  it('drops a linked VM only when it has been missing for longer than one reading', async () => {
+    list = list.slice(1);
+    await directory.refresh();
+    expect(names()).to.deep.equal(['a', 'b', 'c']);
+    await clock.advance(1_500);
+    await directory.refresh();
+    expect(names()).to.deep.equal(['b', 'c']);
+  });
+
+  it('drops a VM at once when its link is down too', async () => {
+    endLink.get('a')?.('closed-by-peer');
+    await clock.advance(1);
+    list = list.slice(1);
+    await directory.refresh();
+    expect(names()).to.deep.equal(['b', 'c']);
+  });
+});
