Stop of a data centre: the command waits for every node, checkpoints of the intent

Cause: the stop command ended at the first quiet reading, also when a node had not yet heard of the stop.

--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -28,6 +28,7 @@
 const platformSchema = z.strictObject({
   logUrl: z.url().meta(about('Base address of the log service (Kafka REST).')),
   vmListUrl: z.url().meta(about('Address of the VM list (Prometheus HTTP service discovery).')),
+  logRetentionMs: limit(86_400_000, 'How long the log service keeps a record.', 'ms'),
   weightsUrl: z.url().optional().meta(about('Base address of the weight store.')),
 });
 
--- a/packages/link/src/node-status.ts
+++ b/packages/link/src/node-status.ts
@@ -5,4 +5,6 @@
 export interface NodeStatus {
   /** Requests that the node holds: at an entry those not answered, at an agent those queued or running. */
   inFlight: number;
+  /** The intent that the node follows. */
+  intent: { offset: number };
 }
--- a/packages/plantaindrum/src/cli/data-centre/index.ts
+++ b/packages/plantaindrum/src/cli/data-centre/index.ts
@@ -18,18 +18,29 @@
 /** Readings in a row that must find nothing: a request may be between two nodes at one reading. */
 const QUIET_READINGS = 3;
 
-const describeNode = ({ node, role, inFlight }: NodeInFlight): string =>
-  `${node} (${role}) ${inFlight === undefined ? 'does not answer' : inFlight}`;
+const describeNode = (
+  { node, role, inFlight, intentOffset }: NodeInFlight,
+  version: number,
+): string => {
+  if (inFlight === undefined) return `${node} (${role}) does not answer`;
+  const heard = (intentOffset ?? -1) >= version ? '' : ', has not heard of the stop';
+  return `${node} (${role}) ${inFlight}${heard}`;
+};
+
+/** A node that does not answer can't be waited for: it may be gone for good, and is shown. */
+const isQuiet = ({ inFlight, intentOffset }: NodeInFlight, version: number): boolean =>
+  inFlight === undefined || (inFlight === 0 && (intentOffset ?? -1) >= version);
 
-const describeAll = (nodes: NodeInFlight[]): string => {
-  const busy = nodes.filter(({ inFlight }) => inFlight !== 0);
-  return busy.length > 0 ? `in flight: ${busy.map(describeNode).join(', ')}` : 'nothing in flight';
+const describeAll = (nodes: NodeInFlight[], version: number): string => {
+  const shown = nodes.filter((node) => !isQuiet(node, version) || node.inFlight === undefined);
+  if (shown.length === 0) return 'nothing in flight';
+  return `in flight: ${shown.map((node) => describeNode(node, version)).join('; ')}`;
 };
 
-/** Prints what is in flight, on each change, until nothing is. */
+/** Prints what is in flight, on each change, until nothing is and every node knows of the stop. */
 const waitUntilQuiet = async (
   client: OperatorsClient,
-  name: string,
+  { name, version }: { name: string; version: number },
   io: CliIo,
   clock: Clock,
 ): Promise<void> => {
@@ -38,12 +49,13 @@
   while (quiet < QUIET_READINGS) {
     const path = `/in-flight?data-centre=${encodeURIComponent(name)}`;
     const nodes = (await client.get(path)) as NodeInFlight[];
-    quiet = nodes.some(({ inFlight }) => (inFlight ?? 0) > 0) ? 0 : quiet + 1;
-    const line = describeAll(nodes);
+    quiet = nodes.every((node) => isQuiet(node, version)) ? quiet + 1 : 0;
+    const line = describeAll(nodes, version);
     if (line !== printed) io.out(line);
     printed = line;
     if (quiet < QUIET_READINGS) await sleep(clock, POLL_MS);
   }
+  io.out(`${name} is stopped: nothing is in flight`);
 };
 
 /** `plantaindrum data-centre stop|start NAME`. */
@@ -67,13 +79,16 @@
     const view = await fetchIntent(client);
     const state = args.action === 'stop' ? 'stopped' : 'serving';
     const current = view.document.dataCentres[args.name]?.state ?? 'serving';
+    const key: IntentKey = `dataCentres/${args.name}`;
+    let version = view.versions[key] ?? -1;
     if (current !== state) {
-      const key: IntentKey = `dataCentres/${args.name}`;
-      const base = view.versions[key] ?? -1;
-      const version = await submitChanges(client, [{ key, base, value: { state } }], args);
+      const change = { key, base: version, value: { state } };
+      version = await submitChanges(client, [change], args);
       io.out(`accepted at version ${version}: ${args.name} is ${state}`);
     }
-    if (state === 'stopped') await waitUntilQuiet(client, args.name, io, systemClock);
+    if (state === 'stopped') {
+      await waitUntilQuiet(client, { name: args.name, version }, io, systemClock);
+    }
     return exitCodes.ok;
   },
 };
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -3,9 +3,9 @@
 import { randomUUID } from 'node:crypto';
 import type { Clock, EntrySettings, Logger, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import { createIntentReader, joinIntentToLinks } from '@plantaindrum/intent';
-import type { FrameHandler, LinkServer } from '@plantaindrum/link';
-import { createLinkServer } from '@plantaindrum/link';
+import { createIntentReader, joinIntentToLinks, startCheckpointer } from '@plantaindrum/intent';
+import type { FrameHandler, LinkServer, NodeStatus } from '@plantaindrum/link';
+import { createLinkServer, NODE_STATUS } from '@plantaindrum/link';
 import { createLogClient, createVmListClient } from '@plantaindrum/platform';
 import { createRetryPolicy } from '@plantaindrum/requests';
 import { defaultAttemptTimes } from '../attempts/run-attempt.js';
@@ -18,7 +18,8 @@
 import { entryStatus } from '../status/entry-status.js';
 import type { Directory } from '../upstreams/directory.js';
 import { createDirectory } from '../upstreams/directory.js';
-import { askOverLink, collectInFlight, NODE_STATUS } from './in-flight.js';
+import { createAskNode } from './ask-node.js';
+import { collectInFlight } from './in-flight.js';
 import { createConnectAgent, linkOptions } from './links.js';
 import { createReadiness } from './readiness.js';
 
@@ -76,14 +77,26 @@
     logger: log.child('intent'),
   });
   const intentLinks = joinIntentToLinks(intent);
+  const checkpointer = startCheckpointer({
+    node: intent,
+    log: logClient,
+    clock,
+    random,
+    metrics,
+    retentionMs: platform.logRetentionMs,
+  });
 
   let callers: CallersDoor | undefined;
   const inFlight = (): number => callers?.inFlight() ?? 0;
+  const nodeStatus = (): NodeStatus => ({
+    inFlight: inFlight(),
+    intent: { offset: intent.current().offset },
+  });
   const links = {
     settings,
     instance,
     intent: intentLinks,
-    handlers: { [NODE_STATUS]: async () => ({ inFlight: inFlight() }) },
+    handlers: { [NODE_STATUS]: async () => nodeStatus() },
     clock,
     random,
     metrics,
@@ -154,11 +167,16 @@
   });
   const door = callers;
 
-  const upstreamLink = (name: string) =>
-    known
-      .upstreams()
-      .find((upstream) => upstream.vm().name === name)
-      ?.link();
+  const askNode = createAskNode({
+    shared: linkOptions(links),
+    linkTo: (vm) =>
+      known
+        .upstreams()
+        .find((upstream) => upstream.vm().name === vm.name)
+        ?.link(),
+    clock,
+    random,
+  });
 
   const operators: OperatorsDoor = await openOperatorsDoor({
     listen: settings.operators,
@@ -179,9 +197,9 @@
       }),
     inFlightIn: (dataCentre) =>
       collectInFlight(dataCentre, {
-        self: { ...node, inFlight },
+        self: { ...node, status: nodeStatus },
         vms: known.vms,
-        askNode: (vm) => askOverLink(upstreamLink(vm.name)),
+        askNode,
       }),
     metrics,
   });
@@ -209,6 +227,7 @@
     await operators.close();
     await known.close();
     await linkServer.close();
+    checkpointer.close();
     await intent.close();
     await logClient.close();
     await vmList.close();
--- a/packages/plantaindrum/src/core/entry/links.ts
+++ b/packages/plantaindrum/src/core/entry/links.ts
@@ -36,7 +36,8 @@
   };
 };
 
-const addressOf = ({ address }: Vm): { host: string; port: number } => {
+/** The link address of a VM of the list. */
+export const linkAddress = ({ address }: Vm): { host: string; port: number } => {
   const at = address.lastIndexOf(':');
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 };
@@ -47,7 +48,7 @@
   return (vm, onLink: (link: Link) => FrameHandler) =>
     createLinkClient({
       ...shared,
-      connect: addressOf(vm),
+      connect: linkAddress(vm),
       backoff: defaultBackoff,
       random: options.random,
       onLink: (link) => {
--- a/packages/plantaindrum/test/support/fake-agent.ts
+++ b/packages/plantaindrum/test/support/fake-agent.ts
@@ -63,7 +63,9 @@
     intentOffset: () => -1,
     load: () => idle,
     limits: defaultLinkLimits,
-    handlers: { 'node.status': async () => ({ inFlight: 0 }) },
+    handlers: {
+      'node.status': async () => ({ inFlight: 0, intent: { offset: Number.MAX_SAFE_INTEGER } }),
+    },
     onLink: (link) => {
       current = link;
       return (frame) => {
--- a/packages/plantaindrum/test/support/site.ts
+++ b/packages/plantaindrum/test/support/site.ts
@@ -49,7 +49,10 @@
   metrics: Metrics;
   call(path: string, options?: CallOptions): Promise<CallerAnswer>;
   operators(method: 'GET' | 'POST', path: string, body?: unknown): Promise<CallerAnswer>;
+  /** Closes the entry, unless a test has let it end by itself, and the stand-ins. */
   close(): Promise<void>;
+  /** Lets the entry end by itself. */
+  drain(): Promise<void>;
 }
 
 /** What a caller sends. */
@@ -125,6 +128,8 @@
   const accepted = await operators('POST', '/intent', { id: 'first', author: 'test', changes });
   if (accepted.status !== 200) throw new Error(accepted.text);
 
+  let ended = false;
+
   return {
     entry,
     metrics,
@@ -134,8 +139,12 @@
         ...options,
         headers: { authorization: `Bearer ${KEY}`, ...options.headers },
       }),
+    drain: async () => {
+      ended = true;
+      await entry.drain();
+    },
     close: async () => {
-      await entry.close();
+      if (!ended) await entry.close();
       await list.close();
       await log.close();
     },
