--- a/packages/experts/src/coordinator/rebalancer.ts
+++ b/packages/experts/src/coordinator/rebalancer.ts
@@ -1,22 +1,16 @@
 import type { HeartbeatAnswer, ReportAnswer } from '../messages.js';
 import { createExpertMap } from '../expert-map.js';
-import { createLoadTracker } from '../plan/load-tracker.js';
 import { createPlacementState } from '../plan/placement-state.js';
 import type { LoadView } from '../plan/placement-state.js';
 import { planMap } from '../plan/plan-map.js';
 import type { MapPlan } from '../plan/plan-map.js';
-import { isWorthwhile, limitsFor } from '../plan/policy.js';
+import { createTrackerFor, isWorthwhile, limitsFor } from '../plan/policy.js';
 import { createRankSpeeds } from '../plan/rank-speeds.js';
 import { defaultTimings } from '../types.js';
 import type { CoordinatorOptions, ExpertMapDocument, ExpertPlacement } from '../types.js';
 import type { GroupCalls } from './group-calls.js';
 import { isRefused } from './group-calls.js';
 
-/** Popularity is smoothed over this many plan intervals. */
-const HALF_LIFE_INTERVALS = 2;
-/** A report counts for this many plan intervals. */
-const STALE_INTERVALS = 2.5;
-
 /** Decides when a group's map is worth a change, and to what. */
 export interface Rebalancer {
   /** A new map is in use. */
@@ -40,11 +34,7 @@
   const { layout, clock, metrics, group } = options;
   const { planMs } = { ...defaultTimings, ...options.timings };
   const speeds = createRankSpeeds(layout.rankCount);
-  const tracker = createLoadTracker({
-    layout,
-    halfLifeMs: HALF_LIFE_INTERVALS * planMs,
-    staleMs: STALE_INTERVALS * planMs,
-  });
+  const tracker = createTrackerFor(layout, planMs);
   let map: ExpertMapDocument | undefined;
   let imbalance: number | undefined;
 
--- a/packages/experts/src/plan/load-tracker.ts
+++ b/packages/experts/src/plan/load-tracker.ts
@@ -6,11 +6,17 @@
 const MIN_LIFE_MS = 60_000;
 const MAX_LIFE_MS = 3_600_000;
 
+/** Weight of a round's error in the tracking signal. */
+const SIGNAL_WEIGHT = 0.3;
+/** Tracking signal of errors that are nothing but noise, at that weight. */
+const NOISE_SIGNAL = Math.sqrt(SIGNAL_WEIGHT / (2 - SIGNAL_WEIGHT));
+/** Weight of a new round in the popularity, when it is noise and when it is drift. */
+const LEAST_WEIGHT = 0.1;
+const MOST_WEIGHT = 0.8;
+
 /** Options of the tracker, in milliseconds. */
 export interface LoadTrackerOptions {
   layout: GroupLayout;
-  /** Half-life of the smoothed popularity. */
-  halfLifeMs: number;
   /** A node's report that is older does not count. */
   staleMs: number;
 }
@@ -62,6 +68,32 @@
   return byLayer.reduce((sum, x) => sum + x, 0) / Math.max(1, byLayer.length);
 };
 
+const mapShares = (
+  a: readonly number[][],
+  b: readonly number[][],
+  fn: (x: number, y: number) => number,
+): number[][] => a.map((layer, l) => layer.map((x, e) => fn(x, b[l]?.[e] ?? 0)));
+
+const norm = (errors: readonly number[][]): number =>
+  errors.reduce((sum, layer) => layer.reduce((total, x) => total + Math.abs(x), sum), 0);
+
+/**
+ * Weight of a new round by the tracking signal of Trigg and Leach (1967): errors that point the
+ * same way round after round are drift, and are followed; errors that cancel out are noise.
+ */
+const createAdaptiveWeight = () => {
+  let signed: number[][] | undefined;
+  let absolute = 0;
+  return (errors: number[][]): number => {
+    const old = signed ?? errors;
+    signed = mapShares(errors, old, (x, y) => SIGNAL_WEIGHT * x + (1 - SIGNAL_WEIGHT) * y);
+    absolute = SIGNAL_WEIGHT * norm(errors) + (1 - SIGNAL_WEIGHT) * (absolute || norm(errors));
+    const signal = absolute > 0 ? norm(signed) / absolute : 0;
+    const drift = Math.max(0, (signal - NOISE_SIGNAL) / (1 - NOISE_SIGNAL));
+    return LEAST_WEIGHT + (MOST_WEIGHT - LEAST_WEIGHT) * Math.min(1, drift);
+  };
+};
+
 /** Creates a tracker that knows nothing yet. */
 export const createLoadTracker = (options: LoadTrackerOptions): LoadTracker => {
   const { layout } = options;
@@ -69,6 +101,7 @@
   let smoothed: number[][] | undefined;
   let smoothedAt = 0;
   let driftPerMs = 0;
+  const weightOf = createAdaptiveWeight();
 
   const sumRates = (nodes: readonly string[]): number[][] => {
     const sum = Array.from({ length: layout.layers }, () =>
@@ -90,13 +123,10 @@
       smoothedAt = atMs;
       return;
     }
-    const elapsed = atMs - smoothedAt;
-    const keep = 0.5 ** (elapsed / options.halfLifeMs);
-    const next = shares.map((layer, l) =>
-      layer.map((share, e) => keep * (old[l]?.[e] ?? share) + (1 - keep) * share),
-    );
-    const drift = driftBetween(old, next) / Math.max(1, elapsed);
-    driftPerMs = keep * driftPerMs + (1 - keep) * drift;
+    const weight = weightOf(mapShares(shares, old, (x, y) => x - y));
+    const next = mapShares(shares, old, (x, y) => weight * x + (1 - weight) * y);
+    const drift = driftBetween(old, next) / Math.max(1, atMs - smoothedAt);
+    driftPerMs = (1 - SIGNAL_WEIGHT) * driftPerMs + SIGNAL_WEIGHT * drift;
     smoothed = next;
     smoothedAt = atMs;
   };
--- a/packages/experts/src/plan/policy.ts
+++ b/packages/experts/src/plan/policy.ts
@@ -1,4 +1,6 @@
-import type { Weighs } from '../types.js';
+import type { GroupLayout, Weighs } from '../types.js';
+import { createLoadTracker } from './load-tracker.js';
+import type { LoadTracker } from './load-tracker.js';
 import type { MapPlan, PlanLimits } from './plan-map.js';
 
 /** What one word of the operator stands for; the figures are in docs/decisions/balancing.md. */
@@ -8,12 +10,15 @@
   /** Smallest share of the step time that is worth a change. */
   minGain: number;
   /** Step time, over an even group's, that is left as it is. */
+  tolerated: number;
+  /** Step time at which a change that is made goes no further; the gap to `tolerated` is what
+   * noise has to cross before experts move again. */
   evenEnough: number;
 }
 
 const PRICES: Record<Weighs, Price> = {
-  skew: { secondsPerMove: 0.05, minGain: 0.01, evenEnough: 1.02 },
-  'rebalancing-cost': { secondsPerMove: 1, minGain: 0.05, evenEnough: 1.05 },
+  skew: { secondsPerMove: 0.05, minGain: 0.01, tolerated: 1.02, evenEnough: 1.02 },
+  'rebalancing-cost': { secondsPerMove: 1, minGain: 0.04, tolerated: 1.08, evenEnough: 1.03 },
 };
 
 /** Most experts that one change loads, for each rank of the group. */
@@ -30,5 +35,15 @@
 };
 
 /** Whether a plan is worth a change: below the threshold it would follow noise. */
-export const isWorthwhile = (weighs: Weighs, plan: MapPlan): boolean =>
-  plan.moves.length > 0 && (plan.before - plan.after) / plan.before >= PRICES[weighs].minGain;
+export const isWorthwhile = (weighs: Weighs, plan: MapPlan): boolean => {
+  const { tolerated, minGain } = PRICES[weighs];
+  const gain = (plan.before - plan.after) / plan.before;
+  return plan.moves.length > 0 && plan.before > tolerated && gain >= minGain;
+};
+
+/** A report counts for this many plan intervals. */
+const STALE_INTERVALS = 2.5;
+
+/** Creates the tracker of a group that is planned at this interval. */
+export const createTrackerFor = (layout: GroupLayout, planMs: number): LoadTracker =>
+  createLoadTracker({ layout, staleMs: STALE_INTERVALS * planMs });
--- a/packages/experts/test/fakes/fake-engines.ts
+++ b/packages/experts/test/fakes/fake-engines.ts
@@ -16,6 +16,8 @@
   prepared: new Map<number, ExpertMapDocument>(),
   armed: null as Armed | null,
   tokens: Array.from({ length: layers }, () => new Array<number>(experts).fill(0)),
+  /** Tokens of the last step. */
+  served: 0,
 });
 
 type Memory = ReturnType<typeof createMemory>;
@@ -86,7 +88,7 @@
     prepared: [...prepared.keys()],
     armed,
     holding: isHolding(memory),
-    step_time_us: stepMs * 1000,
+    step_time_us: stepMs * 500 + memory.served,
     tokens_by_expert: tokens,
   };
   const group = map ? 'g' : null;
@@ -138,13 +140,17 @@
   const oracle: Oracle = { steps: 0, mixed: [], heldMs: 0, versions: new Set() };
 
   const serveTokens = (memory: Memory, rank: number): void => {
+    let served = 0;
     memory.map?.layers.forEach((placements, layer) =>
       placements.forEach(({ expert, ranks }) => {
         const target = memory.tokens[layer];
         if (!target || !ranks.includes(rank)) return;
-        target[expert] = (target[expert] ?? 0) + options.popularity(layer, expert) / ranks.length;
+        const tokens = options.popularity(layer, expert) / ranks.length;
+        target[expert] = (target[expert] ?? 0) + tokens;
+        served += tokens;
       }),
     );
+    Object.assign(memory, { served });
   };
 
   const beginStep = (memory: Memory, step: number): void => {
