Agent queue: keeps back the measured time to the first byte

Cause: a deadline says when the first byte is due, but the queue let work start up to that very moment; it was then answered late. Change: the time from start to first byte is measured by class and kept back, at most half of what is left, so that a slow spell can't refuse all work for ever.

--- a/packages/lab/src/experiments/overload-queues.ts
+++ b/packages/lab/src/experiments/overload-queues.ts
@@ -21,6 +21,9 @@
   dropsExpired: boolean;
 }
 
+/** What the baselines know in advance of the time from start to first token. */
+const START_TO_FIRST_MS = 200;
+
 /** Baseline: one order for all, refusals only when the queue is full. */
 const createSimpleQueue = (context: QueueContext, rules: SimpleQueueRules): ModelQueue => {
   const { clock, capacity } = context;
@@ -32,7 +35,7 @@
     reason: Rejected<ModelRequest>['reason'],
   ): Rejected<ModelRequest> => ({ item, reason, retryAfterMs: 1_000 });
 
-  const isExpired = (item: ModelRequest) => item.deadline <= clock.monotonic();
+  const isExpired = (item: ModelRequest) => item.deadline - START_TO_FIRST_MS <= clock.monotonic();
 
   return {
     offer: (item) => {
@@ -50,6 +53,7 @@
       return item;
     },
     cancel: () => undefined,
+    answering: () => {},
     finished: (id) => {
       running.delete(id);
     },
--- a/packages/lab/src/experiments/overload-run.ts
+++ b/packages/lab/src/experiments/overload-run.ts
@@ -42,7 +42,6 @@
 const CONCURRENCY = 8;
 const QUEUE_CAPACITY = 256;
 const CACHED_PREFIXES = 24;
-const START_TO_FIRST_MS = 200;
 
 const round = (value: number): number => Number(value.toFixed(3));
 
@@ -60,11 +59,7 @@
 /** Runs the model once and gives its figures. */
 export const runOverloadScenario = (scenario: OverloadScenario): OverloadFigures => {
   const clock = createVirtualClock();
-  const source = createRequestSource(
-    createSeededRandom(scenario.seed),
-    START_TO_FIRST_MS,
-    scenario.traffic,
-  );
+  const source = createRequestSource(createSeededRandom(scenario.seed), scenario.traffic);
   const refused: Record<string, number> = {};
   const refusedAfter: number[] = [];
   const firstTokens: number[] = [];
--- a/packages/lab/src/experiments/routing-run.ts
+++ b/packages/lab/src/experiments/routing-run.ts
@@ -48,8 +48,6 @@
 const HEARTBEAT_MS = 1_000;
 const REPORT_EVERY_MS = 2_000;
 const REPORT_LAG_MS = 2_000;
-/** Time that a request needs after its start for the first token, in milliseconds. */
-const START_TO_FIRST_MS = 200;
 
 const nodesOf = (scenario: RoutingScenario, kind: 'upstreams' | 'entries', infix: string) =>
   scenario.sites.flatMap((site) =>
@@ -184,7 +182,7 @@
   }
 
   const perSecond = UPSTREAM_CAPACITY * upstreams.length * scenario.utilization;
-  const source = createRequestSource(createSeededRandom(scenario.seed + 77), START_TO_FIRST_MS);
+  const source = createRequestSource(createSeededRandom(scenario.seed + 77));
   const arrive = () => {
     const entry = Math.floor(random() * entries.length);
     const base = source.next(clock.monotonic());
--- a/packages/lab/src/experiments/routing-traffic.ts
+++ b/packages/lab/src/experiments/routing-traffic.ts
@@ -54,10 +54,9 @@
 
 const exponential = (random: Random): number => -Math.log(1 - random());
 
-/** Creates the source; `startToFirstMs` is kept back from each deadline. */
+/** Creates the source of a run. */
 export const createRequestSource = (
   random: Random,
-  startToFirstMs: number,
   options: TrafficOptions = {},
 ): RequestSource => {
   let serial = 0;
@@ -77,7 +76,7 @@
         class: name,
         lane,
         cost: outputTokens + promptTokens / PROMPT_TOKENS_PER_COST,
-        deadline: now + targetMs - startToFirstMs,
+        deadline: now + targetMs,
         prefix: `org${organisation}-p${skewed(random, PREFIXES_PER_ORGANISATION)}`,
         prefixTokens: PREFIX_TOKENS,
         promptTokens,
--- a/packages/lab/src/experiments/routing-upstream.ts
+++ b/packages/lab/src/experiments/routing-upstream.ts
@@ -70,7 +70,10 @@
     const prefillMs = tokens * PREFILL_MS_PER_TOKEN * slowness;
     const stepMs = (STEP_MS + STEP_MS_PER_RUNNING * running) * slowness;
     events.started(request);
-    clock.after(prefillMs + stepMs, () => events.firstToken(request, hit));
+    clock.after(prefillMs + stepMs, () => {
+      queue.answering(request.id);
+      events.firstToken(request, hit);
+    });
     clock.after(prefillMs + stepMs * request.outputTokens, () => {
       running -= 1;
       queue.finished(request.id);
--- a/packages/requests/src/queue/agent-queue.ts
+++ b/packages/requests/src/queue/agent-queue.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@plantaindrum/common';
 import { createDecayedSums } from './decayed-sums.js';
 import { createDrainMeter } from './drain-meter.js';
+import { createFirstByteMeter } from './first-byte-meter.js';
 import { createRankedQueue } from './ranked-queue.js';
 import { createShareMeter } from './share-meter.js';
 import type { AgentQueue, Offer, QueueItem, Rejected } from './types.js';
@@ -26,6 +27,8 @@
 /** Less urgent work is taken to get at least this share of the drain rate. */
 const LEAST_SHARE = 0.02;
 const DEFAULT_SHARE_SLACK = 1.25;
+/** At most this share of an item's time is kept back for the upstream's own part. */
+const MOST_KEPT_BACK = 0.5;
 /** Advised when nothing has been measured yet, in milliseconds. */
 const DEFAULT_RETRY_MS = 1_000;
 
@@ -37,8 +40,9 @@
   const shares = createShareMeter(clock, options.shareSlack ?? DEFAULT_SHARE_SLACK);
   const ranked = createRankedQueue<T>(shares.isOver);
   const servedByRank = createDecayedSums(clock, RATE_LIFE_MS);
-  const waiting = new Map<string, T>();
+  const waiting = new Map<string, { item: T; startBy: number }>();
   const meter = createDrainMeter(clock, concurrency);
+  const firstBytes = createFirstByteMeter(clock);
   /** Found too late by `take`; the next sweep hands them out. */
   let expired: T[] = [];
   let leaving = false;
@@ -76,13 +80,23 @@
     return { item, reason, retryAfterMs: retryAfter(waitMs, left) };
   };
 
+  /**
+   * Monotonic time by which an item must start for its first byte to be in time. The bound on what
+   * is kept back lets work in even when the upstream alone takes longer than the target: otherwise
+   * nothing would ever start, and the measure could never fall again.
+   */
+  const startByOf = (item: T): number => {
+    const left = item.deadline - clock.monotonic();
+    return item.deadline - Math.min(firstBytes.expectedMs(item.class), left * MOST_KEPT_BACK);
+  };
+
   const forget = (item: T) => {
     waiting.delete(item.id);
     ranked.remove(item);
   };
 
   const add = (item: T) => {
-    waiting.set(item.id, item);
+    waiting.set(item.id, { item, startBy: startByOf(item) });
     ranked.push(item);
   };
 
@@ -113,7 +127,7 @@
 
   /** The reason to give up an item that waits, if there is one. */
   const hopeless = (item: T, waitMs: number): Rejected<T>['reason'] | undefined => {
-    const left = item.deadline - clock.monotonic();
+    const left = waiting.get(item.id)!.startBy - clock.monotonic();
     if (left <= 0) return 'deadline-passed';
     return waitMs > left * SWEEP_TOLERANCE ? 'deadline-unreachable' : undefined;
   };
@@ -136,16 +150,27 @@
     return given;
   };
 
-  const popMostUrgent = (): T | undefined => {
+  const takeNext = (): T | undefined => {
     const item = ranked.pop();
-    if (item) waiting.delete(item.id);
-    return item;
+    if (!item) return undefined;
+    const { startBy } = waiting.get(item.id)!;
+    waiting.delete(item.id);
+    if (startBy > clock.monotonic()) return item;
+    expired.push(item);
+    return takeNext();
+  };
+
+  const start = (item: T) => {
+    servedByRank.add(String(ranked.rankOf(item)), item.cost);
+    shares.served(item.organisation, item.cost);
+    meter.started(item.id, item.cost);
+    firstBytes.started(item.id, item.class);
   };
 
   return {
     offer: (item) => {
       if (leaving) return { admitted: false, rejected: [reject(item, 'leaving', 0)] };
-      const left = item.deadline - clock.monotonic();
+      const left = startByOf(item) - clock.monotonic();
       const waitMs = expectedWait(item);
       if (left <= 0) {
         return { admitted: false, rejected: [reject(item, 'deadline-passed', waitMs)] };
@@ -158,28 +183,24 @@
       return { admitted: true, rejected: [] };
     },
     take: () => {
-      const now = clock.monotonic();
-      for (let item = popMostUrgent(); item; item = popMostUrgent()) {
-        if (item.deadline > now) {
-          servedByRank.add(String(ranked.rankOf(item)), item.cost);
-          shares.served(item.organisation, item.cost);
-          meter.started(item.id, item.cost);
-          return item;
-        }
-        expired.push(item);
-      }
-      return undefined;
+      const item = takeNext();
+      if (item) start(item);
+      return item;
     },
     cancel: (id) => {
-      const item = waiting.get(id);
+      const item = waiting.get(id)?.item;
       if (item) forget(item);
       return item;
     },
-    finished: (id) => meter.finished(id, waiting.size > 0),
+    answering: (id) => firstBytes.firstByte(id),
+    finished: (id) => {
+      firstBytes.ended(id);
+      meter.finished(id, waiting.size > 0);
+    },
     sweep: () => [...takeExpired(), ...giveUpHopeless()],
     leave: () => {
       leaving = true;
-      const given = [...waiting.values()].map((item) => reject(item, 'leaving', 0));
+      const given = [...waiting.values()].map(({ item }) => reject(item, 'leaving', 0));
       given.forEach(({ item }) => forget(item));
       return [...takeExpired(), ...given];
     },
--- a/packages/requests/src/queue/types.ts
+++ b/packages/requests/src/queue/types.ts
@@ -10,7 +10,7 @@
   lane: Lane;
   /** Expected cost, for example tokens; plain calls cost 1. At least 1. */
   cost: number;
-  /** Monotonic time by which it must have started, in milliseconds. */
+  /** Monotonic time by which the first byte of its answer is due, in milliseconds. */
   deadline: number;
 }
 
@@ -39,6 +39,8 @@
   take(): T | undefined;
   /** Takes a waiting item out; undefined when it isn't waiting. */
   cancel(id: string): T | undefined;
+  /** First byte of a taken item's answer; feeds the time that is kept back for it. */
+  answering(id: string): void;
   /** A taken item has ended; feeds the measured drain rate. */
   finished(id: string): void;
   /** Gives up waiting items that can't meet their deadline any more; call it every 100 ms or so. */
--- a/packages/requests/test/agent-queue.test.ts
+++ b/packages/requests/test/agent-queue.test.ts
@@ -132,6 +132,39 @@
     ]);
   });
 
+  // The upstream needs 300 ms from start to first byte. Work that could only start 200 ms before
+  // its target would be answered late: it is refused on arrival.
+  it('keeps back the time that the upstream itself takes to the first byte', async () => {
+    const world = queueWith();
+    for (let n = 0; n < 5; n += 1) {
+      world.queue.offer(itemOf());
+      const item = world.queue.take()!;
+      await world.clock.advance(300);
+      world.queue.answering(item.id);
+      world.queue.finished(item.id);
+    }
+    const now = world.clock.monotonic();
+    world.queue.offer(itemOf());
+    world.queue.take();
+    const offers = [450, 700].map(
+      (ms) => world.queue.offer(itemOf({ deadline: now + ms })).admitted,
+    );
+    expect(offers).to.deep.equal([false, true]);
+  });
+
+  // An upstream that has become slower than the target still gets work now and then; refusing all
+  // would keep its old measure for ever.
+  it('does not lock out an upstream that was slower than the target once', async () => {
+    const world = queueWith();
+    world.queue.offer(itemOf());
+    const slow = world.queue.take()!;
+    await world.clock.advance(60_000);
+    world.queue.answering(slow.id);
+    world.queue.finished(slow.id);
+    const deadline = world.clock.monotonic() + 1_000;
+    expect(world.queue.offer(itemOf({ deadline })).admitted).to.equal(true);
+  });
+
   it('gives up waiting work at once when the upstream has become too slow', async () => {
     const world = queueWith();
     await warmUp(world, 10);
