--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -65,18 +65,19 @@
 const createRunner = (
   { clock, metrics }: AgentOptions,
   upstream: Upstream,
+  queue: AgentQueue<QueuedAttempt>,
   claims: Claims,
 ): AttemptRunner => {
+  const parts = { upstream, metrics, onFirstByte: queue.answering };
   const runKeyed = createKeyedRunner({
     claims,
-    run: (attempt, work, begin, observe) =>
-      runAttempt(attempt, work, begin, { upstream, metrics, observe }),
+    run: (attempt, work, begin, observe) => runAttempt(attempt, work, begin, { ...parts, observe }),
     clock,
   });
   return (attempt, work, begin) =>
     work.idempotency
       ? runKeyed(attempt, work, work.idempotency, begin)
-      : runAttempt(attempt, work, begin, { upstream, metrics });
+      : runAttempt(attempt, work, begin, parts);
 };
 
 interface DeskParts {
@@ -119,7 +120,7 @@
   const intent = createIntent(options, platformLog);
   const queue = createQueue(options);
   const claims = createClaims({ clock, log: platformLog, metrics, instance });
-  const run = createRunner(options, upstream, claims);
+  const run = createRunner(options, upstream, queue, claims);
 
   const load = (): Load => {
     const { queued, running, drainPerSecond, leaving } = queue.load();
--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -1,5 +1,5 @@
 import type { Metrics } from '@plantaindrum/common';
-import type { Dispatch } from '@plantaindrum/link';
+import type { AttemptId, Dispatch } from '@plantaindrum/link';
 import { upstreamHeaders } from '../upstream/headers.js';
 import type { Upstream, UpstreamOutcome } from '../upstream/upstream.js';
 import type { AttemptOutcome } from './answer.js';
@@ -17,6 +17,8 @@
 export interface RunAttemptOptions {
   upstream: Upstream;
   metrics: Metrics;
+  /** Told of the first byte of an answer. */
+  onFirstByte: (id: AttemptId) => void;
   observe?: AnswerObserver;
 }
 
@@ -35,12 +37,13 @@
   attempt: Attempt,
   work: Dispatch,
   begin: () => boolean,
-  { upstream, metrics, observe }: RunAttemptOptions,
+  { upstream, metrics, onFirstByte, observe }: RunAttemptOptions,
 ): Promise<AttemptOutcome> => {
   if (!begin()) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
   const { answer, abort } = attempt;
   const { method, path, body, mayNotRepeat } = work;
   const headers = upstreamHeaders(work.headers, work.resumeAfter);
+  let begun = false;
   const ended = await upstream.call(
     { method, path, headers, body, mayNotRepeat },
     {
@@ -54,6 +57,8 @@
         answer.head(status, fields);
       },
       data: (bytes) => {
+        if (!begun) onFirstByte(attempt.id);
+        begun = true;
         observe?.data(bytes);
         return answer.write(bytes);
       },
