--- a/packages/lab/src/experiments/slopes.ts
+++ b/packages/lab/src/experiments/slopes.ts
@@ -10,6 +10,7 @@
 import { planningLines } from './slopes/planning.js';
 import { queueLines } from './slopes/queue.js';
 import { routingLines } from './slopes/routing.js';
+import { tokenLines } from './slopes/tokens.js';
 
 /** Sizes at which each line is measured. */
 interface Sizes {
@@ -24,6 +25,7 @@
   callsAtOnce: number[];
   upstreams: number[];
   ranks: number[];
+  tokens: number[];
   vms: number[];
 }
 
@@ -39,6 +41,7 @@
   callsAtOnce: [1, 2, 4, 8, 16, 32],
   upstreams: [500, 2_000, 6_000, 12_000],
   ranks: [4, 16, 32, 64, 128, 256],
+  tokens: [10_000, 40_000, 160_000],
   vms: [32, 500, 2_000, 12_430],
 };
 
@@ -54,6 +57,7 @@
   callsAtOnce: [1, 2],
   upstreams: [50, 100],
   ranks: [4, 8],
+  tokens: [10, 20],
   vms: [10, 20],
 };
 
@@ -71,6 +75,7 @@
     ...(await claimLines(sizes.earlierCalls, sizes.callsAtOnce)),
     ...(await routingLines(sizes.upstreams, random)),
     ...(await planningLines(sizes.ranks, random)),
+    ...(await tokenLines(sizes.tokens)),
     ...(await nodeLines(sizes.organisations, sizes.vms)),
   };
   Object.entries(lines).forEach(([name, line]) => print(format(name, line)));
