--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -153,7 +153,7 @@
     vmList,
     platformLog,
     connect: links.connect,
-    weighs: (name) => intent.current().document.balance[name]?.weighs ?? 'skew',
+    weighs: (name) => intent.current().document.balance[name]?.weighs,
     mayMove: () => queue.load().queued === 0,
     ...(options.groupTimings && { timings: options.groupTimings }),
     clock,
--- a/packages/agent/src/core/group/group.ts
+++ b/packages/agent/src/core/group/group.ts
@@ -18,8 +18,8 @@
   platformLog: Log;
   /** Starts to keep another agent linked. */
   connect: (address: { host: string; port: number }) => LinkClient;
-  /** The operator's word for a group. */
-  weighs: (group: string) => Weighs;
+  /** The operator's word, declared by group or by model; undefined when there is none. */
+  weighs: (name: string) => Weighs | undefined;
   /** False while live traffic needs the machine. */
   mayMove: () => boolean;
   timings?: Partial<GroupTimings>;
@@ -85,7 +85,7 @@
     ...context,
     member,
     layout,
-    weighs: () => options.weighs(group),
+    weighs: () => options.weighs(group) ?? options.weighs(peers.model() ?? group) ?? 'skew',
     mayMove: options.mayMove,
   });
 
--- a/packages/agent/src/core/group/peers.ts
+++ b/packages/agent/src/core/group/peers.ts
@@ -25,6 +25,8 @@
 export interface GroupPeers {
   /** The group's agents as the list last showed them, this one included. */
   members(): readonly GroupPeer[];
+  /** The model that the group serves, once the list has shown this agent's VM. */
+  model(): string | undefined;
   call: PeerCall;
   /** Takes each link with another agent, from whichever side it came. */
   onLink(link: Link): void;
@@ -47,6 +49,7 @@
   const links = new Map<string, Link>();
   const dialled = new Map<string, Dialled>();
   let others: Vm[] = [];
+  let model: string | undefined;
   let closed = false;
   let endWait = (): void => {};
 
@@ -86,6 +89,7 @@
       metrics.count('vm_list_failed', { kind: listed.err.kind });
       return;
     }
+    model = listed.value.find(({ name }) => name === self.node)?.model ?? model;
     others = listed.value.filter((vm) => vm.group === group && vm.name !== self.node);
     others.filter(isOursToDial).forEach(dial);
     dropUnlisted();
@@ -121,6 +125,7 @@
 
   return {
     members,
+    model: () => model,
     call: async (node, method, args, timeoutMs) => {
       const link = links.get(node);
       return link ? link.call(method, args, timeoutMs) : { outcome: 'lost' };
--- a/packages/lab/src/harness/upstream-plans.ts
+++ b/packages/lab/src/harness/upstream-plans.ts
@@ -17,6 +17,25 @@
 const rankNumbers = (engine: number, count: number): number[] =>
   Array.from({ length: count }, (_, index) => engine * count + index);
 
+/** The stand-in's own defaults. */
+const LAYERS = 2;
+const EXPERTS = 64;
+/** Room for replicas beyond one of each expert, in each layer of a rank. */
+const SPARE_SLOTS = 4;
+const EXPERT_BYTES = 65_536;
+
+const layoutOf = ({ engines, ranksPerEngine, flags = {} }: GroupSpec) => {
+  const rankCount = engines * ranksPerEngine;
+  const experts = Number(flags.experts ?? EXPERTS);
+  return {
+    rankCount,
+    layers: Number(flags.layers ?? LAYERS),
+    experts,
+    slots: Math.ceil(experts / rankCount) + SPARE_SLOTS,
+    bytesPerExpert: EXPERT_BYTES,
+  };
+};
+
 /** The upstreams of an expert group, one for each engine. */
 export const groupPlans = (spec: GroupSpec, ready: EnginesReady): UpstreamPlan[] =>
   ready.engines.map((url, index) => {
@@ -28,7 +47,7 @@
       url,
       control: ready.control,
       labels: { kind: 'model', model: spec.model, group: spec.name, ranks: ranks.join(',') },
-      upstream: { kind: 'model', url, group: spec.name, ranks },
+      upstream: { kind: 'model', url, group: spec.name, ranks, layout: layoutOf(spec) },
     };
   });
 
