--- a/packages/plantaindrum/src/core/entry/readiness.ts
+++ b/packages/plantaindrum/src/core/entry/readiness.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, Logger, Refusal } from '@plantaindrum/common';
 import type { IntentReader } from '@plantaindrum/intent';
+import { isStopped } from '@plantaindrum/intent';
 
 /** Phases of an entry's life. */
 export type Phase = 'starting' | 'serving' | 'draining';
@@ -45,7 +46,7 @@
   };
 
   const followDataCentre = (): void => {
-    const now = intent.current().document.dataCentres[dataCentre]?.state === 'stopped';
+    const now = isStopped(intent.current().document, dataCentre);
     if (now === stopped) return;
     stopped = now;
     if (stopped) notice();
