--- a/packages/requests/src/claims/claims.ts
+++ b/packages/requests/src/claims/claims.ts
@@ -24,6 +24,8 @@
   retentionMs?: number;
   /** How far clocks may differ, in milliseconds. */
   clockSkewMs?: number;
+  /** Keys held in memory; above it the partition unused for longest is dropped and read anew. */
+  mostKeys?: number;
   /** How long a claim waits for others to share its append, in milliseconds. */
   lingerMs?: number;
 }
@@ -49,6 +51,7 @@
 const DEFAULT_RETENTION_MS = 60 * 60_000;
 const DEFAULT_CLOCK_SKEW_MS = 60_000;
 const DEFAULT_LINGER_MS = 2;
+const DEFAULT_MOST_KEYS = 100_000;
 const MOST_IN_BATCH = 256;
 /** Pause before another append when the answer to one was lost, in milliseconds. */
 const REAPPEND_PAUSE_MS = 50;
@@ -84,14 +87,28 @@
   const { clockSkewMs = DEFAULT_CLOCK_SKEW_MS, lingerMs = DEFAULT_LINGER_MS } = options;
   const log = createBatchingLog(options.log, { clock, lingerMs, most: MOST_IN_BATCH });
   const tail = createTailAppender({ clock, log, lifeMs: windowMs });
+  const mostKeys = options.mostKeys ?? DEFAULT_MOST_KEYS;
+  /** In the order of last use. */
   const replays = new Map<number, PartitionReplay>();
   const active = new Map<ClaimId, ActiveClaim>();
   let serial = 0;
 
+  const heldKeys = () => [...replays.values()].reduce((sum, { table }) => sum + table.size(), 0);
+
+  /** What is dropped is read again from the log when a key of its partition comes. */
+  const dropUnused = () => {
+    while (replays.size > 1 && heldKeys() > mostKeys) {
+      const [oldest] = replays.keys();
+      replays.delete(oldest!);
+    }
+  };
+
   const replayOf = (partition: number): PartitionReplay => {
     const replay =
       replays.get(partition) ?? createPartitionReplay({ clock, log, partition, retentionMs });
+    replays.delete(partition);
     replays.set(partition, replay);
+    dropUnused();
     return replay;
   };
 
--- a/packages/requests/src/claims/key-table.ts
+++ b/packages/requests/src/claims/key-table.ts
@@ -13,7 +13,7 @@
 interface KeyState {
   holder: Holder | undefined;
   /** Claims that lost or were released: they never win, also when appended again. */
-  dead: Set<ClaimId>;
+  dead?: Set<ClaimId>;
   appliedAt: number;
 }
 
@@ -42,21 +42,27 @@
   const keys = new Map<string, KeyState>();
 
   const touch = (key: string, now: number): KeyState => {
-    const state = keys.get(key) ?? { holder: undefined, dead: new Set(), appliedAt: now };
+    const state = keys.get(key) ?? { holder: undefined, appliedAt: now };
     state.appliedAt = now;
     keys.delete(key);
     keys.set(key, state);
     return state;
   };
 
+  const bury = (state: KeyState, id: ClaimId) => {
+    const dead = state.dead ?? new Set();
+    dead.add(id);
+    Object.assign(state, { dead });
+  };
+
   return {
     apply: (record, now) => {
       const state = touch(record.key, now);
       const { holder, dead } = state;
       const isHolder = holder?.id === record.id;
       if (record.kind === 'claim') {
-        if (isHolder || dead.has(record.id)) return;
-        if (holder) dead.add(record.id);
+        if (isHolder || dead?.has(record.id)) return;
+        if (holder) bury(state, record.id);
         else state.holder = { id: record.id, body: record.body };
         return;
       }
@@ -67,14 +73,14 @@
       if (isHolder && holder.outcome) return;
       // A release can come before its claim, when the claim's append was delayed: remembered, it
       // keeps that claim from holding the key for nobody.
-      dead.add(record.id);
+      bury(state, record.id);
       if (isHolder) state.holder = undefined;
     },
     holder: (key) => keys.get(key)?.holder,
     standing: (key, id) => {
       const state = keys.get(key);
       if (state?.holder?.id === id) return 'first';
-      return state?.dead.has(id) ? 'dead' : 'unseen';
+      return state?.dead?.has(id) ? 'dead' : 'unseen';
     },
     prune: (time) => {
       for (const [key, { appliedAt }] of keys) {
--- a/packages/requests/src/routing/router.ts
+++ b/packages/requests/src/routing/router.ts
@@ -133,7 +133,7 @@
 
   const lastResort = (among: readonly Member[]): Route => {
     const heard = among.filter((member) => !member.health.isSilent());
-    const chosen = pick(heard.length > 0 ? heard : among);
+    const chosen = twoChoices(heard.length > 0 ? heard : among);
     return { upstream: chosen.upstream.id, method: 'last-resort' };
   };
 
--- a/packages/requests/test/claims.test.ts
+++ b/packages/requests/test/claims.test.ts
@@ -193,6 +193,19 @@
     expect(fake.counts().appends).to.equal(appends);
   });
 
+  it('decides alike after a partition was dropped from memory', async () => {
+    const { clock, fake } = worldWith();
+    const options = { clock, log: fake.log, metrics, instance: 'kent', partitions: 8, mostKeys: 1 };
+    const kent = createClaims(options);
+    const keys = Array.from({ length: 20 }, (_, n) => `export-${n}`);
+    const verdicts: string[] = [];
+    for (const key of [...keys, ...keys]) {
+      verdicts.push((await settled(clock, kent.claim(request({ key })))).verdict);
+    }
+    expect(new Set(verdicts.slice(0, 20))).to.deep.equal(new Set(['first']));
+    expect(new Set(verdicts.slice(20))).to.deep.equal(new Set(['held']));
+  });
+
   it('sends the claims of one moment in one append', async () => {
     const { clock, fake } = worldWith();
     const options = { clock, log: fake.log, metrics, instance: 'kent', partitions: 1, lingerMs: 5 };
