Entry that can't confirm its intent with anybody fails readiness and serves on

Cause: a node cut off from the log and from all peers can't tell how fresh its intent is, and looked ready. Change: readiness fails in the state isolated; calls that still come are served. Ruled out: refusing them, which would turn an outage of the log into one of the callers; failing readiness whenever the log is down, for the same reason.

--- a/packages/plantaindrum/src/core/entry/readiness.ts
+++ b/packages/plantaindrum/src/core/entry/readiness.ts
@@ -54,7 +54,7 @@
     log.info(`data centre ${dataCentre} ${stopped ? 'is stopping' : 'serves again'}`);
   };
 
-  const unready = (): Refusal | undefined => {
+  const closedNow = (): Refusal | undefined => {
     if (phase === 'draining') return notReady('this VM is leaving');
     if (stopped) return { reason: 'data-centre-stopping', data: { dataCentre } };
     if (!intent.freshness().caughtUp) return notReady("the operators' intent is not read yet");
@@ -62,6 +62,17 @@
     return undefined;
   };
 
+  /**
+   * An entry that hears neither the log nor a peer can't tell whether operators have changed the
+   * intent. It asks the balancer to prefer others, and serves on whoever still comes: with no agent
+   * in reach it can hardly serve a call by old intent, and a refusal would help nobody.
+   */
+  const unready = (): Refusal | undefined => {
+    const closed = closedNow();
+    if (closed || intent.freshness().state !== 'isolated') return closed;
+    return notReady("the operators' intent can't be confirmed: no log and no peer in reach");
+  };
+
   followDataCentre();
   intent.onChange(followDataCentre);
 
@@ -78,7 +89,7 @@
     closedFor: () => {
       const leaving = phase === 'draining' || stopped;
       if (leaving && clock.monotonic() < refuseFrom) return undefined;
-      return unready();
+      return closedNow();
     },
   };
 };
