Proofs with processes: stop of a data centre, leaving while the list lags, a frozen agent

Cause: the proofs so far used fakes. Change: two data centres under load with long streams. A stop cuts nothing; a leaving upstream gets nothing new while the list shows it as live; an agent that freezes and wakes leaves honest answers and no second run.

--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -2,10 +2,11 @@
 
 import { setTimeout as delay } from 'node:timers/promises';
 import type { IntentKey } from '@plantaindrum/intent';
+import { request } from 'undici';
 import { repositoryRoot } from '../harness/child.js';
 import type { Load, LoadCall } from '../harness/load.js';
 import { startLoad } from '../harness/load.js';
-import { readIntentFile } from '../harness/operators.js';
+import { OPERATORS_TOKEN, readIntentFile } from '../harness/operators.js';
 import { startSite } from '../harness/site.js';
 import type { Site, SiteEntry, SiteSpec } from '../harness/site-types.js';
 import type { TrafficKind } from '../harness/traffic.js';
@@ -20,6 +21,10 @@
 const LONG_TOKENS = 400;
 const LIST_LAG_MS = 1_000;
 const LINKED_WITHIN_MS = 10_000;
+/** A drain that takes longer counts as failed. */
+export const LONGEST_DRAIN_MS = 60_000;
+const QUIET_POLL_MS = 100;
+const QUIET_READINGS = 3;
 
 /** Streams that take some seconds, so that some are always open when a stop begins. */
 const longStreams: TrafficKind = {
@@ -144,3 +149,37 @@
   const answer = await operators.change([{ key, base: versions[key] ?? -1, value: { state } }]);
   if (answer.outcome !== 'accepted') throw new Error(`${name}: ${JSON.stringify(answer)}`);
 };
+
+interface NodeInFlight {
+  node: string;
+  role: string;
+  inFlight?: number;
+}
+
+const inFlight = async (site: Site, dataCentre: string): Promise<NodeInFlight[]> => {
+  const door = site.entry(1).process.ready.operators;
+  const headers = { authorization: `Bearer ${OPERATORS_TOKEN}` };
+  const res = await request(`${door}/in-flight?data-centre=${dataCentre}`, { headers });
+  return (await res.body.json()) as NodeInFlight[];
+};
+
+/** What `plantaindrum data-centre stop` waits for, and the time that it took. */
+export const untilQuiet = async (site: Site): Promise<number> => {
+  const begun = performance.now();
+  for (let quiet = 0; quiet < QUIET_READINGS;) {
+    const nodes = await inFlight(site, STOPPED);
+    quiet = nodes.some((node) => (node.inFlight ?? 0) > 0) ? 0 : quiet + 1;
+    if (performance.now() - begun > LONGEST_DRAIN_MS) return Infinity;
+    await delay(QUIET_POLL_MS);
+  }
+  return performance.now() - begun;
+};
+
+/** Requests that the entries have dispatched to an upstream so far. */
+export const dispatchedTo = async (site: Site, upstream: string): Promise<number> => {
+  const name = 'plantaindrum_dispatches_total';
+  const counts = await Promise.all(
+    site.entries.map(({ operators }) => operators.counter(name, { upstream })),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+};
--- a/packages/lab/src/experiments/drain.ts
+++ b/packages/lab/src/experiments/drain.ts
@@ -1,17 +1,17 @@
 /** A planned stop under load: what is cut, and how long it takes until nothing is in flight. */
 
 import { setTimeout as delay } from 'node:timers/promises';
-import { request } from 'undici';
 import type { LoadCall } from '../harness/load.js';
-import { OPERATORS_TOKEN } from '../harness/operators.js';
 import type { Site } from '../harness/site-types.js';
 import {
   countOutcomes,
+  LONGEST_DRAIN_MS,
   probeEntries,
   setDataCentre,
   startMixedLoad,
   startTwoDataCentres,
   STOPPED,
+  untilQuiet,
 } from './drain-site.js';
 import type { ExperimentOptions } from './table.js';
 
@@ -28,38 +28,10 @@
 
 const BEFORE_MS = 3_000;
 const AFTER_MS = 5_000;
-const POLL_MS = 100;
-const QUIET_READINGS = 3;
-const LONGEST_DRAIN_MS = 60_000;
-
-interface NodeInFlight {
-  node: string;
-  role: string;
-  inFlight?: number;
-}
 
 const isCut = ({ result }: LoadCall): boolean =>
   result.outcome !== 'answered' && result.outcome !== 'not-run';
 
-const inFlight = async (site: Site, dataCentre: string): Promise<NodeInFlight[]> => {
-  const door = site.entry(1).process.ready.operators;
-  const headers = { authorization: `Bearer ${OPERATORS_TOKEN}` };
-  const res = await request(`${door}/in-flight?data-centre=${dataCentre}`, { headers });
-  return (await res.body.json()) as NodeInFlight[];
-};
-
-/** What `plantaindrum data-centre stop` waits for, and the time that it took. */
-const untilQuiet = async (site: Site): Promise<number> => {
-  const begun = performance.now();
-  for (let quiet = 0; quiet < QUIET_READINGS;) {
-    const nodes = await inFlight(site, STOPPED);
-    quiet = nodes.some((node) => (node.inFlight ?? 0) > 0) ? 0 : quiet + 1;
-    if (performance.now() - begun > LONGEST_DRAIN_MS) return Infinity;
-    await delay(POLL_MS);
-  }
-  return performance.now() - begun;
-};
-
 interface Drained {
   drainMs: number;
   exitCode?: number | null;
--- a/packages/lab/src/experiments/recovery.ts
+++ b/packages/lab/src/experiments/recovery.ts
@@ -5,6 +5,7 @@
 import type { Site, SiteUpstream } from '../harness/site-types.js';
 import {
   countOutcomes,
+  dispatchedTo,
   probeEntries,
   startMixedLoad,
   startTwoDataCentres,
@@ -30,14 +31,6 @@
 const AFTER_MS = 9_000;
 const POLL_MS = 25;
 
-const dispatchedTo = async (site: Site, upstream: string): Promise<number> => {
-  const name = 'plantaindrum_dispatches_total';
-  const counts = await Promise.all(
-    site.entries.map(({ operators }) => operators.counter(name, { upstream })),
-  );
-  return counts.reduce((sum, count) => sum + count, 0);
-};
-
 interface Watch {
   lastMs: number;
   dispatched: number;
--- /dev/null
+++ b/packages/lab/test/stopping.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai';
+import { summarize } from '../src/cli/demo/summary.js';
+import { readOracle } from '../src/cli/demo/oracle.js';
+import type { Load, LoadCall } from '../src/harness/load.js';
+import type { Site } from '../src/harness/site-types.js';
+import { until } from '../src/harness/until.js';
+import type { ProbedEntries } from '../src/experiments/drain-site.js';
+import {
+  dispatchedTo,
+  probeEntries,
+  setDataCentre,
+  startMixedLoad,
+  startTwoDataCentres,
+  STOPPED,
+  untilQuiet,
+} from '../src/experiments/drain-site.js';
+
+const WITHIN_MS = 20_000;
+
+describe('stopping and dying under load, with real processes', () => {
+  let site: Site;
+  let probed: ProbedEntries;
+  let load: Load;
+  const model = `lot-writer-${STOPPED}-1`;
+
+  beforeEach(async () => {
+    site = await startTwoDataCentres();
+    probed = probeEntries(site.entries);
+    const durationMs = 3 * WITHIN_MS;
+    load = startMixedLoad(probed.urls, { seed: 1, durationMs, run: 'test', scale: 1 });
+    await until('the upstream has work', async () => (await dispatchedTo(site, model)) >= 5);
+  });
+
+  afterEach(async () => {
+    load.stop();
+    probed.stop();
+    await site.close();
+  });
+
+  const endLoad = (): Promise<LoadCall[]> => {
+    load.stop();
+    return load.finished;
+  };
+
+  const notAnswered = (calls: LoadCall[]): unknown[] =>
+    calls
+      .filter(({ result }) => result.outcome !== 'answered')
+      .map(({ class: name, result }) => [name, result.outcome, result.reason]);
+
+  /** No answer is broken off in silence, and no call that may not be repeated ran twice. */
+  const expectHonest = async (calls: LoadCall[]): Promise<void> => {
+    const mayNotRepeat = (name: string) => name === 'bid-sheet-export' || name === 'title-check';
+    const summary = summarize(calls, await readOracle(site), mayNotRepeat);
+    expect(summary.sent).to.equal(calls.length);
+    expect(summary).to.include({ broken: 0, wrongAnswers: 0, mixedSteps: 0 });
+    expect(summary.mayNotRepeat.most).to.be.at.most(1);
+    expect(summary.mayNotRepeat.ranThoughNotRun).to.equal(0);
+  };
+
+  // Operators stop a data centre while streams of some seconds are open there. Its entry fails
+  // readiness, the balancer moves callers on, agents finish what they hold: each caller has a whole
+  // answer, and the stop ends when nothing is in flight.
+  it('cuts nothing when a data centre is stopped', async () => {
+    await setDataCentre(site, STOPPED, 'stopped');
+    expect(await untilQuiet(site)).to.be.lessThan(WITHIN_MS);
+    const calls = await endLoad();
+    expect(notAnswered(calls)).to.deep.equal([]);
+    await expectHonest(calls);
+  });
+
+  // An agent gets SIGTERM and announces on its links that it leaves; the list goes on to show it as
+  // live. Its entries send nothing new there, what had not started goes elsewhere, the rest ends.
+  it('sends nothing new to a leaving upstream that the list still shows', async () => {
+    const leaving = site.upstream(model).agent;
+    const exit = await leaving.stop(WITHIN_MS);
+    const atExit = await dispatchedTo(site, model);
+    const sentBefore = load.inFlight();
+    await until('later calls have ended', () => load.inFlight() !== sentBefore);
+    const calls = await endLoad();
+    expect(exit).to.deep.equal({ code: 0, signal: null });
+    expect(await dispatchedTo(site, model)).to.equal(atExit);
+    expect(notAnswered(calls)).to.deep.equal([]);
+    await expectHonest(calls);
+  });
+
+  // An agent is frozen with requests in its hands. Its links stay open until heartbeats are missed;
+  // then its callers get an answer from elsewhere or an honest "unknown". It wakes long after, with
+  // calls that nobody waits for; none of them may run a second time.
+  it('answers honestly when an agent freezes, and again after it wakes', async () => {
+    const { agent } = site.upstream(model);
+    const isLinked = async (): Promise<boolean> => {
+      const statuses = await Promise.all(site.entries.map(({ operators }) => operators.status()));
+      return statuses.every((status) =>
+        (status.upstreams as { name: string; linked: boolean }[]).some(
+          ({ name, linked }) => name === model && linked,
+        ),
+      );
+    };
+    agent.signal('SIGSTOP');
+    await until('its links are given up', async () => !(await isLinked()), WITHIN_MS);
+    agent.signal('SIGCONT');
+    await until('its links are back', isLinked, WITHIN_MS);
+    const calls = await endLoad();
+    const others = calls.filter(({ result }) => !['answered', 'unknown'].includes(result.outcome));
+    expect(notAnswered(others)).to.deep.equal([]);
+    await expectHonest(calls);
+  });
+});
