Entry: bounds for slow callers and agents that ignore credit; proofs of retries and refusals

Cause: an agent that ignores its credit, or a caller that stops reading, could hold memory and a place at the engine for good. Tests: credit withheld for a slow caller, credit exceeded, refusal at once, retry after a proved not-run, none after unknown, too many connections.

--- a/packages/plantaindrum/src/core/attempts/run-attempt.ts
+++ b/packages/plantaindrum/src/core/attempts/run-attempt.ts
@@ -3,6 +3,7 @@
 import type { Clock, Metrics, RefusalReason } from '@plantaindrum/common';
 import { isRefusalReason } from '@plantaindrum/common';
 import type { AttemptId, Chunk } from '@plantaindrum/link';
+import { INITIAL_CREDIT_BYTES } from '@plantaindrum/link';
 import type { AttemptEvent as RecordedEvent, RouteTicket } from '@plantaindrum/requests';
 import { createSentAttempt } from '@plantaindrum/requests';
 import { createInbox } from './inbox.js';
@@ -55,8 +56,25 @@
   let headSeen = false;
   let cancelled = false;
   let linked = true;
+  let waiting = 0;
+  let overrun = false;
   let stopTimer = (): void => {};
 
+  /**
+   * Bytes that wait for the caller stay within the credit. An agent that ignores it would fill this
+   * process's memory while a slow caller reads, so what exceeds it is dropped and the answer broken.
+   */
+  const push = (event: AttemptEvent): void => {
+    if (event.t !== 'chunk') {
+      inbox.push(event);
+      return;
+    }
+    if (overrun) return;
+    waiting += event.data.length;
+    overrun = waiting > INITIAL_CREDIT_BYTES;
+    inbox.push(overrun ? { t: 'overrun' } : event);
+  };
+
   const armTimer = (): void => {
     stopTimer();
     const quietMs = linked ? times.silenceMs : times.reconnectMs;
@@ -95,6 +113,7 @@
     if (chunk.offset !== received) return broken('wrong-offset');
     received += chunk.data.length;
     if (!(await answer.write(chunk.data))) return broken('wrong-event');
+    waiting -= chunk.data.length;
     upstream.credit(id, chunk.data.length);
     return undefined;
   };
@@ -155,6 +174,8 @@
       case 'caller-gone':
         cancel();
         return { outcome: 'caller-gone' };
+      case 'overrun':
+        return broken('credit-exceeded');
       case 'timer':
         return onTimer();
       default:
@@ -162,7 +183,7 @@
     }
   };
 
-  const close = upstream.open(id, inbox);
+  const close = upstream.open(id, { push });
   const offCaller = options.onCallerGone(() => inbox.push({ t: 'caller-gone' }));
   try {
     const sent = await upstream.dispatch({ t: 'dispatch', id, ...work });
--- a/packages/plantaindrum/src/core/attempts/types.ts
+++ b/packages/plantaindrum/src/core/attempts/types.ts
@@ -20,6 +20,8 @@
   | { t: 'link-lost' }
   | { t: 'link-up'; instance: string }
   | { t: 'caller-gone' }
+  /** The agent sent more than its credit allows. */
+  | { t: 'overrun' }
   | { t: 'timer' };
 
 /** What an entry sends in a dispatch; the attempt adds its id. */
--- a/packages/plantaindrum/src/core/callers/answer.ts
+++ b/packages/plantaindrum/src/core/callers/answer.ts
@@ -1,12 +1,13 @@
 /** One caller's answer, fed by one attempt after the other and written to the caller once. */
 
 import type { ServerResponse } from 'node:http';
-import type { Metrics, Refusal } from '@plantaindrum/common';
+import type { Clock, Metrics, Refusal } from '@plantaindrum/common';
 import { refusalBody, refusalEvent, refusalHeaders, refusalStatus } from '@plantaindrum/common';
 import type { AnswerSink } from '../attempts/types.js';
 import type { EventSplitter, WholeEvent } from './event-splitter.js';
 import { createEventSplitter } from './event-splitter.js';
 import { answeredHeaders } from './headers.js';
+import { createRoom } from './room.js';
 
 /** Answers up to this many bytes are held until they are whole, so that a failure can be told. */
 const HELD_BYTES = 1_048_576;
@@ -28,6 +29,7 @@
 /** What an answer needs. */
 export interface AnswerOptions {
   res: ServerResponse;
+  clock: Clock;
   metrics: Metrics;
   /** A stream must end in `[DONE]` (OpenAI completions). */
   endsInDone: boolean;
@@ -41,25 +43,10 @@
 const idNumber = (id: string | undefined): number | undefined =>
   id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
 
-/** Resolves when the caller has room again, or has gone. */
-const roomOf = (res: ServerResponse): Promise<void> =>
-  new Promise((resolve) => {
-    if (!res.writableNeedDrain || res.destroyed) {
-      resolve();
-      return;
-    }
-    const done = (): void => {
-      res.off('drain', done);
-      res.off('close', done);
-      resolve();
-    };
-    res.on('drain', done);
-    res.on('close', done);
-  });
-
 /** Creates the answer to one request. */
 export const createAnswer = (options: AnswerOptions): Answer => {
-  const { res, metrics, endsInDone, onSent } = options;
+  const { res, clock, metrics, endsInDone, onSent } = options;
+  const room = createRoom(res, clock, metrics);
   let status: number | undefined;
   let stream = false;
   let lastId: string | undefined;
@@ -97,7 +84,7 @@
     return {
       write: async (data) => {
         const inOrder = splitter.push(data).every((event) => writeEvent(event, headers));
-        await roomOf(res);
+        await room();
         return inOrder;
       },
       end: () => {
@@ -126,7 +113,7 @@
           onSent();
         }
         release();
-        await roomOf(res);
+        await room();
         return true;
       },
       end: () => {
--- a/packages/plantaindrum/src/core/callers/door.ts
+++ b/packages/plantaindrum/src/core/callers/door.ts
@@ -45,6 +45,10 @@
   close(): Promise<void>;
 }
 
+/** Time that a caller has to send its header, and its whole request, in milliseconds. */
+const HEADERS_MS = 10_000;
+const REQUEST_MS = 60_000;
+
 const listen = (server: Server, { host, port }: { host: string; port: number }): Promise<string> =>
   new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -173,6 +177,7 @@
     const times = timesOf(request);
     const answer = createAnswer({
       res,
+      clock,
       metrics,
       endsInDone: target.kind === 'model' && target.stream,
       onSent: times.sent,
@@ -194,7 +199,12 @@
     if (inFlight === 0) onIdle();
   };
 
-  const server = createServer({ maxHeaderSize: limits.headerBytes }, (req, res) => {
+  const serverOptions = {
+    maxHeaderSize: limits.headerBytes,
+    headersTimeout: HEADERS_MS,
+    requestTimeout: REQUEST_MS,
+  };
+  const server = createServer(serverOptions, (req, res) => {
     void serveCounted(req, res);
   });
 
--- /dev/null
+++ b/packages/plantaindrum/test/requests.test.ts
@@ -0,0 +1,119 @@
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import type { Link, PeerFrame } from '@plantaindrum/link';
+import type { FakeAgent } from './support/fake-agent.js';
+import { answerWith, idle, startFakeAgent } from './support/fake-agent.js';
+import type { TestSite } from './support/site.js';
+import { startSite, upstreamVm } from './support/site.js';
+
+const body = JSON.stringify({ model: 'lot-writer', prompt: 'a car' });
+const exportsOf = { kind: 'service', service: 'exports' };
+
+type Script = (frame: PeerFrame, link: Link) => void;
+
+const refuseWith =
+  (reason: 'queue-full' | 'deadline-unreachable', retryAfterMs: number): Script =>
+  (frame, link) => {
+    if (frame.t !== 'dispatch') return;
+    link.send({ t: 'not-run', id: frame.id, reason, retryAfterMs, load: idle });
+  };
+
+const breakOff: Script = (frame, link) => {
+  if (frame.t !== 'dispatch') return;
+  link.send({ t: 'unknown', id: frame.id, reason: 'upstream-broke-off', load: idle });
+};
+
+const answer: Script = (frame, link) => {
+  if (frame.t === 'dispatch') answerWith(link, frame, '{}');
+};
+
+/** The first dispatch that any of the agents gets is served by one script, later ones by another. */
+const firstThen = (first: Script, later: Script): Script => {
+  let count = 0;
+  return (frame, link) => {
+    if (frame.t !== 'dispatch') return;
+    count += 1;
+    (count === 1 ? first : later)(frame, link);
+  };
+};
+
+describe('requests', () => {
+  const open: { close(): Promise<void> }[] = [];
+  let agents: FakeAgent[];
+
+  const start = async (
+    script: Script,
+    labels?: Record<string, string>,
+    limits: Record<string, number> = {},
+  ): Promise<TestSite> => {
+    agents = await Promise.all([startFakeAgent(script), startFakeAgent(script)]);
+    const vms = agents.map(({ address }, index) => upstreamVm(`u${index}`, address, labels));
+    const site = await startSite(vms, limits);
+    open.push(site, ...agents);
+    return site;
+  };
+
+  const sent = (): number =>
+    agents.flatMap(({ frames }) => frames.filter(({ t }) => t === 'dispatch')).length;
+
+  afterEach(async () => {
+    for (const part of open.splice(0)) await part.close();
+  });
+
+  it('are refused at once with the Retry-After of the last agent', async () => {
+    const site = await start(refuseWith('queue-full', 6_500));
+    const { status, headers } = await site.call('/v1/completions', { body });
+    expect([status, headers['retry-after']]).to.deep.equal([429, '7']);
+    expect(headers['x-plantaindrum-outcome']).to.equal('not-run');
+    expect(sent()).to.equal(2);
+  });
+
+  it('run at another upstream after a proved "not run"', async () => {
+    const site = await start(firstThen(refuseWith('queue-full', 50), answer), exportsOf);
+    const { status } = await site.call('/exports/1', { body: '{}' });
+    expect([status, sent()]).to.deep.equal([200, 2]);
+    expect(site.metrics.counter('retries', { reason: 'queue-full' })).to.equal(1);
+  });
+
+  /*
+   * The upstream broke off after it was given a call that may not be repeated. The call may have
+   * had its effect: no other upstream gets it, and the caller is told that nobody knows.
+   */
+  it('that may not be repeated go to no second upstream while the outcome is unknown', async () => {
+    const site = await start(firstThen(breakOff, answer), exportsOf);
+    const { status, headers } = await site.call('/exports/1', { body: '{}' });
+    expect([status, headers['x-plantaindrum-outcome'], sent()]).to.deep.equal([502, 'unknown', 1]);
+    expect(site.metrics.counter('retries_denied', { reason: 'may-not-repeat' })).to.equal(1);
+  });
+
+  it('with an idempotency key are not repeated either', async () => {
+    const site = await start(firstThen(breakOff, answer));
+    const headers = { 'idempotency-key': 'k1' };
+    const first = await site.call('/v1/completions', { body, headers });
+    expect([first.status, sent()]).to.deep.equal([502, 1]);
+  });
+
+  /*
+   * The first attempt may have run, the second provably did not. Together the request may have
+   * run, so the refusal says "unknown" although the last agent said "not run".
+   */
+  it('stay unknown when a retry did not run', async () => {
+    const site = await start(firstThen(breakOff, refuseWith('deadline-unreachable', 50)));
+    const { status, headers } = await site.call('/v1/completions', { body });
+    expect([status, headers['x-plantaindrum-outcome'], sent()]).to.deep.equal([502, 'unknown', 2]);
+  });
+
+  it('over the limit of connections get a refusal and not a reset', async () => {
+    const site = await start(answer, undefined, { connections: 1 });
+    const { hostname, port } = new URL(site.entry.callers);
+    const first = connect(Number(port), hostname);
+    await new Promise((resolve) => {
+      first.once('connect', resolve);
+    });
+    const { status, headers } = await site.call('/v1/completions', { body });
+    first.destroy();
+    expect([status, headers['x-plantaindrum-reason']]).to.deep.equal([503, 'too-many-connections']);
+    const counted = site.metrics.counter('requests_refused', { reason: 'too-many-connections' });
+    expect(counted).to.equal(1);
+  });
+});
--- a/packages/plantaindrum/test/run-attempt.test.ts
+++ b/packages/plantaindrum/test/run-attempt.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { createManualClock, createMetrics } from '@plantaindrum/common';
 import type { AttemptId, PeerFrame } from '@plantaindrum/link';
+import { INITIAL_CREDIT_BYTES } from '@plantaindrum/link';
 import { defaultAttemptTimes, runAttempt } from '../src/core/attempts/run-attempt.js';
 import type { AnswerSink, Work } from '../src/core/attempts/types.js';
 import { createUpstream } from '../src/core/upstreams/upstream.js';
@@ -19,6 +20,12 @@
   body: Buffer.from('{}'),
 };
 
+/** Lets everything that waits for nothing outside run. */
+const settled = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
 const chunk = (id: AttemptId, offset: number, text: string): PeerFrame => ({
   t: 'chunk',
   id,
@@ -44,10 +51,12 @@
   const deliver = upstream.onLink(first.link);
   let leave = (): void => {};
   let text = '';
+  let room: Promise<void> = Promise.resolve();
   const answer: AnswerSink = {
     head: () => true,
     write: async (data) => {
       text += Buffer.from(data).toString();
+      await room;
       return true;
     },
     end: () => true,
@@ -81,6 +90,14 @@
     reconnect,
     leave: () => leave(),
     text: () => text,
+    /** The caller reads nothing until the result is called. */
+    fill: (): (() => void) => {
+      let drain = (): void => {};
+      room = new Promise((resolve) => {
+        drain = resolve;
+      });
+      return drain;
+    },
   };
 };
 
@@ -146,6 +163,35 @@
     expect(metrics.counter('frames_for_closed_attempt', { frame: 'chunk' })).to.equal(2);
   });
 
+  /*
+   * The caller reads slowly. Credit goes back to the agent only as fast as the caller takes bytes,
+   * so that the answer waits at the agent and not in this process.
+   */
+  it('grants credit only once the caller has room', async () => {
+    const { deliver, run, first, fill, text } = setUp();
+    const drain = fill();
+    const outcome = run('e:1');
+    await first.sentOne('dispatch');
+    [head('e:1'), chunk('e:1', 0, 'ab'), end('e:1', 2)].forEach(deliver);
+    await settled();
+    expect([text(), first.sent.map(({ t }) => t)]).to.deep.equal(['ab', ['dispatch']]);
+    drain();
+    expect(await outcome).to.deep.equal({ outcome: 'answered' });
+    expect(first.sent.at(-1)).to.deep.equal({ t: 'credit', id: 'e:1', bytes: 2 });
+  });
+
+  it('holds no more than the credit for a slow caller', async () => {
+    const { deliver, run, fill, metrics } = setUp();
+    const drain = fill();
+    const outcome = run('e:1');
+    const part = 'x'.repeat(INITIAL_CREDIT_BYTES / 2);
+    deliver(head('e:1'));
+    [0, 1, 2, 3].forEach((n) => deliver(chunk('e:1', n * part.length, part)));
+    drain();
+    expect((await outcome).outcome).to.equal('unknown');
+    expect(metrics.counter('answer_broken', { fault: 'credit-exceeded' })).to.equal(1);
+  });
+
   it('is not run when nothing could be sent', async () => {
     const { run, first } = setUp();
     await first.lose();
