Intent: a large state goes to a peer in parts that fit in a frame

Parts of two states are never put together. Ruled out: a larger frame limit, which every link would have to hold in memory.

--- a/packages/intent/src/core/document/checkpoint.ts
+++ b/packages/intent/src/core/document/checkpoint.ts
@@ -33,7 +33,7 @@
   values: z.array(z.tuple([z.string(), z.unknown()])),
   versions: z.array(z.tuple([z.string(), z.number().int()])),
   recent: z.array(recentSchema),
-}) as unknown as z.ZodType<IntentSnapshot>;
+});
 
 const checkpointSchema = z.object({
   kind: z.literal('checkpoint'),
--- a/packages/intent/src/links.ts
+++ b/packages/intent/src/links.ts
@@ -1,7 +1,7 @@
 /** Joins the intent reader to a process's links. */
 
-import type { FetchAnswer, IntentPeer } from './reader/peers.js';
-import { FETCH_METHOD, parseFetchAnswer } from './reader/peers.js';
+import type { FetchReply, IntentPeer } from './reader/peers.js';
+import { FETCH_METHOD, fetchWhole, parseFetchReply } from './reader/peers.js';
 import type { IntentNode } from './reader/reader.js';
 
 /** The part of a link that intent uses. */
@@ -17,7 +17,7 @@
 
 /** What goes into the link options of a process. */
 export interface IntentLinks {
-  handlers: Record<string, (args: unknown) => Promise<FetchAnswer>>;
+  handlers: Record<string, (args: unknown) => Promise<FetchReply>>;
   intentOffset: () => number;
   /** To be called from `onLink`. */
   onLink(link: IntentLink): void;
@@ -29,10 +29,11 @@
 
 const peerOf = (link: IntentLink): IntentPeer => ({
   name: link.peer.node,
-  fetch: async (after) => {
-    const answer = await link.call(FETCH_METHOD, { after }, FETCH_TIMEOUT_MS);
-    return answer.outcome === 'answered' ? parseFetchAnswer(answer.value) : undefined;
-  },
+  fetch: (after) =>
+    fetchWhole(async (args) => {
+      const reply = await link.call(FETCH_METHOD, args, FETCH_TIMEOUT_MS);
+      return reply.outcome === 'answered' ? parseFetchReply(reply.value) : undefined;
+    }, after),
 });
 
 /** Creates the link handlers of a reader; a link leaves by itself when it has closed. */
--- a/packages/intent/src/reader/peers.ts
+++ b/packages/intent/src/reader/peers.ts
@@ -3,13 +3,14 @@
 import { z } from 'zod';
 import { snapshotSchema } from '../core/document/checkpoint.js';
 import type { Handover } from './replica.js';
+import type { PartName, SnapshotPart } from './snapshot-parts.js';
+import { joinParts } from './snapshot-parts.js';
 
 /** Name of the call between nodes that fetches missing records. */
 export const FETCH_METHOD = 'intent.fetch';
 
-/** A node's answer to `intent.fetch`: what the asker misses, and how sure the node is itself. */
-export interface FetchAnswer {
-  handover: Handover;
+/** How sure a node is of its intent. */
+interface Standing {
   /** Offset of the last record that the answering node has replayed. */
   offset: number;
   caughtUp: boolean;
@@ -17,6 +18,24 @@
   confirmedMsAgo?: number;
 }
 
+/** A peer's whole answer: what the asker misses, and how sure the peer is itself. */
+export interface FetchAnswer extends Standing {
+  handover: Handover;
+}
+
+/** One reply to `intent.fetch`; a state comes in parts. */
+export interface FetchReply extends Standing {
+  handover: Exclude<Handover, { kind: 'snapshot' }> | { kind: 'part'; part: SnapshotPart };
+}
+
+/** Arguments of `intent.fetch`. */
+export interface FetchArgs {
+  /** Offset of the last record that the asker has replayed. */
+  after: number;
+  /** The next part of a state whose first part has come. */
+  part?: PartName;
+}
+
 /** Another node, as far as intent goes. */
 export interface IntentPeer {
   readonly name: string;
@@ -24,30 +43,63 @@
   fetch(after: number): Promise<FetchAnswer | undefined>;
 }
 
+/** Parts of the largest state that a node takes: two million keys. */
+const MOST_PARTS = 1_000;
+
 const recordsSchema = z.array(z.object({ offset: z.number().int(), value: z.unknown() }));
 
+const partSchema = snapshotSchema.extend({
+  index: z.number().int().min(0),
+  count: z.number().int().min(1).max(MOST_PARTS),
+});
+
 const handoverSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('records'), records: recordsSchema, through: z.number().int() }),
-  z.object({ kind: z.literal('snapshot'), snapshot: snapshotSchema, through: z.number().int() }),
+  z.object({ kind: z.literal('part'), part: partSchema }),
 ]);
 
-const answerSchema = z.object({
+const replySchema = z.object({
   handover: handoverSchema,
   offset: z.number().int(),
   caughtUp: z.boolean(),
   confirmedMsAgo: z.number().optional(),
-}) as unknown as z.ZodType<FetchAnswer>;
+}) as unknown as z.ZodType<FetchReply>;
 
-const argsSchema = z.object({ after: z.number().int().min(-1) });
+const argsSchema = z.object({
+  after: z.number().int().min(-1),
+  part: z.object({ asOf: z.number().int(), index: z.number().int().min(0) }).optional(),
+});
 
-/** Checks the shape of a peer's answer. */
-export const parseFetchAnswer = (value: unknown): FetchAnswer | undefined => {
-  const checked = answerSchema.safeParse(value);
+const NOTHING_HELD: FetchArgs = { after: -1 };
+
+/** Checks the shape of a peer's reply. */
+export const parseFetchReply = (value: unknown): FetchReply | undefined => {
+  const checked = replySchema.safeParse(value);
   return checked.success ? checked.data : undefined;
 };
 
-/** The offset that a caller of `intent.fetch` holds already; everything when it names none. */
-export const parseFetchArgs = (args: unknown): number => {
+/** What a caller of `intent.fetch` holds already and wants; everything when it names nothing. */
+export const parseFetchArgs = (args: unknown): FetchArgs => {
   const checked = argsSchema.safeParse(args);
-  return checked.success ? checked.data.after : -1;
+  return checked.success ? checked.data : NOTHING_HELD;
+};
+
+/** Asks a peer until its answer is whole; undefined when a reply was lost or the state moved. */
+export const fetchWhole = async (
+  ask: (args: FetchArgs) => Promise<FetchReply | undefined>,
+  after: number,
+): Promise<FetchAnswer | undefined> => {
+  const first = await ask({ after });
+  if (!first) return undefined;
+  const { handover, ...standing } = first;
+  if (handover.kind === 'records') return { ...standing, handover };
+  const { asOf, count } = handover.part;
+  const parts = [handover.part];
+  while (parts.length < count) {
+    const next = await ask({ after, part: { asOf, index: parts.length } });
+    if (next?.handover.kind !== 'part') return undefined;
+    parts.push(next.handover.part);
+  }
+  const snapshot = joinParts(parts);
+  return snapshot && { ...standing, handover: { kind: 'snapshot', snapshot } };
 };
--- a/packages/intent/src/reader/reader.ts
+++ b/packages/intent/src/reader/reader.ts
@@ -7,10 +7,11 @@
 import { createFreshnessTracker } from './freshness.js';
 import { startLogFollower } from './log-follower.js';
 import { createPeerAsker } from './peer-asker.js';
-import type { FetchAnswer, IntentPeer } from './peers.js';
+import type { FetchAnswer, FetchArgs, FetchReply, IntentPeer } from './peers.js';
 import { parseFetchArgs } from './peers.js';
 import { createIntentReplica } from './replica.js';
 import type { MetCheckpoint } from './replica.js';
+import { partOf } from './snapshot-parts.js';
 import { createOffsetWaiters } from './waiters.js';
 import type { IntentSnapshot } from '../core/document/aggregate.js';
 
@@ -66,7 +67,7 @@
 /** A reader with its side towards peers and towards the checkpointer. */
 export interface IntentNode extends IntentReader {
   /** Answers `intent.fetch` of a peer. */
-  serveFetch(args: unknown): FetchAnswer;
+  serveFetch(args: unknown): FetchReply;
   addPeer(peer: IntentPeer): void;
   removePeer(peer: IntentPeer): void;
   /** A frame of the peer carried this offset. */
@@ -142,10 +143,19 @@
     detectGaps: options.detectGaps ?? true,
   });
 
-  const serveFetch = (args: unknown): FetchAnswer => {
+  const handoverTo = ({ after, part }: FetchArgs): FetchReply['handover'] => {
+    const handover = replica.handover(after, limits.answerRecords);
+    if (handover.kind === 'records') return handover;
+    const { snapshot } = handover;
+    // Of a state that has moved on meanwhile only the first part makes sense; the asker notices.
+    const index = part?.asOf === snapshot.asOf ? part.index : 0;
+    return { kind: 'part', part: partOf(snapshot, index) };
+  };
+
+  const serveFetch = (args: unknown): FetchReply => {
     const { caughtUp, confirmedMsAgo } = freshness.now();
     return {
-      handover: replica.handover(parseFetchArgs(args), limits.answerRecords),
+      handover: handoverTo(parseFetchArgs(args)),
       offset: offset(),
       caughtUp,
       ...(confirmedMsAgo === undefined ? {} : { confirmedMsAgo }),
--- a/packages/intent/src/reader/replica.ts
+++ b/packages/intent/src/reader/replica.ts
@@ -4,6 +4,7 @@
 import type { IntentAggregate, IntentSnapshot, ReplayStep } from '../core/document/aggregate.js';
 import { createIntentAggregate } from '../core/document/aggregate.js';
 import type { CheckpointMark } from '../core/document/checkpoint.js';
+import { batchOf } from './snapshot-parts.js';
 import { markOf, parseCheckpoint } from '../core/document/checkpoint.js';
 
 /** The newest checkpoint that this reader met in the log. */
@@ -16,7 +17,7 @@
 /** Records after an offset, or the whole state when the history no longer reaches back to it. */
 export type Handover =
   | { kind: 'records'; records: LogRecord[]; through: number }
-  | { kind: 'snapshot'; snapshot: IntentSnapshot; through: number };
+  | { kind: 'snapshot'; snapshot: IntentSnapshot };
 
 /** One node's copy of the intent. */
 export interface IntentReplica {
@@ -63,6 +64,7 @@
   let historyAfter = -1;
   let scan: Scan | undefined;
   let met: MetCheckpoint | undefined;
+  let frozen: IntentSnapshot | undefined;
   let firstRecordAt: number | undefined;
 
   const trimHistory = (): void => {
@@ -87,6 +89,15 @@
     options.onStep(step, record);
   };
 
+  /**
+   * A state that was handed over lately serves again while the history reaches back to it: peers
+   * fetch its parts one by one, and it must not move under them.
+   */
+  const frozenState = (): IntentSnapshot => {
+    if (!frozen || frozen.asOf < historyAfter) frozen = aggregate.snapshot();
+    return frozen;
+  };
+
   const replay = (records: LogRecord[]): void => {
     records.forEach(replayOne);
     trimHistory();
@@ -144,12 +155,9 @@
       endScanIfReached();
     },
     handover: (after, limit) => {
-      if (after < historyAfter) {
-        const snapshot = aggregate.snapshot();
-        return { kind: 'snapshot', snapshot, through: snapshot.asOf };
-      }
+      if (after < historyAfter) return { kind: 'snapshot', snapshot: frozenState() };
       const missing = history.filter((record) => record.offset > after);
-      const records = missing.slice(0, limit);
+      const records = batchOf(missing, limit);
       const through = records.length < missing.length ? records.at(-1)?.offset : undefined;
       return { kind: 'records', records, through: through ?? aggregate.offset() };
     },
--- a/packages/intent/test/support/nodes.ts
+++ b/packages/intent/test/support/nodes.ts
@@ -2,7 +2,7 @@
 import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
 import type { ManualClock, Metrics } from '@plantaindrum/common';
 import type { Log } from '@plantaindrum/platform';
-import { createIntentReader } from '../../src/index.js';
+import { createIntentReader, fetchWhole } from '../../src/index.js';
 import type {
   IntentChange,
   IntentKey,
@@ -76,10 +76,11 @@
   const linkOneWay = (from: TestNode, to: TestNode): void => {
     const peer: IntentPeer = {
       name: to.name,
-      fetch: async (after) => {
-        if (!isUp(from, to)) return undefined;
-        return structuredClone(to.node.serveFetch({ after }));
-      },
+      fetch: (after) =>
+        fetchWhole(async (args) => {
+          if (!isUp(from, to)) return undefined;
+          return structuredClone(to.node.serveFetch(args));
+        }, after),
     };
     from.node.addPeer(peer);
     const beat = (): void => {
