Expert groups are balanced in the demo; a map that no agent knows is replaced

Cause: the demo's groups never changed their map. The agents had no layout, and the engines had formed by themselves, so no agent could name the map in use and every plan ended in 'no-map'. The same happens for good once all agents of a group have been replaced. Ruled out: the coordinator's election (acting, fence 0, within 5 s) and a gain below the threshold (skew 0.9 ms of a 5.4 ms step).

--- a/packages/agent/src/core/group/group.ts
+++ b/packages/agent/src/core/group/group.ts
@@ -73,7 +73,7 @@
     random,
     metrics,
     logger: log,
-    ...(options.timings && { timings: options.timings }),
+    timings: { planMs: layout.planMs, ...options.timings },
   };
   const member = createGroupMember({
     ...context,
--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -63,6 +63,7 @@
   operators_refused: "Refusals at the operators' door, by reason.",
   // Expert groups, at agents.
   expert_change_ms: 'Milliseconds that changes of a map took.',
+  expert_maps_unknown: 'Maps in use that no agent could name, so that the even map replaced them.',
   expert_changes: 'Changes of a map by their outcome.',
   expert_changes_settled: 'Armed maps that agents settled among themselves, by decision.',
   expert_claim_retries: 'Claims of a group appended again after a lost answer.',
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -50,6 +50,7 @@
   experts: count('Experts in each layer.', 'experts'),
   slots: count("Replicas that one rank's memory holds in each layer.", 'replicas'),
   bytesPerExpert: limit(50_000_000, "Size of one expert's weights in one layer.", 'bytes'),
+  planMs: limit(60_000, 'Time between two looks at whether the group should be balanced.', 'ms'),
 });
 
 /** Settings of an entry process. */
--- a/packages/experts/src/coordinator/coordinator.ts
+++ b/packages/experts/src/coordinator/coordinator.ts
@@ -110,17 +110,17 @@
     logger.info(`group ${group}: formed with map ${map.version}`);
   };
 
-  const rebalance = async (held: number, version: number, nodes: string[]): Promise<void> => {
-    if (clock.monotonic() < nextPlanAt) return;
-    nextPlanAt = clock.monotonic() + timings.planMs;
-    current = await fetchMap(version);
-    if (current) rebalancer.setMap(current);
-    const layers = await rebalancer.propose(nodes, held);
-    if (!layers) return;
+  const change = async (
+    held: number,
+    nodes: string[],
+    layers: ExpertMapDocument['layers'],
+  ): Promise<void> => {
     const map = { version: nextVersion(held), layers };
     const startedAt = clock.monotonic();
-    const change = runChange(options, calls, { fence: held, map, nodes });
-    const outcome = await withHeartbeats(held, change);
+    const outcome = await withHeartbeats(
+      held,
+      runChange(options, calls, { fence: held, map, nodes }),
+    );
     metrics.count('expert_changes', { outcome });
     metrics.record('expert_change_ms', clock.monotonic() - startedAt);
     logger.info(`group ${group}: change to map ${map.version} ${outcome}`);
@@ -128,6 +128,25 @@
     if (outcome === 'overtaken') stepDown(outcome);
   };
 
+  /**
+   * The map in use is known to no agent once all of them have been replaced, or when the engines
+   * formed by themselves. Without it no plan can be made, so the group would never be balanced
+   * again; a change to the even map, by the usual protocol, gives the plans a map to start from.
+   */
+  const layersForUnknownMap = (): ExpertMapDocument['layers'] | undefined => {
+    metrics.count('expert_maps_unknown', { group });
+    return options.mayMove() ? evenLayers(layout) : undefined;
+  };
+
+  const rebalance = async (held: number, version: number, nodes: string[]): Promise<void> => {
+    if (clock.monotonic() < nextPlanAt) return;
+    nextPlanAt = clock.monotonic() + timings.planMs;
+    current = await fetchMap(version);
+    if (current) rebalancer.setMap(current);
+    const layers = current ? await rebalancer.propose(nodes, held) : layersForUnknownMap();
+    if (layers) await change(held, nodes, layers);
+  };
+
   const register = async (held: number): Promise<void> => {
     const result = await registerFence(options, calls, held);
     metrics.count('expert_registrations', { outcome: result.outcome });
--- a/packages/lab/src/cli/demo/oracle.ts
+++ b/packages/lab/src/cli/demo/oracle.ts
@@ -1,3 +1,4 @@
+import type { GroupOracle } from '../../harness/stand-ins.js';
 import { groupOracle, serviceCounts } from '../../harness/stand-ins.js';
 import type { Site } from '../../harness/site-types.js';
 import type { Oracle } from './summary.js';
@@ -8,6 +9,9 @@
     total[path] = (total[path] ?? 0) + count;
   });
 
+/** The first version that a group stepped with is no change. */
+const changesOf = (group: GroupOracle): number => Object.keys(group.stepsByVersion).length - 1;
+
 /** Asks every stand-in of a site for its own counts. */
 export const readOracle = async (site: Site): Promise<Oracle> => {
   const replicas = site.services.flatMap((service) => service.processes);
@@ -21,5 +25,6 @@
     byPath,
     steps: groups.reduce((sum, group) => sum + group.steps, 0),
     mixedSteps: groups.reduce((sum, group) => sum + group.mixedSteps, 0),
+    mapChanges: groups.reduce((sum, group) => sum + changesOf(group), 0),
   };
 };
--- a/packages/lab/src/cli/demo/summary.ts
+++ b/packages/lab/src/cli/demo/summary.ts
@@ -36,6 +36,8 @@
   steps: number;
   /** Steps in which ranks of one group used different expert maps. */
   mixedSteps: number;
+  /** Expert maps that the groups changed to while the load ran. */
+  mapChanges: number;
   classes: Record<string, ClassCounts>;
   held: boolean;
 }
@@ -46,6 +48,7 @@
   byPath: Record<string, number>;
   steps: number;
   mixedSteps: number;
+  mapChanges: number;
 }
 
 const tally = (calls: LoadCall[], keyOf: (call: LoadCall) => string): Record<string, number> => {
@@ -113,6 +116,7 @@
     mayNotRepeat: executions,
     steps: oracle.steps,
     mixedSteps: oracle.mixedSteps,
+    mapChanges: oracle.mapChanges,
     classes: Object.fromEntries(
       names.map((name) => [name, classCounts(calls.filter((call) => call.class === name))]),
     ),
@@ -142,7 +146,7 @@
     `broken off           ${summary.broken}`,
     `wrong answers        ${summary.wrongAnswers}`,
     `may not repeat       ${mayNotRepeat.calls} calls, ${mayNotRepeat.executions} executions, at most ${mayNotRepeat.most} each`,
-    `lock-step groups     ${summary.steps} steps, ${summary.mixedSteps} with mixed expert maps`,
+    `lock-step groups     ${summary.steps} steps, ${summary.mapChanges} changes of the expert map, ${summary.mixedSteps} steps with mixed maps`,
     ...classes,
     summary.held ? 'every promise held' : 'A PROMISE WAS BROKEN',
   ].join('\n');
--- a/packages/lab/src/harness/upstream-plans.ts
+++ b/packages/lab/src/harness/upstream-plans.ts
@@ -23,6 +23,8 @@
 /** Room for replicas beyond one of each expert, in each layer of a rank. */
 const SPARE_SLOTS = 4;
 const EXPERT_BYTES = 65_536;
+/** A site of the lab lives for seconds, so its groups are looked at more often than real ones. */
+const PLAN_MS = 2_000;
 
 const layoutOf = ({ engines, ranksPerEngine, flags = {} }: GroupSpec) => {
   const rankCount = engines * ranksPerEngine;
@@ -33,6 +35,7 @@
     experts,
     slots: Math.ceil(experts / rankCount) + SPARE_SLOTS,
     bytesPerExpert: EXPERT_BYTES,
+    planMs: PLAN_MS,
   };
 };
 
