--- a/packages/common/src/errors/operator-errors.ts
+++ b/packages/common/src/errors/operator-errors.ts
@@ -14,7 +14,7 @@
     title: 'Nothing is served at this path',
     message: ({ method, path }) =>
       `The operators' door does not serve ${method ?? ''} ${path ?? 'this path'}.`,
-    hint: 'It serves GET /ready, /metrics, /status, /in-flight and /intent, and POST /intent.',
+    hint: 'It serves GET /ready, /metrics, /status, /nodes and /intent, and POST /intent.',
     status: 404,
     outcome: 'not-run',
   },
--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -4,6 +4,7 @@
   answer_broken: 'Answers of agents that broke the rules of the link, by fault.',
   attempt_queried: 'Questions to an agent after a lost link: what became of this attempt?',
   between_tokens_ms: 'Milliseconds between two events of a stream, by class.',
+  callers_stalled: 'Callers ended because they left an answer unread for a minute.',
   events_repeated: 'Events of resumed streams that the caller had already; left out.',
   first_token_ms: 'Milliseconds from arrival to the first byte or token of the answer, by class.',
   frames_for_closed_attempt: 'Late frames of attempts that have ended, dropped; by frame.',
--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -159,7 +159,7 @@
 const inFlight = async (site: Site, dataCentre: string): Promise<NodeInFlight[]> => {
   const door = site.entry(1).process.ready.operators;
   const headers = { authorization: `Bearer ${OPERATORS_TOKEN}` };
-  const res = await request(`${door}/in-flight?data-centre=${dataCentre}`, { headers });
+  const res = await request(`${door}/nodes?data-centre=${dataCentre}`, { headers });
   return (await res.body.json()) as NodeInFlight[];
 };
 
--- a/packages/link/src/node-status.ts
+++ b/packages/link/src/node-status.ts
@@ -7,4 +7,6 @@
   inFlight: number;
   /** The intent that the node follows. */
   intent: { offset: number };
+  /** Agents of an expert group: what this member and its coordinator task know. */
+  group?: unknown;
 }
--- a/packages/plantaindrum/src/cli/data-centre/index.ts
+++ b/packages/plantaindrum/src/cli/data-centre/index.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@plantaindrum/common';
 import { exitCodes, sleep, systemClock } from '@plantaindrum/common';
 import type { IntentKey } from '@plantaindrum/intent';
-import type { NodeInFlight } from '../../core/entry/in-flight.js';
+import type { NodeReport } from '../../core/entry/node-reports.js';
 import type { Command } from '../command.js';
 import type { CliIo } from '../io.js';
 import type { OperatorsArgs, OperatorsClient } from '../operators-client.js';
@@ -19,7 +19,7 @@
 const QUIET_READINGS = 3;
 
 const describeNode = (
-  { node, role, inFlight, intentOffset }: NodeInFlight,
+  { node, role, inFlight, intentOffset }: NodeReport,
   version: number,
 ): string => {
   if (inFlight === undefined) return `${node} (${role}) does not answer`;
@@ -28,10 +28,10 @@
 };
 
 /** A node that does not answer can't be waited for: it may be gone for good, and is shown. */
-const isQuiet = ({ inFlight, intentOffset }: NodeInFlight, version: number): boolean =>
+const isQuiet = ({ inFlight, intentOffset }: NodeReport, version: number): boolean =>
   inFlight === undefined || (inFlight === 0 && (intentOffset ?? -1) >= version);
 
-const describeAll = (nodes: NodeInFlight[], version: number): string => {
+const describeAll = (nodes: NodeReport[], version: number): string => {
   const shown = nodes.filter((node) => !isQuiet(node, version) || node.inFlight === undefined);
   if (shown.length === 0) return 'nothing in flight';
   return `in flight: ${shown.map((node) => describeNode(node, version)).join('; ')}`;
@@ -47,8 +47,8 @@
   let printed = '';
   let quiet = 0;
   while (quiet < QUIET_READINGS) {
-    const path = `/in-flight?data-centre=${encodeURIComponent(name)}`;
-    const nodes = (await client.get(path)) as NodeInFlight[];
+    const path = `/nodes?data-centre=${encodeURIComponent(name)}`;
+    const nodes = (await client.get(path)) as NodeReport[];
     quiet = nodes.every((node) => isQuiet(node, version)) ? quiet + 1 : 0;
     const line = describeAll(nodes, version);
     if (line !== printed) io.out(line);
--- a/packages/plantaindrum/src/cli/main.ts
+++ b/packages/plantaindrum/src/cli/main.ts
@@ -16,7 +16,9 @@
 const WIDTH = 100;
 
 const EPILOGUE = `Exit codes: ${Object.entries(exitCodes)
-  .map(([name, code]) => `${code} ${name}`)
+  .map(
+    ([name, code]) => `${code} ${name.replace(/[A-Z]/g, (letter) => ` ${letter.toLowerCase()}`)}`,
+  )
   .join(', ')}`;
 
 const version = (): string => {
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -19,7 +19,7 @@
 import type { Directory } from '../upstreams/directory.js';
 import { createDirectory } from '../upstreams/directory.js';
 import { createAskNode } from './ask-node.js';
-import { collectInFlight } from './in-flight.js';
+import { createCollectReports } from './node-reports.js';
 import { createConnectAgent, linkOptions } from './links.js';
 import { createReadiness } from './readiness.js';
 
@@ -195,12 +195,11 @@
         inFlight,
         unready: readiness.unready,
       }),
-    inFlightIn: (dataCentre) =>
-      collectInFlight(dataCentre, {
-        self: { ...node, status: nodeStatus },
-        vms: known.vms,
-        askNode,
-      }),
+    reports: createCollectReports({
+      self: { ...node, status: nodeStatus },
+      vms: known.vms,
+      askNode,
+    }),
     metrics,
   });
 
--- a/packages/plantaindrum/src/core/operators/door.ts
+++ b/packages/plantaindrum/src/core/operators/door.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
 import { refusalBody, refusalHeaders, refusalStatus } from '@plantaindrum/common';
 import type { IntentReader, SubmitOutcome } from '@plantaindrum/intent';
+import type { CollectReports } from '../entry/node-reports.js';
 import { readBody } from '../callers/read-body.js';
 import { parseSubmission } from './submission.js';
 
@@ -18,8 +19,8 @@
   /** Why the node takes no new work, if so. */
   unready: () => Refusal | undefined;
   status: () => unknown;
-  /** What is in flight in a data centre, as far as peers tell. */
-  inFlightIn: (dataCentre: string) => Promise<unknown>;
+  /** What nodes tell about themselves. */
+  reports: CollectReports;
   metrics: Metrics;
 }
 
@@ -45,7 +46,7 @@
 
 /** Opens the operators' door; rejects when the address can't be listened on. */
 export const openOperatorsDoor = async (options: OperatorsDoorOptions): Promise<OperatorsDoor> => {
-  const { listen, limits, intent, unready, status, inFlightIn, metrics } = options;
+  const { listen, limits, intent, unready, status, reports, metrics } = options;
   const expected = digest(`Bearer ${listen.token}`);
 
   const refuse = (res: ServerResponse, refusal: Refusal): void => {
@@ -92,8 +93,8 @@
     }
     if (call === 'GET /metrics') return serveMetrics(res);
     if (call === 'GET /status') return sendJson(res, 200, status());
-    if (call === 'GET /in-flight') {
-      return sendJson(res, 200, await inFlightIn(searchParams.get('data-centre') ?? ''));
+    if (call === 'GET /nodes') {
+      return sendJson(res, 200, await reports(searchParams.get('data-centre') ?? undefined));
     }
     if (call === 'GET /intent') return sendJson(res, 200, intent.current());
     if (call === 'POST /intent') return submit(req, res);
