Keyed calls: no repeat is called 'not run' while the call may have run

Cause: a repeat of a key whose call runs, was answered with an answer too long to be kept, or has outlived its window was told 'not run'; its caller could send the call under a new key, and it would run twice. Change: these end as unknown (409, reasons duplicate-in-progress, duplicate-known, claim-key-expired, claim-lost). Two reasons that nothing used are gone from the catalogue.

--- a/packages/agent/src/core/attempts/run-keyed.ts
+++ b/packages/agent/src/core/attempts/run-keyed.ts
@@ -10,7 +10,6 @@
 
 /** Least time that a claim is given, in milliseconds. */
 const MIN_CLAIM_MS = 100;
-const DUPLICATE_RETRY_MS = 1_000;
 /** Tells the caller that the call ran earlier and this is the answer it had. */
 const REPLAYED = { 'x-plantaindrum-replayed': 'true' };
 
@@ -33,15 +32,23 @@
   retryAfterMs,
 });
 
+/**
+ * A repeat whose key's call runs, has run or may have run. Told "not run", the caller would send the
+ * call again under another key, and it would run twice: so the outcome is unknown.
+ */
+const unknown = (reason: AgentReason, begin: () => boolean): AttemptOutcome =>
+  begin() ? { outcome: 'unknown', reason } : notRun('cancelled', 0);
+
 /** Why a call without the right to run did not run. */
 const refusalOf = (
   verdict: Exclude<ClaimVerdict, { verdict: 'first' | 'known' | 'held' }>,
+  begin: () => boolean,
 ): AttemptOutcome => {
   switch (verdict.verdict) {
     case 'key-reused':
       return notRun('claim-key-reused', 0);
     case 'key-expired':
-      return notRun('claim-key-expired', 0);
+      return unknown('claim-key-expired', begin);
     case 'log-down':
       return notRun('claim-log-down', verdict.retryAfterMs);
     default:
@@ -49,20 +56,9 @@
   }
 };
 
-/**
- * Another call holds the key. One that runs here will end; one elsewhere may run, or may have been
- * lost with its agent. Told "not run", the caller would send the call again under another key, and
- * it would run twice: so the outcome is unknown.
- */
-const refuseHeld = (runningHere: boolean, begin: () => boolean): AttemptOutcome => {
-  if (runningHere) return notRun('duplicate-in-progress', DUPLICATE_RETRY_MS);
-  if (!begin()) return notRun('cancelled', 0);
-  return { outcome: 'unknown', reason: 'claim-lost' };
-};
-
 /** Gives the answer of the earlier call with the same key, if it is still held. */
 const replay = (attempt: Attempt, known: ClaimOutcome, begin: () => boolean): AttemptOutcome => {
-  if (known.body === undefined) return notRun('duplicate-known', DUPLICATE_RETRY_MS);
+  if (known.body === undefined) return unknown('duplicate-known', begin);
   if (!begin()) return notRun('cancelled', 0);
   const headers: Record<string, string> = { ...REPLAYED };
   if (known.contentType !== undefined) headers['content-type'] = known.contentType;
@@ -103,8 +99,10 @@
   ): Promise<AttemptOutcome> => {
     const verdict = await claimFor(attempt, work, key);
     if (verdict.verdict === 'known') return replay(attempt, verdict.outcome, begin);
-    if (verdict.verdict === 'held') return refuseHeld(verdict.runningHere, begin);
-    if (verdict.verdict !== 'first') return refusalOf(verdict);
+    if (verdict.verdict === 'held') {
+      return unknown(verdict.runningHere ? 'duplicate-in-progress' : 'claim-lost', begin);
+    }
+    if (verdict.verdict !== 'first') return refusalOf(verdict, begin);
     const copy = createAnswerCopy();
     const outcome = await options.run(attempt, work, begin, copy);
     await settle(claims, verdict.claim, outcome, copy.outcome());
--- a/packages/agent/test/keyed.test.ts
+++ b/packages/agent/test/keyed.test.ts
@@ -71,6 +71,30 @@
     expect(runs()).to.equal(1);
   });
 
+  // A client comes again with its key while its call runs, after it ran with an answer too long to be
+  // kept, or after the key's time is over. Told "not run", the client would send the call under a new
+  // key, and it would run twice. So each repeat ends as unknown, and nothing runs.
+  it('never call a repeat "not run" when the key\'s call runs, has run, or may have run', async () => {
+    const { entry, link, upstream } = await startNode('e');
+    const endOf = async (id: AttemptId, overrides: Partial<Dispatch> = {}) => {
+      link.send(keyedOf(id, overrides));
+      const [end] = readable([await entry.next()]);
+      return end;
+    };
+    link.send(keyedOf('e:1'));
+    const { res } = await upstream.next();
+    await entry.until('started');
+    expect(await endOf('e:2')).to.include({ t: 'unknown', reason: 'duplicate-in-progress' });
+    res.end('x'.repeat(2_000));
+    await entry.until('end');
+    await log.waitFor(({ records }) => records === 2);
+    expect(await endOf('e:3')).to.include({ t: 'unknown', reason: 'duplicate-known' });
+    const key = '01890a5d-ac96-774b-bcce-b302099a8057';
+    const expired = { idempotency: { key, bodyHash: 'a'.repeat(64) } };
+    expect(await endOf('e:4', expired)).to.include({ t: 'unknown', reason: 'claim-key-expired' });
+    expect(runs()).to.equal(1);
+  });
+
   // The log is down, so nobody can prove that a keyed call has not run before. It is refused at
   // once and not run; calls without a key don't need the log and go on.
   it('are refused while the log is down', async () => {
--- a/packages/common/src/errors/refusal.ts
+++ b/packages/common/src/errors/refusal.ts
@@ -1,9 +1,15 @@
 import { operatorRefusals } from './operator-errors.js';
-import { capacityRefusals, requestRefusals, unknownRefusals } from './request-refusals.js';
+import {
+  capacityRefusals,
+  repeatRefusals,
+  requestRefusals,
+  unknownRefusals,
+} from './request-refusals.js';
 import type { ErrorData, RefusalEntry, RefusalOutcome } from './types.js';
 
 const catalogue = {
   ...requestRefusals,
+  ...repeatRefusals,
   ...capacityRefusals,
   ...unknownRefusals,
   ...operatorRefusals,
--- a/packages/common/src/errors/request-refusals.ts
+++ b/packages/common/src/errors/request-refusals.ts
@@ -67,33 +67,40 @@
     status: 422,
     outcome: 'not-run',
   },
+} as const satisfies Record<string, RefusalEntry>;
+
+/**
+ * Repeats of a call with the same idempotency key. The repeat itself is not run, but the call that it
+ * stands for may have been, and that is what its sender asks: so the outcome is unknown.
+ */
+export const repeatRefusals = {
   'claim-key-expired': {
     title: 'Idempotency key too old',
     message: () => 'The key has outlived the time for which its use is remembered.',
     hint: 'Find out from the called service what became of the call, then use a new key.',
     status: 409,
-    outcome: 'not-run',
+    outcome: 'unknown',
   },
   'claim-lost': {
     title: 'Another request holds this idempotency key',
-    message: () => 'A request with the same key came first; this one did not run.',
-    hint: 'Ask again with the same key after Retry-After to learn the outcome of the first.',
+    message: () => 'A request with the same key came first; it runs, or its outcome is unknown.',
+    hint: 'Ask again with the same key; if it stays so, ask the called service what became of it.',
     status: 409,
-    outcome: 'not-run',
+    outcome: 'unknown',
   },
   'duplicate-in-progress': {
     title: 'The same request is in progress',
     message: () => 'A request with the same idempotency key is running.',
     hint: 'Ask again with the same key after Retry-After to learn its outcome.',
     status: 409,
-    outcome: 'not-run',
+    outcome: 'unknown',
   },
   'duplicate-known': {
-    title: 'The same request has ended',
-    message: ({ detail }) => `A request with the same key ended before: ${detail ?? 'it ran'}.`,
-    hint: 'Do not send the call again; its answer is no longer held.',
+    title: 'The same request has been answered',
+    message: () => 'A request with the same key was answered before; its answer is no longer held.',
+    hint: 'Do not send the call again; ask the called service for its result.',
     status: 409,
-    outcome: 'not-run',
+    outcome: 'unknown',
   },
 } as const satisfies Record<string, RefusalEntry>;
 
@@ -128,13 +135,6 @@
     status: 503,
     outcome: 'not-run',
   },
-  'budget-exhausted': {
-    title: 'Retry budget exhausted',
-    message: () => 'The request did not run, and too many recent requests have been retried.',
-    hint: 'Come back after Retry-After; a share of upstreams is failing.',
-    status: 503,
-    outcome: 'not-run',
-  },
   'queue-full': {
     title: 'Queue full',
     message: ({ upstream }) => `The queue of ${named('upstream', upstream)} is full.`,
@@ -246,11 +246,4 @@
     status: 502,
     outcome: 'unknown',
   },
-  'shutting-down': {
-    title: 'This node was ended',
-    message: () => 'The node was ended before the answer was whole.',
-    hint: 'Repeat the request only if that does no harm, or with its idempotency key.',
-    status: 502,
-    outcome: 'unknown',
-  },
 } as const satisfies Record<string, RefusalEntry>;
