--- a/packages/lab/src/harness/link-recorder.ts
+++ b/packages/lab/src/harness/link-recorder.ts
@@ -9,6 +9,8 @@
 
 /** A frame that passed a link, and which way. */
 export interface RecordedFrame {
+  /** The agent at the link's far end. */
+  agent: string;
   direction: ForwardDirection;
   connection: number;
   frame: Frame | Hello;
@@ -16,7 +18,8 @@
 
 /** Decodes what passes a forwarded link. */
 export interface LinkRecorder {
-  readonly tap: ForwardTap;
+  /** The tap for the forwarder before an agent. */
+  tap(agent: string): ForwardTap;
   /** Frames so far, in the order in which they passed. */
   readonly frames: RecordedFrame[];
 }
@@ -26,14 +29,14 @@
   const frames: RecordedFrame[] = [];
   const streams = new Map<string, ReturnType<typeof createStream>>();
 
-  function createStream(direction: ForwardDirection, connection: number) {
+  function createStream(agent: string, direction: ForwardDirection, connection: number) {
     const splitter = createFrameSplitter(defaultLinkLimits.frameBytes);
     let greeted = false;
     const decode = (payload: Buffer): void => {
       const frame = greeted ? decodeFrame(payload) : decodeHello(payload);
       if (!frame.ok) throw new Error(`a recorded link carries a ${frame.err}`);
       greeted = true;
-      frames.push({ direction, connection, frame: frame.value });
+      frames.push({ agent, direction, connection, frame: frame.value });
     };
     return (data: Buffer): void => {
       const payloads = splitter.push(data);
@@ -44,9 +47,9 @@
 
   return {
     frames,
-    tap: (direction, data, connection) => {
-      const name = `${direction} ${connection}`;
-      const stream = streams.get(name) ?? createStream(direction, connection);
+    tap: (agent) => (direction, data, connection) => {
+      const name = `${agent} ${direction} ${connection}`;
+      const stream = streams.get(name) ?? createStream(agent, direction, connection);
       streams.set(name, stream);
       stream(data);
     },
--- a/packages/lab/src/harness/site.ts
+++ b/packages/lab/src/harness/site.ts
@@ -104,7 +104,7 @@
   };
 
   await publish();
-  await Promise.all(spec.entries.map(startEntry));
+  entries.push(...(await Promise.all(spec.entries.map(processes.startEntry))));
   await publish();
   return {
     platform,
