--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -201,4 +201,102 @@
     await once(mute, 'close');
     expect(agent.metrics.counter('link_closed', { reason: 'hello-timeout' })).to.equal(1);
   });
+
+  // A peer reads slowly while this side has much to send. `drained()` holds the sender back, so
+  // the unsent bytes stay bounded; a sender that ignores it loses the link, not the process.
+  it('bounds what waits for a peer that reads slowly', async () => {
+    const limits = { ...defaultLinkLimits, sendBufferBytes: 65_536, sendBufferMaxBytes: 1_048_576 };
+    const agent = createInbox('agent', { limits, clock: createManualClock() });
+    const server = await listen(agent);
+    const reader = await rawSocket(server);
+    const { identity } = createInbox('entry').options;
+    reader.write(encodeFrame({ t: 'hello', v: 1, ...identity, intentOffset: -1 }));
+    const link = await agent.nextLink();
+    reader.pause();
+    const data = Buffer.alloc(65_536);
+    let sent = 0;
+    const sendAll = async (): Promise<void> => {
+      while (sent < 1_000 && link.send({ t: 'chunk', id: 'e:1', offset: 0, data })) {
+        sent += 1;
+        await link.drained();
+      }
+    };
+    const sending = sendAll();
+    reader.resume();
+    await sending;
+    expect(sent).to.equal(1_000);
+    reader.pause();
+    while (link.send({ t: 'chunk', id: 'e:1', offset: 0, data }));
+    expect(await link.closed).to.equal('send-buffer-full');
+  });
+
+  // The handler of one link is slow. Its peer's frames wait in TCP, not in this process, and come
+  // in order once the handler is done.
+  it('reads no further while a frame is being handled', async () => {
+    const taken: number[] = [];
+    const gate = createMailbox<true>();
+    const arrived = createMailbox<true>();
+    const agent = createInbox('agent', {
+      onLink: () => async (frame) => {
+        if (frame.t !== 'credit') return;
+        taken.push(frame.bytes);
+        arrived.put(true);
+        await gate.take();
+      },
+    });
+    const entry = createInbox('entry');
+    dial(entry, await listen(agent));
+    const link = await entry.nextLink();
+    [1, 2, 3].forEach((bytes) => link.send({ t: 'credit', id: 'e:1', bytes }));
+    await arrived.take();
+    expect(taken).to.deep.equal([1]);
+    gate.put(true);
+    await arrived.take();
+    gate.put(true);
+    await arrived.take();
+    gate.put(true);
+    expect(taken).to.deep.equal([1, 2, 3]);
+  });
+
+  // The reply to a call comes after its time. The caller was told that nothing is known, so the late
+  // reply is dropped and counted, and never taken for the answer to another call.
+  it('drops a reply that comes after its call was given up', async () => {
+    const clock = createManualClock();
+    const asked = createMailbox<true>();
+    const late = createMailbox<true>();
+    const agent = createInbox('agent', {
+      handlers: {
+        'test.slow': async () => {
+          asked.put(true);
+          return late.take();
+        },
+        'test.fast': async () => 'fast',
+      },
+    });
+    const entry = createInbox('entry', { clock });
+    dial(entry, await listen(agent), clock);
+    const link = await entry.nextLink();
+    const slow = link.call('test.slow', null, 100);
+    await asked.take();
+    await clock.advance(100);
+    expect(await slow).to.deep.equal({ outcome: 'lost' });
+    late.put(true);
+    expect(await link.call('test.fast', null, 100)).to.deep.equal({
+      outcome: 'answered',
+      value: 'fast',
+    });
+    expect(entry.metrics.counter('link_reply_dropped', { reason: 'late' })).to.equal(1);
+  });
+
+  it('refuses connections above its limit and counts them', async () => {
+    const agent = createInbox('agent', { limits: { ...defaultLinkLimits, connections: 1 } });
+    const server = await listen(agent);
+    await rawSocket(server);
+    const second = connect(server.address.port, server.address.host);
+    sockets.push(second);
+    second.on('error', () => {});
+    second.resume();
+    await once(second, 'close');
+    expect(agent.metrics.counter('link_refused', { reason: 'connections' })).to.equal(1);
+  });
 });
