Agent: no more than the credit on its way; stop does not wait for entries that are gone

An answer went over its credit by up to one piece of the upstream (290688 bytes sent against a credit of 262144). An attempt whose entry was given up, and which ended after that, counted as undelivered, so a graceful stop waited up to a minute for nobody. Change: a chunk is cut at the credit; an abandoned attempt's end is not waited for.

--- a/packages/agent/src/core/attempts/answer.ts
+++ b/packages/agent/src/core/attempts/answer.ts
@@ -92,7 +92,8 @@
     const segment = segments[nextSegment];
     if (!segment) return;
     const from = sent - segment.offset;
-    const until = Math.min(segment.data.length, from + MAX_CHUNK_BYTES);
+    const allowed = Math.min(MAX_CHUNK_BYTES, acked + INITIAL_CREDIT_BYTES - sent);
+    const until = Math.min(segment.data.length, from + allowed);
     to.send({ t: 'chunk', id, offset: sent, data: segment.data.subarray(from, until) });
     sent += until - from;
     if (until === segment.data.length) nextSegment += 1;
--- a/packages/agent/src/core/attempts/attempt.ts
+++ b/packages/agent/src/core/attempts/attempt.ts
@@ -23,6 +23,9 @@
   /** The upstream is about to be given the attempt. */
   start(): void;
   end(outcome: AttemptOutcome, at: number): void;
+  /** Its entry did not come back: nobody waits for the answer. */
+  abandon(): void;
+  abandoned(): boolean;
 }
 
 /** What an attempt starts from. */
@@ -43,6 +46,7 @@
   let state: AttemptState = 'queued';
   let started = false;
   let endedAt = 0;
+  let abandoned = false;
 
   const attempt: Attempt = {
     id,
@@ -65,6 +69,10 @@
       work = undefined;
       attempt.answer.finish(outcome);
     },
+    abandon: () => {
+      abandoned = true;
+    },
+    abandoned: () => abandoned,
   };
   return attempt;
 };
--- a/packages/agent/src/core/attempts/desk.ts
+++ b/packages/agent/src/core/attempts/desk.ts
@@ -231,6 +231,7 @@
   const giveUp = (attempt: Attempt): void => {
     if (attempt.answer.link()) return;
     const wasDelivered = attempt.state() === 'ended' && !ended.abandon(attempt);
+    attempt.abandon();
     if (!wasDelivered) metrics.count('attempts_abandoned', { state: attempt.state() });
     cancelById(attempt.id);
     noteIdle();
--- a/packages/agent/src/core/attempts/ended-attempts.ts
+++ b/packages/agent/src/core/attempts/ended-attempts.ts
@@ -36,7 +36,7 @@
   return {
     add: (attempt) => {
       kept.add(attempt);
-      undelivered.add(attempt);
+      if (!attempt.abandoned()) undelivered.add(attempt);
     },
     noteDelivery: (attempt) => {
       const { answer } = attempt;
