VM list asked for by ETag; an unchanged list is not worked out again

Cause: at 12,430 VMs docs/CAPACITY.md has 2.75 MB and 74 ms a reading, every second, and 184 ms for the subset each time, though the list changes about once in 45 s. Ruled out: reading less often, which makes a leaving VM that can't announce itself known later. Change: the client sends If-None-Match and answers the same array for a 304; the directory works nothing out again from the same array, unless it waits for a VM that is missing from it. Tests: a client and a directory test; neither could pass before (no validator sent, every list taken).

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -21,6 +21,7 @@
   upstream_health: 'Upstreams ejected or let back, by new state and reason.',
   vm_list_failed: 'Readings of the VM list that failed, by kind.',
   vm_list_not_believed: 'VM lists that lacked most of the linked VMs, and were not followed.',
+  vm_list_unchanged: 'Readings of the VM list that had not changed, and were not worked out again.',
   dispatches: 'Attempts sent to an upstream, by its name.',
   // Attempts, at an agent.
   attempt_queries: 'Questions of entries about an attempt, after a lost link.',
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -56,6 +56,7 @@
   const forgotten = new Set<Entry>();
   const membership = createMembership<Vm>({ clock, metrics });
   let vms: Vm[] = [];
+  let lastRead: Vm[] = [];
   let listAnswers = true;
   let stopped = false;
   let endWait = (): void => {};
@@ -112,13 +113,30 @@
     return [...next.filter(({ role }) => role === 'entry'), ...upstreams.map(({ vm }) => vm)];
   };
 
+  /** Nothing follows from a list that was read before, unless a VM missing from it is waited for. */
+  const isNews = (next: Vm[]): boolean => {
+    if (next !== lastRead) return true;
+    const names = new Set(next.map(({ name }) => name));
+    return vms.some(({ name }) => !names.has(name));
+  };
+
+  const takeRead = (next: Vm[]): void => {
+    if (!isNews(next)) {
+      metrics.count('vm_list_unchanged');
+      closeForgotten();
+      return;
+    }
+    lastRead = next;
+    take(believed(next));
+  };
+
   /** An outage of the list is no reason to drop upstreams that still answer. */
   const refresh = async (): Promise<void> => {
     const read = await list.list();
     if (stopped) return;
     if (read.ok !== listAnswers) log.warn(`VM list ${read.ok ? 'answers again' : 'is down'}`);
     listAnswers = read.ok;
-    if (read.ok) take(believed(read.value));
+    if (read.ok) takeRead(read.value);
     else metrics.count('vm_list_failed', { kind: read.err.kind });
   };
 
--- a/packages/plantaindrum/test/directory.test.ts
+++ b/packages/plantaindrum/test/directory.test.ts
@@ -56,6 +56,18 @@
     expect(metrics.counter('vm_list_not_believed')).to.equal(2);
   });
 
+  it('works nothing out again from a list that it has read before', async () => {
+    await directory.refresh();
+    expect(metrics.counter('vm_list_unchanged')).to.equal(1);
+    list = list.slice(1);
+    await directory.refresh();
+    await directory.refresh();
+    expect(metrics.counter('vm_list_unchanged')).to.equal(1);
+    await clock.advance(1_500);
+    await directory.refresh();
+    expect(names()).to.deep.equal(['b', 'c']);
+  });
+
   it('drops a linked VM only when it has been missing for longer than one reading', async () => {
     list = list.slice(1);
     await directory.refresh();
--- a/packages/platform/src/vm-list.ts
+++ b/packages/platform/src/vm-list.ts
@@ -22,6 +22,7 @@
 
 /** Reads the platform's list of VMs. */
 export interface VmListClient {
+  /** Answers the very same array as before when the platform says that nothing has changed. */
   list(): Promise<Result<Vm[], PlatformFailure>>;
   close(): Promise<void>;
 }
@@ -34,6 +35,13 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000;
+const NOT_MODIFIED = 304;
+
+/** The last list that was read whole, with its validator (RFC 9110, 8.8.3). */
+interface KnownList {
+  etag: string;
+  vms: Vm[];
+}
 
 const parseRanks = (text: string | undefined): number[] =>
   (text ?? '')
@@ -73,12 +81,23 @@
 export const createVmListClient = (options: VmListOptions): VmListClient => {
   const http = createHttpSender(options);
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  let known: KnownList | undefined;
+
+  const remember = (etag: string | string[] | undefined, vms: Vm[]): void => {
+    known = typeof etag === 'string' ? { etag, vms } : undefined;
+  };
+
+  /** In a large fleet the list is megabytes long and seldom changes, so it is asked for by ETag. */
   const list = async (): Promise<Result<Vm[], PlatformFailure>> => {
-    const sent = await http.send({ method: 'GET', url: options.url, timeoutMs });
+    const headers: Record<string, string> = known ? { 'if-none-match': known.etag } : {};
+    const sent = await http.send({ method: 'GET', url: options.url, headers, timeoutMs });
     if (!sent.ok) return sent;
+    if (sent.value.status === NOT_MODIFIED && known) return ok(known.vms);
     if (!isSuccess(sent.value)) return fail(statusFailure(sent.value));
     const body = parseJson(sent.value);
-    return body.ok ? parseVmList(body.value) : body;
+    const vms = body.ok ? parseVmList(body.value) : body;
+    if (vms.ok) remember(sent.value.headers.etag, vms.value);
+    return vms;
   };
   return { list, close: http.close };
 };
--- a/packages/platform/test/clients.test.ts
+++ b/packages/platform/test/clients.test.ts
@@ -112,6 +112,25 @@
     });
   });
 
+  it('reads the VM list anew only when it has changed', async () => {
+    let version = 1;
+    const asked: (string | undefined)[] = [];
+    const url = await listen((req, res) => {
+      asked.push(req.headers['if-none-match']);
+      const etag = `"${version}"`;
+      if (req.headers['if-none-match'] === etag) res.writeHead(304, { etag }).end();
+      else res.writeHead(200, { etag }).end(JSON.stringify([{ targets: [`10.0.0.${version}:1`] }]));
+    });
+    const vms = createVmListClient({ url, client: 'test' });
+    const lists = [await vms.list(), await vms.list()].map((read) => (read.ok ? read.value : []));
+    version = 2;
+    const changed = await vms.list();
+    await vms.close();
+    expect(asked).to.deep.equal([undefined, '"1"', '"1"']);
+    expect(lists[1]).to.equal(lists[0]);
+    expect(changed.ok && changed.value[0]?.address).to.equal('10.0.0.2:1');
+  });
+
   it('reads weights by ranges', async () => {
     const url = await listen((_req, res) => {
       res.writeHead(206, { 'content-range': 'bytes 2-4/9' }).end('cde');
--- a/packages/stand-ins/src/vm-list-stand-in.ts
+++ b/packages/stand-ins/src/vm-list-stand-in.ts
@@ -1,4 +1,6 @@
 /** The VM list: Prometheus HTTP service discovery that shows the past. */
+import { createHash } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '@plantaindrum/common';
 import { systemClock } from '@plantaindrum/common';
 import type { PlatformFaults } from './gate.js';
@@ -31,6 +33,19 @@
   close(): Promise<void>;
 }
 
+const etagOf = (text: string): string =>
+  `"${createHash('sha256').update(text).digest('base64url').slice(0, 22)}"`;
+
+const sendList = (req: IncomingMessage, res: ServerResponse, vms: VmTarget[]): void => {
+  const text = JSON.stringify(vms);
+  const etag = etagOf(text);
+  if (req.headers['if-none-match'] === etag) {
+    res.writeHead(304, { etag }).end();
+    return;
+  }
+  res.writeHead(200, { 'content-type': 'application/json', etag }).end(text);
+};
+
 /** Starts a VM list; `PUT` on its address sets the truth, `POST /lag` `{"lagMs":n}` the lag. */
 export const createVmListStandIn = async (
   options: VmListStandInOptions = {},
@@ -55,7 +70,7 @@
       sendJson(res, 200, {});
       return;
     }
-    if (await gate.pass(req, res, 'read')) sendJson(res, 200, list.get());
+    if (await gate.pass(req, res, 'read')) sendList(req, res, list.get());
   }, port);
   return {
     url: `${server.url}/vms`,
