--- a/packages/requests/src/queue/agent-queue.ts
+++ b/packages/requests/src/queue/agent-queue.ts
@@ -23,7 +23,7 @@
 /** Refused callers come back spread over this share of the advised time. */
 const RETRY_SPREAD = 0.25;
 /** Time over which the rate of more urgent work is measured, in milliseconds. */
-const RATE_LIFE_MS = 5_000;
+const RATE_LIFE_MS = 3_000;
 /** Less urgent work is taken to get at least this share of the drain rate. */
 const LEAST_SHARE = 0.02;
 const DEFAULT_SHARE_SLACK = 1.25;
@@ -50,8 +50,8 @@
   /** Cost that more urgent work takes a second. */
   const urgentRate = (rank: number): number => {
     let sum = 0;
-    for (let above = 0; above < rank; above += 1) sum += servedByRank.of(String(above));
-    return (1000 * sum) / RATE_LIFE_MS;
+    for (let above = 0; above < rank; above += 1) sum += servedByRank.rateOf(String(above));
+    return 1000 * sum;
   };
 
   /** Expected wait behind work of a cost, in milliseconds, at the measured drain rate. */
