Entries spread their dials; status says what a stop asks of each node

Cause: a data centre that appears in the list at one reading would be dialled by every entry at the same moment. Change: a first dial waits a random part of the time in which one agent takes in all its entries' hellos; none where there is one entry. status shows the duty of a node (serve, finish, idle). Ruled out: the link's backoff alone, which has no wait before the first try.

--- a/packages/agent/src/core/status.ts
+++ b/packages/agent/src/core/status.ts
@@ -1,7 +1,8 @@
 /** What this agent tells operators. */
 
 import type { AgentSettings } from '@plantaindrum/common';
-import type { IntentFreshness, IntentReader } from '@plantaindrum/intent';
+import type { IntentFreshness, IntentReader, NodeDuty } from '@plantaindrum/intent';
+import { nodeDuty } from '@plantaindrum/intent';
 import type { Load } from '@plantaindrum/link';
 import type { AttemptDesk } from './attempts/types.js';
 
@@ -9,6 +10,8 @@
 export interface AgentStatus {
   node: AgentSettings['node'] & { role: 'agent'; instance: string };
   ready: boolean;
+  /** What the state of its data centre asks of it. */
+  duty: NodeDuty;
   upstream: AgentSettings['upstream'];
   /** Requests that are queued or running. */
   inFlight: number;
@@ -38,15 +41,19 @@
   const { settings, instance, desk, intent } = options;
   const attempts = desk.counts();
   const group = options.group();
+  const inFlight = attempts.queued + attempts.running;
+  const { document, offset } = intent.current();
+  const { dataCentre } = settings.node;
   return {
     node: { ...settings.node, role: 'agent', instance },
     ready: options.ready(),
+    duty: nodeDuty({ role: 'agent', dataCentre, document, inFlight }),
     upstream: settings.upstream,
-    inFlight: attempts.queued + attempts.running,
+    inFlight,
     load: options.load(),
     attempts,
     entries: options.entries(),
-    intent: { offset: intent.current().offset, freshness: intent.freshness() },
+    intent: { offset, freshness: intent.freshness() },
     ...(group !== undefined && { group }),
   };
 };
--- a/packages/plantaindrum/src/core/status/entry-status.ts
+++ b/packages/plantaindrum/src/core/status/entry-status.ts
@@ -1,7 +1,8 @@
 /** What this entry tells operators. */
 
 import type { EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
-import type { IntentFreshness, IntentReader } from '@plantaindrum/intent';
+import type { IntentFreshness, IntentReader, NodeDuty } from '@plantaindrum/intent';
+import { nodeDuty } from '@plantaindrum/intent';
 import type { Directory } from '../upstreams/directory.js';
 import type { EntryRouter } from '../routing/entry-router.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -45,6 +46,8 @@
   ready: boolean;
   /** Why it is not ready. */
   reason?: string;
+  /** What the state of its data centre asks of it. */
+  duty: NodeDuty;
   inFlight: number;
   intent: { offset: number; freshness: IntentFreshness };
   dataCentres: { name: string; state: string }[];
@@ -129,6 +132,12 @@
     node: { ...node, role: 'entry', instance },
     ready: refusal === undefined,
     ...(refusal && { reason: refusal.data?.detail ?? refusal.reason }),
+    duty: nodeDuty({
+      role: 'entry',
+      dataCentre: node.dataCentre,
+      document,
+      inFlight: inFlight(),
+    }),
     inFlight: inFlight(),
     intent: { offset, freshness: intent.freshness() },
     dataCentres: Object.entries(document.dataCentres).map(([name, { state }]) => ({ name, state })),
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -1,7 +1,7 @@
 /** The upstreams that this entry knows, from the platform's lagging list and its own links. */
 
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
-import { createMembership } from '@plantaindrum/intent';
+import { createMembership, dialDelayMs } from '@plantaindrum/intent';
 import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
 import type { Vm, VmListClient } from '@plantaindrum/platform';
 import type { Upstream, UpstreamEvents } from './upstream.js';
@@ -47,6 +47,9 @@
   client: Pick<LinkClient, 'close'>;
 }
 
+/** Hellos that an agent takes in beside its work without making requests wait. */
+const ACCEPTS_PER_SECOND = 200;
+
 const keyOf = (vm: Vm): string => `${vm.name}@${vm.address}`;
 
 /** Creates a directory that knows nobody yet. */
@@ -61,6 +64,23 @@
   let stopped = false;
   let endWait = (): void => {};
 
+  /** When a whole data centre appears in the list, every entry would dial each of its agents at once. */
+  const connectLater: ConnectAgent = (vm, onLink) => {
+    const dialers = vms.filter(({ role }) => role === 'entry').length;
+    const delayMs = dialDelayMs({ dialers, acceptsPerSecond: ACCEPTS_PER_SECOND, random });
+    if (delayMs === 0) return connect(vm, onLink);
+    let client: Pick<LinkClient, 'close'> | undefined;
+    const cancel = clock.after(delayMs, () => {
+      client = connect(vm, onLink);
+    });
+    return {
+      close: async () => {
+        cancel();
+        await client?.close();
+      },
+    };
+  };
+
   const add = (vm: Vm): void => {
     const upstream = createUpstream(vm, metrics, options.eventsOf(vm));
     const onLink = (link: Link): FrameHandler => {
@@ -69,7 +89,7 @@
       void link.closed.then(() => membership.unlinked(vm.name, instance));
       return upstream.onLink(link);
     };
-    listed.set(keyOf(vm), { upstream, client: connect(vm, onLink) });
+    listed.set(keyOf(vm), { upstream, client: connectLater(vm, onLink) });
     log.info(`upstream ${vm.name} at ${vm.address} appeared`);
   };
 
--- a/packages/plantaindrum/test/directory.test.ts
+++ b/packages/plantaindrum/test/directory.test.ts
@@ -77,6 +77,20 @@
     expect(names()).to.deep.equal(['b', 'c']);
   });
 
+  // A data centre appears in the list at one reading of all entries. Dials are spread over the time
+  // that an agent needs for the hellos of so many entries; a VM that goes again is never dialled.
+  it('spreads its dials when many entries would dial at once', async () => {
+    const entries = Array.from({ length: 400 }, (_, n): Vm => ({ ...vm(`e${n}`), role: 'entry' }));
+    list = [...list, ...entries, vm('d'), vm('e')];
+    await directory.refresh();
+    await clock.advance(999);
+    expect([...endLink.keys()]).to.deep.equal(['a', 'b', 'c']);
+    list = list.filter(({ name }) => name !== 'e');
+    await directory.refresh();
+    await clock.advance(1);
+    expect([...endLink.keys()]).to.deep.equal(['a', 'b', 'c', 'd']);
+  });
+
   it('drops a VM at once when its link is down too', async () => {
     endLink.get('a')?.('closed-by-peer');
     await clock.advance(1);
