--- a/packages/intent/test/spread.test.ts
+++ b/packages/intent/test/spread.test.ts
@@ -62,6 +62,34 @@
     expect(b.node.freshness().state).to.equal('fresh');
   });
 
+  // A data centre with two nodes is cut off from the log and from the others, and its own links
+  // hold. A change is accepted elsewhere. The two serve on by what they have and say that it may be
+  // old; when the cut heals through a single link both come level, and neither has gone back.
+  it('says that a cut-off data centre is stale, and brings it level over one link', async () => {
+    const kent = [fleet.start('k1'), fleet.start('k2')] as const;
+    fleet.link(...kent);
+    fleet.link(a, b);
+    await setLive(a, 100);
+    await fleet.run(100);
+    kent.forEach(({ faults }) => {
+      Object.assign(faults, { down: true });
+    });
+    await setLive(a, 200);
+    await fleet.run(30_000);
+    const targets = () => kent.map((node) => targetAt(node, 'live'));
+    const states = () => kent.map(({ node }) => node.freshness().state);
+    expect([targets(), states()]).to.deep.equal([
+      [100, 100],
+      ['stale', 'stale'],
+    ]);
+    fleet.link(kent[0], b);
+    await fleet.run(3_000);
+    expect([targets(), states()]).to.deep.equal([
+      [200, 200],
+      ['fresh', 'fresh'],
+    ]);
+  });
+
   // The log is down for all. Nobody can change intent then, so the nodes serve on; peers in reach
   // tell a node with a dead log from one that is alone.
   it('is stale, not isolated, while the log is down for all', async () => {
