--- a/packages/agent/src/core/status.ts
+++ b/packages/agent/src/core/status.ts
@@ -41,6 +41,7 @@
   const { settings, instance, desk, intent } = options;
   const attempts = desk.counts();
   const group = options.group();
+  const load = options.load();
   const inFlight = attempts.queued + attempts.running;
   const { document, offset } = intent.current();
   const { dataCentre } = settings.node;
@@ -50,7 +51,7 @@
     duty: nodeDuty({ role: 'agent', dataCentre, document, inFlight }),
     upstream: settings.upstream,
     inFlight,
-    load: options.load(),
+    load,
     attempts,
     entries: options.entries(),
     intent: { offset, freshness: intent.freshness() },
--- a/packages/intent/src/core/data-centre/stopping.ts
+++ b/packages/intent/src/core/data-centre/stopping.ts
@@ -20,6 +20,8 @@
   document: IntentDocument;
   /** Requests that this node holds. */
   inFlight: number;
+  /** This VM alone is leaving. */
+  leaving?: boolean;
   /** For agents: links of entries of the same data centre that have not drained yet. */
   busyEntries?: number;
 }
@@ -29,9 +31,9 @@
  * ended the agents beside the upstreams are still needed. So agents stop last.
  */
 export const nodeDuty = (options: DutyOptions): NodeDuty => {
-  const { role, dataCentre, document, inFlight, busyEntries = 0 } = options;
-  if (!isStopped(document, dataCentre)) return 'serve';
-  if (role === 'agent' && busyEntries > 0) return 'serve-last';
+  const { role, dataCentre, document, inFlight, leaving = false, busyEntries = 0 } = options;
+  if (!leaving && !isStopped(document, dataCentre)) return 'serve';
+  if (!leaving && role === 'agent' && busyEntries > 0) return 'serve-last';
   return inFlight > 0 ? 'finish' : 'idle';
 };
 
--- a/packages/intent/test/stopping.test.ts
+++ b/packages/intent/test/stopping.test.ts
@@ -19,6 +19,7 @@
     ]).to.deep.equal(['finish', 'idle', 'serve-last', 'finish', 'idle']);
     const elsewhere = { role: 'agent', dataCentre: 'lynnwood', inFlight: 0 } as const;
     expect(nodeDuty({ ...elsewhere, document: stopped })).to.equal('serve');
+    expect(nodeDuty({ ...elsewhere, document: stopped, leaving: true })).to.equal('idle');
   });
 
   // The balancer in front needs some probes to notice that an entry is not ready, and sends callers
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -193,6 +193,7 @@
         targets,
         metrics,
         inFlight,
+        leaving: () => readiness.phase() === 'draining',
         unready: readiness.unready,
       }),
     reports: createCollectReports({
--- a/packages/plantaindrum/src/core/status/entry-status.ts
+++ b/packages/plantaindrum/src/core/status/entry-status.ts
@@ -67,6 +67,8 @@
   targets: ClassTargets;
   metrics: Metrics;
   inFlight: () => number;
+  /** This VM is going. */
+  leaving: () => boolean;
   /** Why the node takes no new work, if so. */
   unready: () => Refusal | undefined;
 }
@@ -137,6 +139,7 @@
       dataCentre: node.dataCentre,
       document,
       inFlight: inFlight(),
+      leaving: options.leaving(),
     }),
     inFlight: inFlight(),
     intent: { offset, freshness: intent.freshness() },
--- a/packages/plantaindrum/test/cli.test.ts
+++ b/packages/plantaindrum/test/cli.test.ts
@@ -93,6 +93,7 @@
         instance: 'i1',
       },
       ready: false,
+      duty: 'finish',
       reason: 'this VM is leaving',
       inFlight: 3,
       intent: { offset: 41, freshness: { caughtUp: true, behind: 0, state: 'fresh' } },
