--- /dev/null
+++ b/packages/plantaindrum/test/stop-command.test.ts
@@ -0,0 +1,53 @@
+import { setImmediate as settle } from 'node:timers/promises';
+import { createManualClock, exitCodes } from '@plantaindrum/common';
+import { expect } from 'chai';
+import { waitUntilQuiet } from '../src/cli/data-centre/wait-until-quiet.js';
+import type { NodeReport } from '../src/core/entry/node-reports.js';
+
+const VERSION = 7;
+const POLL_MS = 500;
+const ROUNDS = 20;
+
+const runWith = async (readings: NodeReport[][]) => {
+  const clock = createManualClock();
+  const lines: string[] = [];
+  let reading = 0;
+  const client = {
+    get: async () => {
+      const nodes = readings[Math.min(reading, readings.length - 1)];
+      reading += 1;
+      return nodes;
+    },
+  };
+  const io = { out: (line: string) => lines.push(line) };
+  const done = waitUntilQuiet(client, { name: 'kent', version: VERSION }, io, clock);
+  for (let round = 0; round < ROUNDS; round += 1) {
+    await settle();
+    await clock.advance(POLL_MS);
+  }
+  return { lines, code: await done };
+};
+
+const entry = (inFlight: number): NodeReport => ({
+  node: 'kent-e1',
+  role: 'entry',
+  dataCentre: 'kent',
+  inFlight,
+  intentOffset: VERSION,
+});
+
+describe('waiting for a data centre to stop', () => {
+  it('shows what is in flight, on each change, and ends when nothing is', async () => {
+    const ended = await runWith([[entry(2)], [entry(2)], [entry(1)], [entry(0)]]);
+    expect(ended).toMatchSnapshot();
+  });
+
+  // An agent of the data centre is frozen with a call in its hands. It can't be asked, and the
+  // operator must not be told that nothing is in flight: the cables would be pulled on that word.
+  it('does not say that nothing is in flight while a node does not answer', async () => {
+    const silent: NodeReport = { node: 'kent-u1', role: 'agent', dataCentre: 'kent' };
+    const ended = await runWith([[entry(0), silent]]);
+    expect(ended).toMatchSnapshot();
+    expect(ended.code).to.equal(exitCodes.unreachable);
+  });
+});
