Entry gives up repeatable work at a silent agent after a second

Cause: with an agent frozen (SIGSTOP) its link stays open until the heartbeat ends it and the entry waits for it to come back: past the target of a live class, so that repeatable requests ended as unknown. Ruled out: a shorter heartbeat, which costs every link of the fleet its bytes. Change: ticks without a frame mark an upstream as silent; routing leaves it out and repeatable attempts go elsewhere; after a lost link repeatable work waits 250 ms, other work 2 s as before.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -19,6 +19,7 @@
   route_refused: 'Requests for which routing found no upstream, by reason.',
   routes: 'Choices of an upstream, by method.',
   upstream_health: 'Upstreams ejected or let back, by new state and reason.',
+  upstream_silent: 'Agents that said nothing for a second on an open link.',
   vm_list_failed: 'Readings of the VM list that failed, by kind.',
   vm_list_not_believed: 'VM lists that lacked most of the linked VMs, and were not followed.',
   vm_list_unchanged: 'Readings of the VM list that had not changed, and were not worked out again.',
--- a/packages/plantaindrum/src/core/attempts/run-attempt.ts
+++ b/packages/plantaindrum/src/core/attempts/run-attempt.ts
@@ -13,6 +13,8 @@
 export interface AttemptTimes {
   /** Wait for the same agent instance after a lost link. */
   reconnectMs: number;
+  /** The same wait where the work may run elsewhere instead. */
+  reconnectRepeatableMs: number;
   /** Longest silence of a linked agent before the attempt is cancelled. */
   silenceMs: number;
   /** Wait for the agent's word after a cancel. */
@@ -22,6 +24,7 @@
 /** Times that suit a round trip of a few milliseconds. */
 export const defaultAttemptTimes: AttemptTimes = {
   reconnectMs: 2_000,
+  reconnectRepeatableMs: 250,
   silenceMs: 60_000,
   verdictMs: 1_000,
 };
@@ -34,6 +37,8 @@
   answer: AnswerSink;
   /** Tells of the caller's end; the returned function ends that. */
   onCallerGone: (fn: () => void) => () => void;
+  /** Whether the work may run again elsewhere, so that a silent agent need not be waited for. */
+  repeatable: boolean;
   /** Tells routing how fast the upstream is. */
   ticket: Pick<RouteTicket, 'started' | 'firstByte'>;
   times: AttemptTimes;
@@ -59,6 +64,7 @@
   let waiting = 0;
   let overrun = false;
   let stopTimer = (): void => {};
+  const reconnectMs = options.repeatable ? times.reconnectRepeatableMs : times.reconnectMs;
 
   /**
    * Bytes that wait for the caller stay within the credit. An agent that ignores it would fill this
@@ -77,7 +83,7 @@
 
   const armTimer = (): void => {
     stopTimer();
-    const quietMs = linked ? times.silenceMs : times.reconnectMs;
+    const quietMs = linked ? times.silenceMs : reconnectMs;
     stopTimer = clock.after(cancelled ? times.verdictMs : quietMs, () =>
       inbox.push({ t: 'timer' }),
     );
@@ -102,10 +108,10 @@
   const giveUp = (reason: RefusalReason): AttemptOutcome => closeBy({ kind: 'gave-up' }, reason);
 
   /** An answer that breaks the link's rules is never passed off as whole. */
-  const broken = (fault: string): AttemptOutcome => {
+  const broken = (fault: string, reason: RefusalReason = 'upstream-broke-off'): AttemptOutcome => {
     metrics.count('answer_broken', { fault });
     cancel();
-    return giveUp('upstream-broke-off');
+    return giveUp(reason);
   };
 
   const takeChunk = async (chunk: Chunk): Promise<AttemptOutcome | undefined> => {
@@ -169,6 +175,9 @@
         linked = false;
         record.apply({ kind: 'link-lost' });
         return undefined;
+      case 'silent':
+        // A frozen agent would cost the caller its target; repeatable work goes elsewhere in time.
+        return options.repeatable ? broken('agent-silent', 'link-lost') : undefined;
       case 'link-up':
         return onLinkUp(event.instance);
       case 'caller-gone':
--- a/packages/plantaindrum/src/core/attempts/types.ts
+++ b/packages/plantaindrum/src/core/attempts/types.ts
@@ -19,6 +19,8 @@
   | AttemptFrame
   | { t: 'link-lost' }
   | { t: 'link-up'; instance: string }
+  /** The link is up, but nothing has come from the agent for some time. */
+  | { t: 'silent' }
   | { t: 'caller-gone' }
   /** The agent sent more than its credit allows. */
   | { t: 'overrun' }
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -18,6 +18,7 @@
 import { entryStatus } from '../status/entry-status.js';
 import type { Directory } from '../upstreams/directory.js';
 import { createDirectory } from '../upstreams/directory.js';
+import { SILENCE_TICK_MS } from '../upstreams/upstream.js';
 import { createAskNode } from './ask-node.js';
 import { createCollectReports } from './node-reports.js';
 import { createConnectAgent, linkOptions } from './links.js';
@@ -212,10 +213,18 @@
     }
   };
 
+  const watchSilence = async (): Promise<void> => {
+    while (!stopped) {
+      await sleep(clock, SILENCE_TICK_MS);
+      known.upstreams().forEach((upstream) => upstream.tick());
+    }
+  };
+
   const start = async (): Promise<void> => {
     await known.refresh();
     void known.run();
     void review();
+    void watchSilence();
     await intent.ready();
     await firstLinks(known, clock);
     readiness.started();
--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -67,6 +67,7 @@
         work: workOf(request, budgetMs, answer.resumeAfter()),
         answer: answer.attempt(),
         onCallerGone,
+        repeatable: !mayNotRepeat,
         ticket,
         times,
         clock,
--- a/packages/plantaindrum/src/core/upstreams/upstream.ts
+++ b/packages/plantaindrum/src/core/upstreams/upstream.ts
@@ -7,6 +7,16 @@
 
 const MOST_PENDING_CANCELS = 1_024;
 
+/** Time between two looks at an upstream's silence, in milliseconds. */
+export const SILENCE_TICK_MS = 200;
+
+/**
+ * Ticks without any frame after which an agent counts as silent. Pongs come every 500 ms, so three
+ * are usual; ticks are counted and not time, because a process that was itself frozen has read
+ * nothing for long and must not blame its upstreams.
+ */
+const SILENT_TICKS = 5;
+
 const noEvents: UpstreamEvents = { load: () => {}, leaving: () => {}, linked: () => {} };
 
 /** An upstream with its agent's link. */
@@ -19,6 +29,8 @@
   outstanding(): number;
   /** The agent or the list says that no new work may go there. */
   leaving(): boolean;
+  /** To be called every `SILENCE_TICK_MS`: finds out whether the agent still says anything. */
+  tick(): void;
   /** Takes each new link; the result takes its frames. */
   onLink(link: Link): FrameHandler;
 }
@@ -41,6 +53,8 @@
   let load: Load | undefined;
   let agentLeaving = false;
   let lastInstance: string | undefined;
+  let quietTicks = 0;
+  let silent = false;
   const attempts = new Map<AttemptId, OpenAttempt>();
   const pendingCancels = new Map<AttemptId, string>();
 
@@ -50,7 +64,25 @@
     events.load(next);
   };
 
+  const heard = (): void => {
+    quietTicks = 0;
+    if (!silent) return;
+    silent = false;
+    events.linked(true);
+  };
+
+  const tick = (): void => {
+    if (!link || silent) return;
+    quietTicks += 1;
+    if (quietTicks < SILENT_TICKS) return;
+    silent = true;
+    metrics.count('upstream_silent');
+    events.linked(false);
+    attempts.forEach((attempt) => attempt.push({ t: 'silent' }));
+  };
+
   const deliver = (frame: PeerFrame): void => {
+    heard();
     if ('load' in frame && frame.load) noteLoad(frame.load);
     if (frame.t === 'leaving') {
       agentLeaving = true;
@@ -84,6 +116,8 @@
     const { instance } = next.peer;
     if (instance !== lastInstance) agentLeaving = false;
     lastInstance = instance;
+    quietTicks = 0;
+    silent = false;
     events.linked(true);
     void next.closed.then(() => onDown(next));
     sendPendingCancels(next);
@@ -107,6 +141,7 @@
     load: () => load,
     outstanding: () => attempts.size,
     leaving: () => agentLeaving || vm.state === 'leaving',
+    tick,
     onLink,
     open: (id, attempt) => {
       attempts.set(id, attempt);
--- a/packages/plantaindrum/test/run-attempt.test.ts
+++ b/packages/plantaindrum/test/run-attempt.test.ts
@@ -61,7 +61,7 @@
     },
     end: () => true,
   };
-  const run = (id: AttemptId) =>
+  const run = (id: AttemptId, repeatable = false) =>
     runAttempt({
       id,
       upstream,
@@ -71,6 +71,7 @@
         leave = fn;
         return () => {};
       },
+      repeatable,
       ticket: { started: () => {}, firstByte: () => {} },
       times: defaultAttemptTimes,
       clock,
@@ -253,6 +254,37 @@
     expect(await outcome).to.deep.equal({ outcome: 'unknown', reason: 'link-lost' });
   });
 
+  /*
+   * The agent's process is frozen: its link stays open and nothing comes. Work that may run
+   * elsewhere is given up after a second of silence, long before the heartbeat ends the link, so
+   * that another upstream can still meet the target. Work that may not be repeated waits on.
+   */
+  it('is given up when the agent is silent, if the work may run elsewhere', async () => {
+    const { upstream, run, first, metrics } = setUp();
+    const repeatable = run('e:1', true);
+    const once = run('e:2');
+    await first.sentOne('dispatch');
+    [1, 2, 3, 4].forEach(upstream.tick);
+    expect(metrics.counter('upstream_silent')).to.equal(0);
+    upstream.tick();
+    expect(await repeatable).to.deep.equal({ outcome: 'unknown', reason: 'link-lost' });
+    expect(first.sent.at(-1)).to.deep.equal({ t: 'cancel', id: 'e:1' });
+    expect(upstream.outstanding()).to.equal(1);
+    upstream.onLink(createFakeLink('agent-2').link);
+    expect((await once).outcome).to.equal('unknown');
+  });
+
+  it('goes on when the agent says anything in between', async () => {
+    const { upstream, run, first, deliver } = setUp();
+    const outcome = run('e:1', true);
+    await first.sentOne('dispatch');
+    [1, 2, 3, 4].forEach(upstream.tick);
+    deliver({ t: 'pong', seq: 1, intentOffset: -1 });
+    [1, 2, 3, 4].forEach(upstream.tick);
+    [head('e:1'), end('e:1', 0)].forEach(deliver);
+    expect(await outcome).to.deep.equal({ outcome: 'answered' });
+  });
+
   it('cancels a silent attempt and takes the word of the agent', async () => {
     const { clock, run, first, deliver } = setUp();
     const outcome = run('e:1');
