Agent: priority of the class at the engine, keys bound to their path, bounded bodies

The same key at another path got the answer of the first path. The cancel of a keyed call cut it off, which left its key taken with an unknown outcome. 1024 waiting bodies of 1 MiB each would have filled a small VM. Change: the body's priority is set from the class; the claim's hash covers method, path and body; calls that run at most once go on after a cancel; 64 MiB of bodies are held at most, then 'queue-full'.

--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -5,7 +5,7 @@
 import type { GroupTimings } from '@plantaindrum/experts';
 import type { IntentNode } from '@plantaindrum/intent';
 import { createIntentReader, isStopped, joinIntentToLinks } from '@plantaindrum/intent';
-import type { Link, LinkLimits, Load } from '@plantaindrum/link';
+import type { Dispatch, Link, LinkLimits, Load } from '@plantaindrum/link';
 import { NODE_STATUS } from '@plantaindrum/link';
 import type { Log } from '@plantaindrum/platform';
 import { createLogClient, createVmListClient } from '@plantaindrum/platform';
@@ -21,6 +21,7 @@
 import { createAgentLinks } from './links.js';
 import { openOperatorsDoor } from './operators/door.js';
 import { agentStatus } from './status.js';
+import { engineBody } from './upstream/engine-body.js';
 import type { Upstream } from './upstream/upstream.js';
 import { createUpstream } from './upstream/upstream.js';
 
@@ -28,7 +29,12 @@
 const CLAIMS_FLUSH_MS = 3_000;
 const UNDELIVERED_FOR_EACH_SLOT = 8;
 
-const defaultDeskLimits = { rememberMs: 60_000, most: 4_096, graceMs: 5_000 };
+const defaultDeskLimits = {
+  rememberMs: 60_000,
+  most: 4_096,
+  graceMs: 5_000,
+  heldBytes: 67_108_864,
+};
 
 /** What an agent needs besides its settings. */
 export interface AgentOptions {
@@ -63,12 +69,13 @@
 };
 
 const createRunner = (
-  { clock, metrics }: AgentOptions,
+  { settings, clock, metrics }: AgentOptions,
   upstream: Upstream,
   queue: AgentQueue<QueuedAttempt>,
   claims: Claims,
 ): AttemptRunner => {
-  const parts = { upstream, metrics, onFirstByte: queue.answering };
+  const bodyOf = settings.upstream.kind === 'model' ? engineBody : ({ body }: Dispatch) => body;
+  const parts = { upstream, bodyOf, metrics, onFirstByte: queue.answering };
   const runKeyed = createKeyedRunner({
     claims,
     run: (attempt, work, begin, observe) => runAttempt(attempt, work, begin, { ...parts, observe }),
--- a/packages/agent/src/core/attempts/desk.ts
+++ b/packages/agent/src/core/attempts/desk.ts
@@ -9,7 +9,7 @@
 import { createEndedAttempts } from './ended-attempts.js';
 import type { EndedLimits } from './ended-attempts.js';
 import type { AttemptDesk, AttemptRunner, QueuedAttempt } from './types.js';
-import { costOf } from './work-cost.js';
+import { costOf, runsAtMostOnce } from './work.js';
 
 const SWEEP_MS = 100;
 const TURNED_AWAY_RETRY_MS = 1_000;
@@ -20,6 +20,8 @@
   concurrency: number;
   /** How long attempts wait for an entry whose link was lost, in milliseconds. */
   graceMs: number;
+  /** Most bytes of request bodies that are held at once. */
+  heldBytes: number;
   /** Most answers that are kept for entries after the upstream has finished them. */
   mostUndelivered: number;
 }
@@ -43,6 +45,7 @@
   const attempts = new Map<AttemptId, Attempt>();
   const ended = createEndedAttempts(clock, limits);
   let idleWaiters: (() => void)[] = [];
+  let heldBytes = 0;
   let closed = false;
   let stopSweep = (): void => {};
   /** Starts what waits, as far as there is room; set below, as the end of one starts the next. */
@@ -70,6 +73,7 @@
     const arrivedAt = clock.monotonic();
     const attempt = createAttempt({ id, link, work, arrivedAt, load, onDelivered: noteDelivery });
     attempts.set(id, attempt);
+    heldBytes += work.body.length;
     return attempt;
   };
 
@@ -81,6 +85,7 @@
   const end = (attempt: Attempt, outcome: AttemptOutcome): void => {
     countEnd(outcome);
     ended.add(attempt);
+    heldBytes -= attempt.work()?.body.length ?? 0;
     attempt.end(outcome, clock.monotonic());
     noteDelivery(attempt);
   };
@@ -143,17 +148,21 @@
     startWaiting();
   };
 
-  const turnAway = (attempt: Attempt): void => {
+  const turnAway = (attempt: Attempt, reason: AgentReason): void => {
     ledger.refuse(attempt.id);
-    end(attempt, { outcome: 'not-run', reason: 'leaving', retryAfterMs: TURNED_AWAY_RETRY_MS });
+    end(attempt, { outcome: 'not-run', reason, retryAfterMs: TURNED_AWAY_RETRY_MS });
+  };
+
+  const admit = (attempt: Attempt, work: Dispatch, link: Link): void => {
+    if (options.isClosedTo(link)) turnAway(attempt, 'leaving');
+    else if (heldBytes > limits.heldBytes) turnAway(attempt, 'queue-full');
+    else enqueue(attempt, work);
   };
 
   const dispatch = (frame: Dispatch, link: Link): void => {
     const decision = ledger.dispatch(frame.id);
     if (decision === 'accept') {
-      const attempt = add(frame.id, link, frame);
-      if (options.isClosedTo(link)) turnAway(attempt);
-      else enqueue(attempt, frame);
+      admit(add(frame.id, link, frame), frame, link);
       return;
     }
     metrics.count('dispatch_refused', { reason: decision });
@@ -161,9 +170,10 @@
     if (decision === 'refuse-forgotten') sayUnknown(frame.id, link, 'outcome-forgotten');
   };
 
-  /** Work that may not be repeated runs to its end once started, so that its outcome is known. */
+  /** Work that runs at most once goes on to its end once started, so that its outcome is known. */
   const stopUpstream = (attempt: Attempt): void => {
-    if (attempt.work()?.mayNotRepeat) metrics.count('cancels_ignored');
+    const work = attempt.work();
+    if (work && runsAtMostOnce(work)) metrics.count('cancels_ignored');
     else attempt.abort.abort();
   };
 
--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -4,6 +4,7 @@
 import type { Upstream, UpstreamOutcome } from '../upstream/upstream.js';
 import type { AttemptOutcome } from './answer.js';
 import type { Attempt } from './attempt.js';
+import { runsAtMostOnce } from './work.js';
 
 const UNREACHABLE_RETRY_MS = 1_000;
 
@@ -16,6 +17,8 @@
 /** What running an attempt needs. */
 export interface RunAttemptOptions {
   upstream: Upstream;
+  /** The body as this upstream takes it. */
+  bodyOf: (work: Dispatch) => Uint8Array;
   metrics: Metrics;
   /** Told of the first byte of an answer. */
   onFirstByte: (id: AttemptId) => void;
@@ -37,15 +40,15 @@
   attempt: Attempt,
   work: Dispatch,
   begin: () => boolean,
-  { upstream, metrics, onFirstByte, observe }: RunAttemptOptions,
+  { upstream, bodyOf, metrics, onFirstByte, observe }: RunAttemptOptions,
 ): Promise<AttemptOutcome> => {
   if (!begin()) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
   const { answer, abort } = attempt;
-  const { method, path, body, mayNotRepeat } = work;
+  const { method, path } = work;
   const headers = upstreamHeaders(work.headers, work.resumeAfter);
   let begun = false;
   const ended = await upstream.call(
-    { method, path, headers, body, mayNotRepeat },
+    { method, path, headers, body: bodyOf(work), runsAtMostOnce: runsAtMostOnce(work) },
     {
       sent: () => {
         attempt.start();
--- a/packages/agent/src/core/attempts/run-keyed.ts
+++ b/packages/agent/src/core/attempts/run-keyed.ts
@@ -1,5 +1,6 @@
 /** Runs calls that carry an idempotency key, each at most once over all agents. */
 
+import { createHash } from 'node:crypto';
 import type { Clock } from '@plantaindrum/common';
 import type { AgentReason, Dispatch, IdempotencyKey } from '@plantaindrum/link';
 import type { ClaimId, ClaimOutcome, Claims, ClaimVerdict } from '@plantaindrum/requests';
@@ -26,6 +27,10 @@
   clock: Clock;
 }
 
+/** The same body at another path is another call, whose answer must not be given for this one. */
+const hashOfCall = ({ method, path }: Dispatch, bodyHash: string): string =>
+  createHash('sha256').update(`${method}\n${path}\n${bodyHash}`).digest('hex');
+
 const notRun = (reason: AgentReason, retryAfterMs: number): AttemptOutcome => ({
   outcome: 'not-run',
   reason,
@@ -88,7 +93,8 @@
   const claimFor = (attempt: Attempt, work: Dispatch, { key, bodyHash }: IdempotencyKey) => {
     const waitedMs = clock.monotonic() - attempt.arrivedAt;
     const budgetMs = Math.max(MIN_CLAIM_MS, work.budgetMs - waitedMs);
-    return claims.claim({ organisation: work.organisation, key, bodyHash, budgetMs });
+    const callHash = hashOfCall(work, bodyHash);
+    return claims.claim({ organisation: work.organisation, key, bodyHash: callHash, budgetMs });
   };
 
   return async (
--- a/packages/agent/src/core/attempts/work-cost.ts
+++ b/packages/agent/src/core/attempts/work.ts
@@ -1,3 +1,5 @@
+/** What follows from an entry's dispatch. */
+
 import type { Dispatch } from '@plantaindrum/link';
 
 /** Tokens of a completion that names no limit (the default of the OpenAI interface). */
@@ -21,3 +23,7 @@
 /** Expected cost of work at the upstream: tokens to be generated, 1 for a plain call. */
 export const costOf = (work: Dispatch): number =>
   work.path.endsWith('/completions') ? maxTokens(work.body) : 1;
+
+/** Whether work must not be given to the upstream a second time, whatever becomes of the first. */
+export const runsAtMostOnce = (work: Dispatch): boolean =>
+  work.mayNotRepeat || work.idempotency !== undefined;
--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -11,7 +11,7 @@
   headers: Record<string, string>;
   body: Uint8Array;
   /** Takes a connection of its own, see `createUpstream`. */
-  mayNotRepeat: boolean;
+  runsAtMostOnce: boolean;
 }
 
 /** Takes the upstream's answer as it arrives. */
@@ -43,7 +43,7 @@
   headers: req.headers,
   body: req.body.length > 0 ? req.body : null,
   idempotent: false,
-  reset: req.mayNotRepeat,
+  reset: req.runsAtMostOnce,
 });
 
 const runCall = (
@@ -90,7 +90,7 @@
 /**
  * Creates the client of the upstream at `url`.
  *
- * A call that may not be repeated gets a fresh connection: on a kept one, a close by the upstream
+ * A call that runs at most once gets a fresh connection: on a kept one, a close by the upstream
  * can cross the request, and nobody could tell whether it ran.
  */
 export const createUpstream = (url: string): Upstream => {
@@ -98,7 +98,7 @@
   const fresh = new Pool(url, { pipelining: 1 });
 
   return {
-    call: (req, sink, signal) => runCall(req.mayNotRepeat ? fresh : kept, req, sink, signal),
+    call: (req, sink, signal) => runCall(req.runsAtMostOnce ? fresh : kept, req, sink, signal),
     close: async () => {
       await Promise.all([kept.destroy(), fresh.destroy()]);
     },
--- a/packages/agent/test/keyed.test.ts
+++ b/packages/agent/test/keyed.test.ts
@@ -146,4 +146,32 @@
     (await two.upstream.next()).res.end('clear');
     expect(textOf(await two.entry.until('end'))).to.equal('clear');
   });
+
+  // A client uses its key again at another path, with the same (empty) body. That is another call:
+  // giving it the first one's answer would be wrong, so it is refused.
+  it('are refused when the key comes back at another path', async () => {
+    const node = await startNode('e');
+    node.link.send(keyedOf('e:1', { path: '/title-check' }));
+    (await node.upstream.next()).res.end('clear');
+    await node.entry.until('end');
+    node.link.send(keyedOf('e:2', { path: '/bid-sheet' }));
+    expect(readable(await node.entry.until('not-run')).at(-1)).to.include({
+      reason: 'claim-key-reused',
+    });
+  });
+
+  // The caller of a keyed call goes away while it runs. Cutting the call off would leave its key
+  // taken with an unknown outcome for good, so it runs to its end, and a repeat learns the answer.
+  it('run to their end when the caller goes away', async () => {
+    const node = await startNode('e');
+    node.link.send(keyedOf('e:1', { mayNotRepeat: false }));
+    const { res } = await node.upstream.next();
+    node.link.send({ t: 'cancel', id: 'e:1' });
+    node.link.send({ t: 'query', id: 'e:1', headReceived: false, received: 0 });
+    await node.entry.until('in-progress');
+    res.end('clear');
+    await log.waitFor(({ records }) => records === 2);
+    node.link.send(keyedOf('e:2', { mayNotRepeat: false }));
+    expect(textOf(await node.entry.until('chunk'))).to.equal('clear');
+  });
 });
