--- a/packages/lab/src/experiments/overload.ts
+++ b/packages/lab/src/experiments/overload.ts
@@ -3,22 +3,13 @@
 import type { OverloadFigures, OverloadScenario } from './overload-run.js';
 import { runOverloadScenario } from './overload-run.js';
 import type { TrafficOptions } from './routing-traffic.js';
-import { MODEL_CLASSES } from './routing-traffic.js';
+import { flooded, MODEL_CLASSES, ORGANISATIONS } from './routing-traffic.js';
 import type { ExperimentOptions } from './table.js';
 
 /** Requests a second that the modelled upstream serves when it never idles. */
 const CAPACITY = 13;
-const ORGANISATIONS = 10;
-const FLOOD_SHARE = 10;
-
 const equal = (random: Random): number => Math.floor(random() * ORGANISATIONS);
 
-/** Organisation 0 sends ten times as much as each of the others. */
-const flooded = (random: Random): number => {
-  const ticket = Math.floor(random() * (ORGANISATIONS - 1 + FLOOD_SHARE));
-  return ticket < FLOOD_SHARE ? 0 : ticket - FLOOD_SHARE + 1;
-};
-
 /** Organisation 0 floods with one class, the others send all classes alike. */
 const floodWith = (name: string): TrafficOptions => ({
   organisation: flooded,
--- a/packages/lab/src/experiments/routing-figures.ts
+++ b/packages/lab/src/experiments/routing-figures.ts
@@ -12,6 +12,8 @@
   prefixHits: number;
   /** Smallest share of an organisation's requests that was served in time, over the mean. */
   fairness: number;
+  /** Least cost served in time to an organisation over an equal share. */
+  leastShare: number;
   refused: Record<string, number>;
   /** Dispatches beyond the first, for each request. */
   retriesPerRequest: number;
@@ -21,6 +23,7 @@
 interface Tally {
   all: number;
   inTime: number;
+  cost: number;
 }
 
 const round = (value: number, digits = 3): number => Number(value.toFixed(digits));
@@ -43,7 +46,7 @@
   let ejections = 0;
 
   const tallyOf = (map: Map<string, Tally>, name: string): Tally => {
-    const tally = map.get(name) ?? { all: 0, inTime: 0 };
+    const tally = map.get(name) ?? { all: 0, inTime: 0, cost: 0 };
     map.set(name, tally);
     return tally;
   };
@@ -52,6 +55,8 @@
     const sorted = Float64Array.from(firstTokens).sort();
     const organisations = [...byOrganisation.values()].map(shareOf);
     const mean = organisations.reduce((sum, share) => sum + share, 0) / organisations.length;
+    const costs = [...byOrganisation.values()].map(({ cost }) => cost);
+    const equalShare = costs.reduce((sum, cost) => sum + cost, 0) / costs.length;
     const inTime = [...byClass.values()].reduce((sum, tally) => sum + tally.inTime, 0);
     return {
       requests,
@@ -66,6 +71,7 @@
       withinTargetAll: round(inTime / requests),
       prefixHits: round(hits / firstTokens.length),
       fairness: round(Math.min(...organisations) / mean),
+      leastShare: round(Math.min(...costs) / equalShare),
       refused,
       retriesPerRequest: round(dispatches / requests - 1),
       ejections,
@@ -86,7 +92,9 @@
       if (hit) hits += 1;
       if (ms > request.targetMs) return;
       tallyOf(byClass, request.class).inTime += 1;
-      tallyOf(byOrganisation, request.organisation).inTime += 1;
+      const tally = tallyOf(byOrganisation, request.organisation);
+      tally.inTime += 1;
+      tally.cost += request.cost;
     },
     refused: (_: ModelRequest, reason: string) => {
       refused[reason] = (refused[reason] ?? 0) + 1;
--- a/packages/lab/src/experiments/routing-run.ts
+++ b/packages/lab/src/experiments/routing-run.ts
@@ -6,6 +6,7 @@
 import type { RoutingPolicy } from './routing-policies.js';
 import { createFigures } from './routing-figures.js';
 import type { RunFigures } from './routing-figures.js';
+import type { TrafficOptions } from './routing-traffic.js';
 import { createRequestSource } from './routing-traffic.js';
 import type { ModelRequest, ModelUpstream } from './routing-upstream.js';
 import { createModelUpstream } from './routing-upstream.js';
@@ -28,6 +29,7 @@
   sites: { dataCentre: string; upstreams: number; entries: number }[];
   /** From a third of the run on, the first upstream is this many times slower, its agent as ever. */
   slowFactor?: number;
+  traffic?: TrafficOptions;
   createPolicy(context: PolicyContext): RoutingPolicy;
 }
 
@@ -182,7 +184,7 @@
   }
 
   const perSecond = UPSTREAM_CAPACITY * upstreams.length * scenario.utilization;
-  const source = createRequestSource(createSeededRandom(scenario.seed + 77));
+  const source = createRequestSource(createSeededRandom(scenario.seed + 77), scenario.traffic);
   const arrive = () => {
     const entry = Math.floor(random() * entries.length);
     const base = source.next(clock.monotonic());
--- a/packages/lab/src/experiments/routing-traffic.ts
+++ b/packages/lab/src/experiments/routing-traffic.ts
@@ -19,7 +19,9 @@
   { name: 'draft', lane: 'background', share: 0.25, targetMs: 6_000 },
 ];
 
-const ORGANISATIONS = 10;
+/** Organisations of the modelled site. */
+export const ORGANISATIONS = 10;
+const FLOOD_SHARE = 10;
 const PREFIXES_PER_ORGANISATION = 16;
 const PREFIX_TOKENS = 600;
 const OWN_PROMPT_TOKENS = 60;
@@ -27,6 +29,12 @@
 /** Prompt tokens that cost as much as one output token. */
 const PROMPT_TOKENS_PER_COST = 20;
 
+/** Picks organisations so that the first sends ten times as much as each of the others. */
+export const flooded = (random: Random): number => {
+  const ticket = Math.floor(random() * (ORGANISATIONS - 1 + FLOOD_SHARE));
+  return ticket < FLOOD_SHARE ? 0 : ticket - FLOOD_SHARE + 1;
+};
+
 /** Makes the requests of a run. */
 export interface RequestSource {
   next(now: number): ModelRequest;
--- a/packages/lab/src/experiments/routing.ts
+++ b/packages/lab/src/experiments/routing.ts
@@ -9,6 +9,7 @@
 import type { PolicyContext, RoutingScenario } from './routing-run.js';
 import { runRoutingScenario } from './routing-run.js';
 import type { RunFigures } from './routing-figures.js';
+import { flooded } from './routing-traffic.js';
 import type { ExperimentOptions } from './table.js';
 
 type CreatePolicy = (context: PolicyContext) => RoutingPolicy;
@@ -51,6 +52,11 @@
   'slow upstream': { utilization: 0.7, sites: smallSite, slowFactor: 8 },
   'slow upstream, little load': { utilization: 0.2, sites: smallSite, slowFactor: 8 },
   'stuck upstream': { utilization: 0.7, sites: smallSite, slowFactor: 1_000_000 },
+  'three times, one floods': {
+    utilization: 3,
+    sites: smallSite,
+    traffic: { organisation: flooded },
+  },
   'large site': {
     utilization: 0.8,
     sites: [{ dataCentre: 'large', upstreams: 96, entries: 12 }],
@@ -67,6 +73,7 @@
     `in time ${figures.withinTargetAll.toFixed(3)} (${classes.join(', ')})`,
     `hits ${prefixHits.toFixed(3)}`,
     `fair ${fairness.toFixed(3)}`,
+    `least share ${figures.leastShare.toFixed(3)}`,
     `retries ${retriesPerRequest.toFixed(3)}`,
     `ejections ${figures.ejections}`,
   ].join('  ');
