Intent: checkpoints in parts that a log takes

Cause: at 11,000 organisations a checkpoint was one record of 2.4 MB; a log that takes 1 MB a record refuses it, and after the retention no node could start without a peer. Change: parts of 2,000 keys, whole once the last has landed; a doubled part does no harm, parts of two writers don't make a checkpoint. The tests of checkpoints append the new records; what they check is the same. Ruled out: compressing the state, which only moves the limit.

--- a/packages/intent/src/reader/peers.ts
+++ b/packages/intent/src/reader/peers.ts
@@ -1,10 +1,10 @@
 /** What nodes tell each other about the intent, and how an answer is checked. */
 
 import { z } from 'zod';
-import { snapshotSchema } from '../core/document/checkpoint.js';
+import { partSchema } from '../core/document/checkpoint.js';
 import type { Handover } from './replica.js';
-import type { PartName, SnapshotPart } from './snapshot-parts.js';
-import { joinParts } from './snapshot-parts.js';
+import type { PartName, SnapshotPart } from '../core/document/snapshot-parts.js';
+import { joinParts } from '../core/document/snapshot-parts.js';
 
 /** Name of the call between nodes that fetches missing records. */
 export const FETCH_METHOD = 'intent.fetch';
@@ -43,16 +43,8 @@
   fetch(after: number): Promise<FetchAnswer | undefined>;
 }
 
-/** Parts of the largest state that a node takes: two million keys. */
-const MOST_PARTS = 1_000;
-
 const recordsSchema = z.array(z.object({ offset: z.number().int(), value: z.unknown() }));
 
-const partSchema = snapshotSchema.extend({
-  index: z.number().int().min(0),
-  count: z.number().int().min(1).max(MOST_PARTS),
-});
-
 const handoverSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('records'), records: recordsSchema, through: z.number().int() }),
   z.object({ kind: z.literal('part'), part: partSchema }),
--- a/packages/intent/src/reader/reader.ts
+++ b/packages/intent/src/reader/reader.ts
@@ -11,7 +11,7 @@
 import { parseFetchArgs } from './peers.js';
 import { createIntentReplica } from './replica.js';
 import type { MetCheckpoint } from './replica.js';
-import { partOf } from './snapshot-parts.js';
+import { partOf } from '../core/document/snapshot-parts.js';
 import { createOffsetWaiters } from './waiters.js';
 import type { IntentSnapshot } from '../core/document/aggregate.js';
 
--- a/packages/intent/src/reader/replica.ts
+++ b/packages/intent/src/reader/replica.ts
@@ -3,9 +3,9 @@
 import type { LogRecord } from '@plantaindrum/platform';
 import type { IntentAggregate, IntentSnapshot, ReplayStep } from '../core/document/aggregate.js';
 import { createIntentAggregate } from '../core/document/aggregate.js';
-import type { CheckpointMark } from '../core/document/checkpoint.js';
-import { batchOf } from './snapshot-parts.js';
-import { markOf, parseCheckpoint } from '../core/document/checkpoint.js';
+import type { CheckpointMark, WholeCheckpoint } from '../core/document/checkpoint.js';
+import { batchOf } from '../core/document/snapshot-parts.js';
+import { createCheckpointCollector, isCheckpoint, parseMark } from '../core/document/checkpoint.js';
 
 /** The newest checkpoint that this reader met in the log. */
 export interface MetCheckpoint {
@@ -56,8 +56,17 @@
   return typeof at === 'number' ? at : undefined;
 };
 
+const markOf = (whole: WholeCheckpoint | undefined): CheckpointMark | undefined =>
+  whole && { kind: 'checkpoint-mark', asOf: whole.snapshot.asOf, at: whole.at };
+
+/** A peer that is level with this node has no use for the state itself. */
+const slim = (record: LogRecord, mark: CheckpointMark | undefined): LogRecord =>
+  mark || isCheckpoint(record.value) ? { offset: record.offset, value: mark ?? null } : record;
+
 /** Creates an empty replica. */
 export const createIntentReplica = (options: IntentReplicaOptions): IntentReplica => {
+  const collector = createCheckpointCollector();
+  const scanCollector = createCheckpointCollector();
   let aggregate = createIntentAggregate();
   let history: LogRecord[] = [];
   /** Every record after this offset, up to the aggregate's, is in `history`. */
@@ -83,9 +92,9 @@
     if (record.offset <= aggregate.offset()) return;
     const step = aggregate.replay(record.offset, record.value);
     firstRecordAt ??= timeOf(record);
-    const mark = markOf(record.value);
-    if (mark && mark.asOf < record.offset) noteMark(mark);
-    history.push(mark ? { offset: record.offset, value: mark } : record);
+    const mark = parseMark(record.value) ?? markOf(collector.take(record));
+    if (mark) noteMark(mark);
+    history.push(slim(record, mark));
     options.onStep(step, record);
   };
 
@@ -115,8 +124,8 @@
 
   const scanOne = (record: LogRecord, current: Scan): void => {
     current.records.push(record);
-    const snapshot = parseCheckpoint(record.value)?.snapshot;
-    if (!snapshot || snapshot.asOf >= record.offset || !isUsable(snapshot, current)) return;
+    const snapshot = scanCollector.take(record)?.snapshot;
+    if (!snapshot || !isUsable(snapshot, current)) return;
     scan = undefined;
     restore(snapshot);
     replay(current.records);
--- a/packages/intent/src/writer/checkpointer.ts
+++ b/packages/intent/src/writer/checkpointer.ts
@@ -9,7 +9,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Clock, Metrics, Random } from '@plantaindrum/common';
 import type { Log } from '@plantaindrum/platform';
-import type { CheckpointRecord } from '../core/document/checkpoint.js';
+import { checkpointRecords } from '../core/document/checkpoint.js';
 import { INTENT_PARTITION, INTENT_TOPIC } from '../reader/log-follower.js';
 import type { IntentNode } from '../reader/reader.js';
 
@@ -63,12 +63,17 @@
     return range.ok ? needNow(range.value.beginning) : 'none';
   };
 
+  /** A checkpoint that is not whole is of no use to anybody, so the rest is given up. */
   const write = async (): Promise<void> => {
-    const snapshot = node.snapshot();
-    const id = randomUUID();
-    const record: CheckpointRecord = { kind: 'checkpoint', id, at: clock.now(), snapshot };
-    const appended = await log.append(INTENT_TOPIC, INTENT_PARTITION, [record]);
-    metrics.count('intent_checkpoint', { outcome: appended.ok ? 'written' : appended.err.kind });
+    const names = { id: randomUUID(), at: clock.now() };
+    for (const record of checkpointRecords(node.snapshot(), names)) {
+      const appended = await log.append(INTENT_TOPIC, INTENT_PARTITION, [record]);
+      if (!appended.ok) {
+        metrics.count('intent_checkpoint', { outcome: appended.err.kind });
+        return;
+      }
+    }
+    metrics.count('intent_checkpoint', { outcome: 'written' });
   };
 
   const wait = (ms: number): Promise<void> =>
--- a/packages/intent/test/checkpoint.test.ts
+++ b/packages/intent/test/checkpoint.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { checkpointRecords } from '../src/core/document/checkpoint.js';
 import { startCheckpointer } from '../src/index.js';
 import type { Checkpointer } from '../src/index.js';
 import type { Fleet, TestNode } from './support/nodes.js';
@@ -30,12 +31,8 @@
     }
   };
 
-  const checkpointNow = () => ({
-    kind: 'checkpoint',
-    id: 'c',
-    at: fleet.clock.now(),
-    snapshot: a.node.snapshot(),
-  });
+  const checkpointNow = (partKeys?: number) =>
+    checkpointRecords(a.node.snapshot(), { id: 'c', at: fleet.clock.now() }, partKeys);
 
   const checkpointAt = (node: TestNode, recordsBetween?: number): Checkpointer => {
     const { clock, log } = fleet;
@@ -55,7 +52,7 @@
     await submitTargets(100);
     const stale = checkpointNow();
     await submitTargets(200, 300);
-    fleet.log.append(stale);
+    stale.forEach(fleet.log.append);
     fleet.log.expire(1);
     const started = fleet.start('b');
     await fleet.run(10);
@@ -70,7 +67,7 @@
     await submitTargets(100);
     const stale = checkpointNow();
     await submitTargets(200, 300);
-    fleet.log.append(stale);
+    stale.forEach(fleet.log.append);
     fleet.log.expire(2);
     const started = fleet.start('b');
     await fleet.run(10_000);
@@ -78,12 +75,44 @@
       caughtUp: false,
       reason: 'no-usable-checkpoint',
     });
-    fleet.log.append(checkpointNow());
+    checkpointNow().forEach(fleet.log.append);
     await fleet.run(5_000);
     expect(started.node.current()).to.deep.equal(a.node.current());
     expect(started.node.freshness().caughtUp).to.equal(true);
   });
 
+  // The state is larger than a record, so a checkpoint lands in parts, one of them twice, with a change in
+  // between. A reader that starts waits for the last part, and replays the change.
+  it('is taken once its last part has landed, with the changes between its parts', async () => {
+    await submitTargets(100);
+    await submitAt(fleet, a, 'other', changeClass('batch', -1, 500));
+    const parts = checkpointNow(1);
+    fleet.log.expire(2);
+    const started = fleet.start('b');
+    parts.slice(0, 1).forEach(fleet.log.append);
+    parts.slice(0, -1).forEach(fleet.log.append);
+    await submitTargets(200);
+    await fleet.run(5_000);
+    expect(parts.length).to.be.greaterThan(1);
+    expect(started.node.freshness().caughtUp).to.equal(false);
+    parts.slice(-1).forEach(fleet.log.append);
+    await fleet.run(5_000);
+    expect(started.node.current()).to.deep.equal(a.node.current());
+    expect(targetAt(started, 'live')).to.equal(200);
+  });
+
+  it('is not taken from parts of two writers', async () => {
+    await submitTargets(100);
+    await submitAt(fleet, a, 'other', changeClass('batch', -1, 500));
+    fleet.log.expire(2);
+    const [first, ...rest] = checkpointNow(1);
+    fleet.log.append(first);
+    rest.map((record) => ({ ...record, id: 'another' })).forEach(fleet.log.append);
+    const started = fleet.start('b');
+    await fleet.run(5_000);
+    expect(started.node.freshness().caughtUp).to.equal(false);
+  });
+
   it('is written by one of many nodes when a quarter of the retention has passed', async () => {
     await submitTargets(100);
     const nodes = ['b', 'c', 'd'].map((name) => fleet.start(name));
@@ -125,7 +154,7 @@
   it('keeps removed keys removed and used ids used', async () => {
     await submitTargets(100);
     await submitAt(fleet, a, 'remove', changeClass('live', 0, null));
-    fleet.log.append(checkpointNow());
+    checkpointNow().forEach(fleet.log.append);
     fleet.log.expire(2);
     const started = fleet.start('b');
     await fleet.run(10);
--- a/packages/intent/test/replay.property.test.ts
+++ b/packages/intent/test/replay.property.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { createIntentAggregate } from '../src/index.js';
 import type { IntentAggregate, IntentChange, IntentKey, IntentRecord } from '../src/index.js';
+import { checkpointRecords } from '../src/core/document/checkpoint.js';
 import { createIntentReplica } from '../src/reader/replica.js';
 import type { IntentReplica } from '../src/reader/replica.js';
 
@@ -72,7 +73,7 @@
     push(fits ? rebase(record, writer) : record);
     if (checkpointOf === undefined) return;
     const snapshot = snapshots[Math.max(0, snapshots.length - 1 - checkpointOf)];
-    push({ kind: 'checkpoint', id: `c-${index}`, at: 0, snapshot });
+    if (snapshot) checkpointRecords(snapshot, { id: `c-${index}`, at: 0 }, 1).forEach(push);
   });
   return { log, views, end: writer };
 };
