Experts: one rank asks for all; reports span a change; agreement and planning measured

Cause: when a coordinator dies, each rank asked each other one (n^2 messages); and a new map made the coordinator wait two intervals for reports, so with frequent changes it lagged behind a moving load. Change: ranks come to ask one after the other and the first tells the rest; a report across a change counts, as the sum over all engines does not depend on which of them computed the tokens; experiment parts 'agreement' (unanimity against a commit record, HTTP stand-ins) and 'planning'. The new test was red with the spread taken out (253 questions, at most 120 allowed).

--- a/packages/experts/src/plan/load-tracker.ts
+++ b/packages/experts/src/plan/load-tracker.ts
@@ -30,7 +30,7 @@
   popularity(): number[][] | undefined;
   /** How long the popularity is expected to stay much as it is. */
   lifeMs(): number;
-  /** A new map is in use: rates by node from before it say nothing of the load after it. */
+  /** A new map is in use: a node's report from before it no longer stands in for a missing one. */
   restart(): void;
 }
 
@@ -39,6 +39,8 @@
   tokens: Map<number, number>;
   /** Tokens a second by place, from the last two reports. */
   rates: Map<number, number> | undefined;
+  /** From before the map in use. */
+  isOutdated: boolean;
 }
 
 const ratesBetween = (
@@ -136,12 +138,13 @@
       const old = loads.get(node);
       const tokens = new Map(report.at.map((at, i) => [at, report.tokens[i] ?? 0]));
       const rates = old ? ratesBetween(old, tokens, atMs) : undefined;
-      loads.set(node, { atMs, tokens, rates });
+      loads.set(node, { atMs, tokens, rates, isOutdated: false });
     },
     endRound: (nodes, atMs) => {
       const isFresh = (node: string): boolean => {
         const load = loads.get(node);
-        return load?.rates !== undefined && atMs - load.atMs <= options.staleMs;
+        if (!load?.rates || load.isOutdated) return false;
+        return atMs - load.atMs <= options.staleMs;
       };
       // Half the reports would make the experts of the silent ranks look unpopular.
       if (!nodes.every(isFresh)) return false;
@@ -153,6 +156,6 @@
       const life = driftPerMs > 0 ? SPENT_DRIFT / driftPerMs : MAX_LIFE_MS;
       return Math.min(MAX_LIFE_MS, Math.max(MIN_LIFE_MS, life));
     },
-    restart: () => loads.clear(),
+    restart: () => loads.forEach((load) => Object.assign(load, { isOutdated: true })),
   };
 };
--- a/packages/experts/src/settlement.ts
+++ b/packages/experts/src/settlement.ts
@@ -6,6 +6,9 @@
 /** Longest pause between two rounds of asking, in milliseconds. */
 const MAX_PAUSE_MS = 1_000;
 
+/** Agents of a group that on average come to ask in each `askAfterMs`, if none is told before. */
+const ASKERS = 2;
+
 /** Ends every change that is armed here, whatever became of its coordinator. */
 export interface Settlements {
   /** Starts to settle an armed version; no effect when that is under way. */
@@ -61,14 +64,28 @@
     return decisionOf([own, ...theirs], options.rankCount);
   };
 
+  // Without this, all ranks would ask all: one of the first to ask tells the rest.
+  const spreadMs = (): number =>
+    timings.askAfterMs * Math.max(1, options.members().length / ASKERS) * random();
+
+  const tellOthers = (version: number, decision: Decision): void => {
+    options
+      .members()
+      .filter(({ node }) => node !== options.node)
+      .forEach(({ node }) => {
+        void options.call(node, 'experts.decide', { version, decision }, timings.callMs);
+      });
+  };
+
   // Asking makes ranks refuse that have not been armed yet, so it waits until this rank stands
   // still, or until so long after that no arm order can be on its way.
   const waitToAsk = async (entry: Pending): Promise<void> => {
     const latest = clock.monotonic() + timings.watchMs;
     while (!closed && entry.decision === undefined && clock.monotonic() < latest) {
-      await pause(entry, timings.askAfterMs * (1 + random()));
-      if (entry.decision === undefined && (await isHolding())) return;
+      await pause(entry, timings.askAfterMs);
+      if (entry.decision === undefined && (await isHolding())) break;
     }
+    if (entry.decision === undefined) await pause(entry, spreadMs());
   };
 
   const decideByAsking = async (entry: Pending, version: number): Promise<Decision | undefined> => {
@@ -76,6 +93,7 @@
     let wait = timings.askAfterMs;
     while (!closed && entry.decision === undefined) {
       const decision = await askAll(version);
+      if (decision) tellOthers(version, decision);
       if (decision) return decision;
       await pause(entry, wait * (1 + random()));
       wait = Math.min(wait * 2, MAX_PAUSE_MS);
--- a/packages/experts/test/change-crashes.test.ts
+++ b/packages/experts/test/change-crashes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { countMessages, expectOneMap, runChangeWithFault } from './fakes/faulty-change.js';
+import { createFakeGroup } from './fakes/fake-group.js';
 import type { FakeGroup } from './fakes/fake-group.js';
 
 const coordinatorOf = (group: FakeGroup): number => group.acting()[0] ?? 0;
@@ -92,4 +93,22 @@
     });
     await Promise.all(groups.map(expectOneMap));
   });
+
+  it('is settled by messages that grow with the group, not with its square', async () => {
+    const ranks = 24;
+    let questions = 0;
+    const group = createFakeGroup({ ranks });
+    group.network.setFates(({ kind, method }) => {
+      if (kind === 'request' && method === 'experts.outcome') questions += 1;
+      if (method !== 'experts.decide' || questions > 0) return undefined;
+      group.agent(coordinatorOf(group)).process.kill();
+      return [];
+    });
+    await group.until(() => questions > 0);
+    group.names.forEach((_, rank) => {
+      if (!group.agent(rank).process.isAlive()) group.startAgent(rank);
+    });
+    await expectOneMap(group);
+    expect(questions).to.be.below(5 * ranks);
+  });
 });
--- a/packages/lab/src/experiments/balance.ts
+++ b/packages/lab/src/experiments/balance.ts
@@ -1,4 +1,7 @@
 import type { GroupLayout } from '@plantaindrum/experts';
+import { measureAgreement } from './balance-agreement.js';
+import type { Agreement, AgreementFault } from './balance-agreement.js';
+import { measurePlanning } from './balance-planning.js';
 import { createPolicy, policyNames } from './balance-policies.js';
 import { simulate } from './balance-simulation.js';
 import type { SimulationResult } from './balance-simulation.js';
@@ -29,14 +32,14 @@
   `${r.stepP99}  ${r.changes} changes, ${r.experts} experts, ${r.gigabytes} GB, ` +
   `plan p50 ${r.planMsP50} ms max ${r.planMsMax} ms`;
 
-/** Compares policies of balancing over seeded traces. */
-export const run = async (options: ExperimentOptions): Promise<Record<string, unknown>> => {
-  const { seed, quick, print } = options;
-  const lengthMs = (quick ? 12 : 60) * MINUTE_MS;
-  const layers = quick ? 4 : 16;
-  const sizes = quick ? [16] : [16, 64, 256];
+/** Policies over seeded traces; the same figures in every run, but for planning times. */
+const comparePolicies = async (
+  { seed, quick, print }: ExperimentOptions,
+  layers: number,
+  lengthMs: number,
+): Promise<Record<string, unknown>> => {
   const results: Record<string, unknown> = {};
-  for (const rankCount of sizes) {
+  for (const rankCount of quick ? [16] : [16, 64, 256]) {
     const layout = layoutOf(rankCount, layers);
     for (const traceName of traceNames) {
       print(`${rankCount} ranks, ${traceName}`);
@@ -54,5 +57,39 @@
       results[`${rankCount}/${traceName}`] = byPolicy;
     }
   }
-  return { seed, layers, minutes: lengthMs / MINUTE_MS, results };
+  return results;
+};
+
+const agreements: readonly Agreement[] = ['unanimity', 'commit-record'];
+const faults: readonly AgreementFault[] = ['none', 'log-slow', 'log-down', 'coordinator-dies'];
+
+/** Both ways of agreeing on a change, over HTTP stand-ins and real time. */
+const compareAgreements = async ({
+  quick,
+  print,
+}: ExperimentOptions): Promise<Record<string, unknown>> => {
+  const results: Record<string, unknown> = {};
+  for (const rankCount of quick ? [4] : [4, 16, 32]) {
+    for (const fault of faults) {
+      for (const agreement of agreements) {
+        const changes = fault === 'log-down' || quick ? 3 : 8;
+        const result = await measureAgreement(agreement, fault, rankCount, changes);
+        print(`${rankCount} agents, ${fault}, ${agreement}: ${JSON.stringify(result)}`);
+        results[`${rankCount}/${fault}/${agreement}`] = result;
+      }
+    }
+  }
+  return results;
+};
+
+/** Compares ways of agreeing and policies of balancing, and measures planning. */
+export const run = async (options: ExperimentOptions): Promise<Record<string, unknown>> => {
+  const layers = options.quick ? 4 : 16;
+  const lengthMs = (options.quick ? 12 : 60) * MINUTE_MS;
+  const agreement = await compareAgreements(options);
+  const planning = await measurePlanning(options.quick, createSeededRandom(options.seed));
+  options.print(`planning: ${JSON.stringify(planning)}`);
+  const policies = await comparePolicies(options, layers, lengthMs);
+  const minutes = lengthMs / MINUTE_MS;
+  return { seed: options.seed, layers, minutes, agreement, planning, policies };
 };
