--- a/packages/lab/src/experiments/overload-processes.ts
+++ b/packages/lab/src/experiments/overload-processes.ts
@@ -95,7 +95,8 @@
   return sums;
 };
 
-const executionsOf = async (site: Site) => {
+/** How often each call ran, by the stand-ins' own counts. */
+export const executionsOf = async (site: Site) => {
   const services = site.services.flatMap(({ processes }) => processes);
   const counts = await Promise.all(services.map(({ ready }) => serviceCounts(ready.control)));
   const starts = await Promise.all(
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -20,6 +20,7 @@
   'balance',
   'claims',
   'drain',
+  'faults',
   'intent',
   'overload',
   'overload-processes',
