Callers' door: connections over the limit are refused in answer to their request

Cause: the refusal was written as the connection opened, while the request behind it was still parsed and served: a caller told "not run" could have its request run (found by reading; a test over a raw socket hung on it and was replaced by one that asks for the refusal, for no dispatch and for service once there is room). Change: such connections are marked and their requests refused; twice the limit is dropped and counted. Idempotency keys of 1 to 255 characters only. The reading of requests and their measures are modules of their own.

--- a/packages/plantaindrum/src/core/callers/door.ts
+++ b/packages/plantaindrum/src/core/callers/door.ts
@@ -3,23 +3,15 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import type { Clock, EntrySettings, Metrics, Refusal, Result } from '@plantaindrum/common';
-import { fail, ok, refusalBody, refusalHeaders, refusalStatus } from '@plantaindrum/common';
+import type { Clock, EntrySettings, Metrics, Refusal } from '@plantaindrum/common';
+import { refusalBody, refusalHeaders, refusalStatus } from '@plantaindrum/common';
 import type { IntentReader } from '@plantaindrum/intent';
 import type { ServeOptions } from '../requests/serve-request.js';
 import { serveRequest } from '../requests/serve-request.js';
-import type { EntryRequest, RequestEnd } from '../requests/types.js';
 import type { ClassTargets } from '../status/class-targets.js';
 import { createAnswer } from './answer.js';
-import { forwardedHeaders } from './headers.js';
-import {
-  COMPLETIONS_PATH,
-  createKeyTable,
-  findClass,
-  findRoute,
-  parseCompletion,
-} from './identify.js';
-import { readBody } from './read-body.js';
+import { createRequestReader } from './request-reader.js';
+import { createRequestTimes } from './request-times.js';
 
 /** What the callers' door needs. */
 export interface CallersDoorOptions {
@@ -48,6 +40,8 @@
 /** Time that a caller has to send its header, and its whole request, in milliseconds. */
 const HEADERS_MS = 10_000;
 const REQUEST_MS = 60_000;
+/** Connections for each allowed one above which a new one is closed without an answer. */
+const DROP_FACTOR = 2;
 
 const listen = (server: Server, { host, port }: { host: string; port: number }): Promise<string> =>
   new Promise((resolve, reject) => {
@@ -72,13 +66,17 @@
 
 /** Opens the callers' door; rejects when the address can't be listened on. */
 export const openCallersDoor = async (options: CallersDoorOptions): Promise<CallersDoor> => {
-  const { limits, intent, closedFor, targets, clock, metrics } = options;
-  const findOrganisation = createKeyTable();
+  const { limits, closedFor, clock, metrics } = options;
+  const readRequest = createRequestReader(options);
+  const overLimit = new WeakSet<Socket>();
+  const tooMany: Refusal = {
+    reason: 'too-many-connections',
+    data: { limit: limits.connections },
+  };
   let inFlight = 0;
   let onIdle = (): void => {};
 
-  const countRefusal = ({ reason }: Refusal, labels: Record<string, string> = {}): void =>
-    metrics.count('requests_refused', { reason, ...labels });
+  const countRefusal = ({ reason }: Refusal): void => metrics.count('requests_refused', { reason });
 
   const refuse = (res: ServerResponse, refusal: Refusal): void => {
     countRefusal(refusal);
@@ -86,78 +84,8 @@
     res.end(JSON.stringify(refusalBody(refusal)));
   };
 
-  const readRequest = async (
-    req: IncomingMessage,
-  ): Promise<Result<EntryRequest, Refusal> | undefined> => {
-    const arrivedAt = clock.monotonic();
-    const { method = 'GET', url: path = '/' } = req;
-    const view = intent.current();
-    const organisation = findOrganisation(view, req.headers);
-    if (organisation === undefined) return fail({ reason: 'unknown-key' });
-    const pathname = path.split('?')[0] ?? path;
-    const isCompletion = pathname === COMPLETIONS_PATH;
-    const route = isCompletion ? undefined : findRoute(view.document, pathname);
-    if (!isCompletion && !route) return fail({ reason: 'unknown-route', data: { method, path } });
-    if (isCompletion && method !== 'POST') {
-      return fail({ reason: 'method-not-allowed', data: { method, path } });
-    }
-    const requestClass = findClass(view.document, req.headers, organisation, route);
-    if (!requestClass.ok) return requestClass;
-    const body = await readBody(req, limits.bodyBytes);
-    if (!body?.ok) return body;
-    const target = route
-      ? ok({ kind: 'service' as const, service: route.service })
-      : parseCompletion(body.value);
-    if (!target.ok) return target;
-    const idempotencyKey = req.headers['idempotency-key'];
-    return ok({
-      organisation,
-      class: requestClass.value,
-      target: target.value,
-      method,
-      path,
-      headers: forwardedHeaders(req.headers),
-      body: body.value,
-      ...(typeof idempotencyKey === 'string' && { idempotencyKey }),
-      arrivedAt,
-    });
-  };
-
-  /** Times of one answer: the target is its first token. */
-  const timesOf = (request: EntryRequest) => {
-    const { arrivedAt, class: requestClass, organisation } = request;
-    const labels = { class: requestClass.name };
-    let first: number | undefined;
-    let last = arrivedAt;
-
-    const sent = (): void => {
-      const now = clock.monotonic();
-      metrics.record(
-        first === undefined ? 'first_token_ms' : 'between_tokens_ms',
-        now - last,
-        labels,
-      );
-      first ??= now;
-      last = now;
-    };
-
-    const ended = (end: RequestEnd): void => {
-      metrics.count('requests_ended', { ...labels, organisation, outcome: end.outcome });
-      if (end.outcome === 'caller-gone') return;
-      const waited = (first ?? Infinity) - arrivedAt;
-      targets.note(
-        requestClass.name,
-        end.outcome === 'answered' && waited <= requestClass.latestAnswerMs,
-      );
-      if (end.outcome === 'refused') countRefusal(end.refusal);
-      else metrics.record('whole_answer_ms', clock.monotonic() - arrivedAt, labels);
-    };
-
-    return { sent, ended };
-  };
-
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-    const closed = closedFor();
+    const closed = overLimit.has(req.socket) ? tooMany : closedFor();
     if (closed) {
       res.setHeader('connection', 'close');
       refuse(res, closed);
@@ -174,7 +102,7 @@
     }
     const request = read.value;
     const { target } = request;
-    const times = timesOf(request);
+    const times = createRequestTimes(request, options);
     const answer = createAnswer({
       res,
       clock,
@@ -187,7 +115,9 @@
       res.on('close', fn);
       return () => res.off('close', fn);
     };
-    times.ended(await serveRequest(request, answer, onCallerGone, options.serve));
+    const end = await serveRequest(request, answer, onCallerGone, options.serve);
+    if (end.outcome === 'refused') countRefusal(end.refusal);
+    times.ended(end);
   };
 
   const serveCounted = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
@@ -208,19 +138,17 @@
     void serveCounted(req, res);
   });
 
+  // Connections over the limit are told so in answer to their request: a refusal before it would
+  // be lost in the reset that its arrival at a closed socket causes. Far more are dropped unheard.
+  server.maxConnections = limits.connections * DROP_FACTOR;
+  server.on('drop', () => countRefusal(tooMany));
   let connections = 0;
   server.on('connection', (socket: Socket) => {
     connections += 1;
+    if (connections > limits.connections) overLimit.add(socket);
     socket.once('close', () => {
       connections -= 1;
     });
-    if (connections <= limits.connections) return;
-    const refusal: Refusal = {
-      reason: 'too-many-connections',
-      data: { limit: limits.connections },
-    };
-    countRefusal(refusal);
-    socket.end(rawRefusal(refusal));
   });
 
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
--- /dev/null
+++ b/packages/plantaindrum/src/core/callers/request-reader.ts
@@ -0,0 +1,96 @@
+/** Reads a request from the callers' door and finds out whose it is and what it asks for. */
+
+import type { IncomingMessage } from 'node:http';
+import type { Clock, EntrySettings, Refusal, Result } from '@plantaindrum/common';
+import { fail, ok } from '@plantaindrum/common';
+import type { IntentDocument, IntentReader, RouteIntent } from '@plantaindrum/intent';
+import type { EntryRequest } from '../requests/types.js';
+import { forwardedHeaders } from './headers.js';
+import type { Target } from './identify.js';
+import {
+  COMPLETIONS_PATH,
+  createKeyTable,
+  findClass,
+  findRoute,
+  parseCompletion,
+} from './identify.js';
+import { readBody } from './read-body.js';
+
+/** What reading requests needs. */
+export interface RequestReaderOptions {
+  limits: Pick<EntrySettings['limits'], 'bodyBytes'>;
+  intent: Pick<IntentReader, 'current'>;
+  clock: Clock;
+}
+
+/** Reads one request; undefined when its caller broke off. */
+export type ReadRequest = (
+  req: IncomingMessage,
+) => Promise<Result<EntryRequest, Refusal> | undefined>;
+
+const MOST_KEY_CHARACTERS = 255;
+
+const badRequest = (detail: string): { ok: false; err: Refusal } =>
+  fail({ reason: 'bad-request', data: { detail } });
+
+/** Completions need no route; everything else has to match one. */
+const routeOf = (
+  document: IntentDocument,
+  method: string,
+  path: string,
+): Result<RouteIntent | undefined, Refusal> => {
+  const pathname = path.split('?')[0] ?? path;
+  if (pathname === COMPLETIONS_PATH) {
+    if (method === 'POST') return ok(undefined);
+    return fail({ reason: 'method-not-allowed', data: { method, path } });
+  }
+  const route = findRoute(document, pathname);
+  return route ? ok(route) : fail({ reason: 'unknown-route', data: { method, path } });
+};
+
+const targetOf = (route: RouteIntent | undefined, body: Buffer): Result<Target, Refusal> =>
+  route ? ok({ kind: 'service', service: route.service }) : parseCompletion(body);
+
+const idempotencyKeyOf = ({ headers }: IncomingMessage): Result<string | undefined, Refusal> => {
+  const key = headers['idempotency-key'];
+  if (key === undefined) return ok(undefined);
+  if (typeof key !== 'string' || key === '' || key.length > MOST_KEY_CHARACTERS) {
+    return badRequest(`"Idempotency-Key" has not 1 to ${MOST_KEY_CHARACTERS} characters`);
+  }
+  return ok(key);
+};
+
+/** Creates the reader of one door. */
+export const createRequestReader = (options: RequestReaderOptions): ReadRequest => {
+  const { limits, intent, clock } = options;
+  const findOrganisation = createKeyTable();
+
+  return async (req) => {
+    const arrivedAt = clock.monotonic();
+    const { method = 'GET', url: path = '/', headers } = req;
+    const view = intent.current();
+    const organisation = findOrganisation(view, headers);
+    if (organisation === undefined) return fail({ reason: 'unknown-key' });
+    const route = routeOf(view.document, method, path);
+    if (!route.ok) return route;
+    const requestClass = findClass(view.document, headers, organisation, route.value);
+    if (!requestClass.ok) return requestClass;
+    const key = idempotencyKeyOf(req);
+    if (!key.ok) return key;
+    const body = await readBody(req, limits.bodyBytes);
+    if (!body?.ok) return body;
+    const target = targetOf(route.value, body.value);
+    if (!target.ok) return target;
+    return ok({
+      organisation,
+      class: requestClass.value,
+      target: target.value,
+      method,
+      path,
+      headers: forwardedHeaders(headers),
+      body: body.value,
+      ...(key.value !== undefined && { idempotencyKey: key.value }),
+      arrivedAt,
+    });
+  };
+};
--- a/packages/plantaindrum/test/leaving.test.ts
+++ b/packages/plantaindrum/test/leaving.test.ts
@@ -134,6 +134,17 @@
     expect(dispatches(lynnwood).length).to.equal(before);
   });
 
+  it('refuses rather than use a stopped data centre that alone could serve', async () => {
+    lynnwood = await startFakeAgent(answerAll);
+    site = await startSite([upstreamVm('lynnwood-u1', lynnwood.address, inLynnwood)]);
+    open.push(site, lynnwood);
+    const changes = [{ key: 'dataCentres/lynnwood', base: -1, value: { state: 'stopped' } }];
+    await site.operators('POST', '/intent', { id: 'stop', author: 'op', changes });
+    const { status, headers } = await site.call('/v1/completions', { body });
+    expect([status, headers['x-plantaindrum-reason']]).to.deep.equal([503, 'no-upstream']);
+    expect(dispatches(lynnwood)).to.deep.equal([]);
+  });
+
   /*
    * SIGTERM at an entry: readiness fails first, so that the balancer moves on; what is in flight is
    * answered whole before the doors close.
--- a/packages/plantaindrum/test/requests.test.ts
+++ b/packages/plantaindrum/test/requests.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import { expect } from 'chai';
 import type { Link, PeerFrame } from '@plantaindrum/link';
@@ -103,17 +104,23 @@
     expect([status, headers['x-plantaindrum-outcome'], sent()]).to.deep.equal([502, 'unknown', 2]);
   });
 
+  /*
+   * A caller connects although the door holds its most connections. Its request is read and refused
+   * as not run, and has not been given to any upstream; once there is room the same caller is served.
+   */
   it('over the limit of connections get a refusal and not a reset', async () => {
-    const site = await start(answer, undefined, { connections: 1 });
+    const site = await start(answer, exportsOf, { connections: 1 });
     const { hostname, port } = new URL(site.entry.callers);
     const first = connect(Number(port), hostname);
-    await new Promise((resolve) => {
-      first.once('connect', resolve);
-    });
-    const { status, headers } = await site.call('/v1/completions', { body });
-    first.destroy();
+    await once(first, 'connect');
+    const refused = await site.call('/exports/1', { body: '{}' });
+    const { status, headers } = refused;
     expect([status, headers['x-plantaindrum-reason']]).to.deep.equal([503, 'too-many-connections']);
     const counted = site.metrics.counter('requests_refused', { reason: 'too-many-connections' });
     expect(counted).to.equal(1);
+    expect(sent()).to.equal(0);
+    first.end();
+    await once(first, 'close');
+    expect((await site.call('/exports/2', { body: '{}' })).status).to.equal(200);
   });
 });
