--- a/packages/lab/test/operating-page.test.ts
+++ b/packages/lab/test/operating-page.test.ts
@@ -30,6 +30,14 @@
     expect(committedPage()).to.equal(await currentPage());
   });
 
+  it('explains every reason for which an entry makes no further attempt', () => {
+    const types = sourcesOf('requests').find((text) => text.includes('export type NoRetryReason'));
+    const union = /export type NoRetryReason =([^;]+);/.exec(types ?? '')?.[1] ?? '';
+    const reasons = [...union.matchAll(/'([a-z-]+)'/g)].map(([, reason]) => reason ?? '');
+    expect(reasons).to.have.length.at.least(6);
+    expect(reasons.filter((reason) => !committedPage().includes(`\`${reason}\``))).to.be.empty;
+  });
+
   it('explains every metric that the code records', () => {
     const recorded = shipped
       .flatMap(sourcesOf)
