Agent queue: a stuck upstream lowers the rate without an end

Cause: when an engine freezes beside a healthy agent nothing ends, so the last rate stayed in force, and callers were let in to wait for most of their target. Change: when nothing has ended in the time of two rounds of the slots, the rate falls with the silence; throughput counts only while it rests on a round of ends. Test red first.

--- a/packages/requests/src/queue/agent-queue.ts
+++ b/packages/requests/src/queue/agent-queue.ts
@@ -31,6 +31,8 @@
 const MOST_KEPT_BACK = 0.5;
 /** Advised when nothing has been measured yet, in milliseconds. */
 const DEFAULT_RETRY_MS = 1_000;
+/** Longest advised time, in milliseconds; a stuck upstream may be well again by then. */
+const LONGEST_RETRY_MS = 30_000;
 
 /** Creates the queue before one upstream. */
 export const createAgentQueue = <T extends QueueItem>(
@@ -71,8 +73,10 @@
   const spread = (ms: number): number => Math.ceil(ms * (1 + random() * RETRY_SPREAD));
 
   /** Time until the queue has drained so far that a call like this one can meet its target. */
-  const retryAfter = (waitMs: number, budgetMs: number): number =>
-    waitMs > 0 ? spread(Math.max(waitMs - budgetMs, 1)) : spread(DEFAULT_RETRY_MS);
+  const retryAfter = (waitMs: number, budgetMs: number): number => {
+    if (waitMs <= 0) return spread(DEFAULT_RETRY_MS);
+    return spread(Math.min(Math.max(waitMs - budgetMs, 1), LONGEST_RETRY_MS));
+  };
 
   const reject = (item: T, reason: Rejected<T>['reason'], waitMs: number): Rejected<T> => {
     const left = Math.max(0, item.deadline - clock.monotonic());
--- a/packages/requests/src/queue/drain-meter.ts
+++ b/packages/requests/src/queue/drain-meter.ts
@@ -15,8 +15,15 @@
 const SMOOTHING = 0.05;
 /** Time over which the throughput is measured, in milliseconds. */
 const THROUGHPUT_LIFE_MS = 3_000;
-/** A throughput whose last sample is older than this says nothing about now, in milliseconds. */
-const FRESH_MS = 10_000;
+
+/** An upstream is stuck when nothing ends in the time that so many rounds of its slots take. */
+const STUCK_ROUNDS = 2;
+
+/** Requests and cost a second. */
+interface Rate {
+  requests: number;
+  cost: number;
+}
 
 const smooth = (old: number | undefined, sample: number): number =>
   old === undefined ? sample : old + SMOOTHING * (sample - old);
@@ -33,7 +40,6 @@
   let meanCost: number | undefined;
   let serviceMs: number | undefined;
   let lastBackloggedEnd: number | undefined;
-  let samples = 0;
 
   const sampleThroughput = (now: number, cost: number, backlogged: boolean) => {
     if (!backlogged) {
@@ -41,7 +47,6 @@
       return;
     }
     if (lastBackloggedEnd !== undefined) {
-      samples += 1;
       throughput.add('ms', now - lastBackloggedEnd);
       throughput.add('requests', 1);
       throughput.add('cost', cost);
@@ -49,12 +54,7 @@
     lastBackloggedEnd = now;
   };
 
-  const isFresh = () =>
-    samples >= concurrency &&
-    lastBackloggedEnd !== undefined &&
-    clock.monotonic() - lastBackloggedEnd < FRESH_MS;
-
-  const measured = (): { requests: number; cost: number } => {
+  const measured = (): Rate => {
     const perSecond = 1000 / Math.max(throughput.of('ms'), 0.01);
     return {
       requests: throughput.of('requests') * perSecond,
@@ -62,12 +62,20 @@
     };
   };
 
-  const bySlots = (): { requests: number; cost: number } => {
+  const bySlots = (): Rate => {
     if (serviceMs === undefined) return { requests: 0, cost: 0 };
     const requests = (1000 * concurrency) / Math.max(serviceMs, 0.01);
     return { requests, cost: requests * (meanCost ?? 0) };
   };
 
+  /** Lowers a rate when nothing has ended for so long that the upstream must be stuck. */
+  const unlessStuck = (rate: Rate, silentMs: number): Rate => {
+    const roundMs = (1000 * concurrency) / rate.requests;
+    if (rate.requests <= 0 || silentMs <= STUCK_ROUNDS * roundMs) return rate;
+    const factor = roundMs / silentMs;
+    return { requests: rate.requests * factor, cost: rate.cost * factor };
+  };
+
   return {
     started: (id, cost) => {
       active.set(id, { cost, at: clock.monotonic() });
@@ -82,6 +90,11 @@
       sampleThroughput(now, run.cost, backlogged);
     },
     running: () => active.size,
-    rate: () => (isFresh() ? measured() : bySlots()),
+    rate: () => {
+      if (lastBackloggedEnd === undefined) return bySlots();
+      const isMeasured = throughput.of('requests') >= concurrency;
+      const silentMs = clock.monotonic() - lastBackloggedEnd;
+      return unlessStuck(isMeasured ? measured() : bySlots(), silentMs);
+    },
   };
 };
--- a/packages/requests/test/agent-queue.test.ts
+++ b/packages/requests/test/agent-queue.test.ts
@@ -202,6 +202,29 @@
     expect(world.queue.load().queued).to.equal(0);
   });
 
+  // The engine freezes while its agent is well. Nothing ends any more, so the last measured rate says
+  // nothing: callers must not wait for most of their target to hear that, and Retry-After
+  // stays within a bound.
+  it('refuses soon when nothing ends any more', async () => {
+    const world = queueWith();
+    await warmUp(world, 100);
+    for (let n = 0; n < 10; n += 1) world.queue.offer(itemOf());
+    for (let n = 0; n < 5; n += 1) {
+      const item = world.queue.take()!;
+      await world.clock.advance(100);
+      world.queue.finished(item.id);
+    }
+    world.queue.take();
+    const offer = () => world.queue.offer(itemOf({ deadline: world.clock.monotonic() + 1_500 }));
+    expect(offer().admitted).to.equal(true);
+    await world.clock.advance(1_000);
+    expect(world.queue.sweep()).to.have.length(1);
+    await world.clock.advance(4_000);
+    const refused = offer();
+    expect(refused.rejected[0]).to.include({ reason: 'deadline-unreachable' });
+    expect(refused.rejected[0]!.retryAfterMs).to.be.at.most(60_000);
+  });
+
   it('hands every expired or leaving item back once', async () => {
     const { clock, queue } = queueWith();
     queue.offer(itemOf({ id: 'late', deadline: 5 }));
