--- a/packages/agent/test/faults.test.ts
+++ b/packages/agent/test/faults.test.ts
@@ -8,8 +8,9 @@
 import { createManualClock } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
 import { startTestAgent } from './support/agent.js';
-import { createFakeEntry, dispatchOf, textOf } from './support/entry.js';
+import { createFakeEntry, dispatchOf, readable, textOf } from './support/entry.js';
 import type { FakeEntry } from './support/entry.js';
+import { declare, untilIntentAt } from './support/intent.js';
 import { createFakeUpstream } from './support/upstream.js';
 import type { FakeUpstream } from './support/upstream.js';
 
@@ -39,8 +40,8 @@
     return agent;
   };
 
-  const enter = (address: string, instance = 'e', grantsCredit = true): FakeEntry => {
-    const entry = createFakeEntry(address, instance, grantsCredit);
+  const enter = (address: string, ...rest: [string?, boolean?, string?]): FakeEntry => {
+    const entry = createFakeEntry(address, ...rest);
     opened.push(entry);
     return entry;
   };
@@ -171,4 +172,22 @@
     await clock.advance(5_000);
     await stopped;
   });
+
+  // Operators stop the data centre of this agent. Entries elsewhere that lag behind are told "not
+  // run" and try another upstream; the entries beside it still need it for what they hold, so
+  // their work is taken until they have drained.
+  it('turns away entries of other data centres while its own is being stopped', async () => {
+    const agent = await start();
+    const near = enter(agent.link, 'e');
+    const far = enter(agent.link, 'f', true, 'lynnwood');
+    const [nearLink, farLink] = await Promise.all([near.nextLink(), far.nextLink()]);
+    await declare(log.url, 'dataCentres/kent', { state: 'stopped' });
+    await untilIntentAt(agent.operators, 0);
+    farLink.send(dispatchOf('f:1'));
+    expect(readable(await far.until('not-run')).at(-1)).to.include({ reason: 'leaving' });
+    nearLink.send(dispatchOf('e:1'));
+    (await upstream.next()).res.end('whole');
+    expect(textOf(await near.until('end'))).to.equal('whole');
+    expect(upstream.requests()).to.equal(1);
+  });
 });
--- a/packages/agent/test/support/entry.ts
+++ b/packages/agent/test/support/entry.ts
@@ -4,13 +4,18 @@
 import { createMailbox } from './mailbox.js';
 
 /** An entry's side of a link, driven by the test; it grants credit for all that it receives. */
-export const createFakeEntry = (address: string, instance = 'e', grantsCredit = true) => {
+export const createFakeEntry = (
+  address: string,
+  instance = 'e',
+  grantsCredit = true,
+  dataCentre = 'kent',
+) => {
   const links = createMailbox<Link>();
   const frames = createMailbox<PeerFrame>();
   const [host = '', port] = address.split(':');
   const client = createLinkClient({
     connect: { host, port: Number(port) },
-    identity: { role: 'entry', node: 'kent-e1', instance, dataCentre: 'kent', region: 'nw' },
+    identity: { role: 'entry', node: 'kent-e1', instance, dataCentre, region: 'nw' },
     intentOffset: () => -1,
     limits: defaultLinkLimits,
     handlers: {},
