Callers' door: a class named like an object's own method is unknown

Cause: x-plantaindrum-class: constructor found Object's constructor as a class; the dispatch it made had no priority, the agent closed the link over it, and the request hung (red test first). Change: own properties only; an upstream's x-plantaindrum-* headers stay back; the silence allowed to an answer follows its class (three times the target, a minute at least).

--- a/packages/plantaindrum/src/core/callers/headers.ts
+++ b/packages/plantaindrum/src/core/callers/headers.ts
@@ -30,5 +30,8 @@
 /** Header fields of an upstream's answer that go on to the caller. */
 export const answeredHeaders = (headers: Record<string, string>): Record<string, string> =>
   Object.fromEntries(
-    Object.entries(headers).filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase())),
+    Object.entries(headers)
+      .filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase()))
+      // Only this entry says what became of a request.
+      .filter(([name]) => !name.toLowerCase().startsWith(OWN_PREFIX)),
   );
--- a/packages/plantaindrum/src/core/callers/identify.ts
+++ b/packages/plantaindrum/src/core/callers/identify.ts
@@ -54,6 +54,10 @@
 const headerText = (value: string | string[] | undefined): string | undefined =>
   Array.isArray(value) ? value[0] : value;
 
+/** The name comes from a caller: it must not find what an object has by its nature. */
+const classOf = (document: IntentDocument, name: string): ClassIntent | undefined =>
+  Object.hasOwn(document.classes, name) ? document.classes[name] : undefined;
+
 /**
  * The class of a request: its header, else its route, else its organisation's default. A route to
  * calls that may not be repeated stays so in whatever class the caller names.
@@ -68,7 +72,7 @@
     headerText(headers['x-plantaindrum-class']) ??
     route?.class ??
     document.organisations[organisation]?.defaultClass;
-  const declared = name === undefined ? undefined : document.classes[name];
+  const declared = name === undefined ? undefined : classOf(document, name);
   if (name === undefined || !declared) {
     return fail({ reason: 'unknown-class', ...(name !== undefined && { data: { class: name } }) });
   }
--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -25,6 +25,9 @@
 /** Tells of the caller's end; the returned function ends that. */
 export type OnCallerGone = (fn: () => void) => () => void;
 
+/** An answer that is not a stream may be silent for this many times its class's target. */
+const PATIENCE_FACTOR = 3;
+
 type Failed = Extract<AttemptOutcome, { reason: unknown }>;
 
 const refusalOf = (failed: Failed): Refusal => ({
@@ -42,6 +45,10 @@
   const { choose, retries, nextId, times, clock, metrics } = options;
   const { latestAnswerMs } = request.class;
   const tried = new Set<string>();
+  const patience = {
+    ...times,
+    silenceMs: Math.max(times.silenceMs, latestAnswerMs * PATIENCE_FACTOR),
+  };
   // A key is claimed once for all upstreams: a second dispatch could only lose against the first.
   const mayNotRepeat = request.class.mayNotRepeat || request.idempotencyKey !== undefined;
   let mayHaveRun = false;
@@ -69,7 +76,7 @@
         onCallerGone,
         repeatable: !mayNotRepeat,
         ticket,
-        times,
+        times: patience,
         clock,
         metrics,
       });
--- a/packages/plantaindrum/test/callers-door.test.ts
+++ b/packages/plantaindrum/test/callers-door.test.ts
@@ -47,6 +47,12 @@
     expect([last?.class, last?.mayNotRepeat]).to.deep.equal(['live', true]);
   });
 
+  it('knows no class by the name of something every object has', async () => {
+    const headers = { 'x-plantaindrum-class': 'constructor' };
+    const { status } = await site.call('/v1/completions', { headers, body: prompt });
+    expect(status).to.equal(400);
+  });
+
   it('refuses with reason, outcome and Retry-After', async () => {
     const unknownKey = { headers: { authorization: 'Bearer nobody' }, body: prompt };
     const answers = {
