--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -179,7 +179,9 @@
 export const dispatchedTo = async (site: Site, upstream: string): Promise<number> => {
   const name = 'plantaindrum_dispatches_total';
   const counts = await Promise.all(
-    site.entries.map(({ operators }) => operators.counter(name, { upstream })),
+    site.entries
+      .filter(({ process }) => process.running())
+      .map(({ operators }) => operators.counter(name, { upstream })),
   );
   return counts.reduce((sum, count) => sum + count, 0);
 };
--- a/packages/lab/src/experiments/recovery.ts
+++ b/packages/lab/src/experiments/recovery.ts
@@ -2,7 +2,7 @@
 
 import { setTimeout as delay } from 'node:timers/promises';
 import type { LoadCall } from '../harness/load.js';
-import type { Site, SiteUpstream } from '../harness/site-types.js';
+import type { Site } from '../harness/site-types.js';
 import {
   countOutcomes,
   dispatchedTo,
@@ -27,6 +27,8 @@
   dispatchedAfter: number;
 }
 
+/** The upstream whose dispatches are watched. */
+const WATCHED = `lot-writer-${STOPPED}-1`;
 const BEFORE_MS = 3_000;
 const AFTER_MS = 9_000;
 const POLL_MS = 25;
@@ -81,12 +83,11 @@
 
 const measure = async (
   what: string,
-  fail: (upstream: SiteUpstream) => void,
+  fail: (site: Site) => Promise<unknown> | void,
   options: ExperimentOptions,
 ): Promise<RecoveryFigures> => {
   const site = await startTwoDataCentres();
   const probed = probeEntries(site.entries);
-  const upstream = site.upstream(`lot-writer-${STOPPED}-1`);
   try {
     const load = startMixedLoad(probed.urls, {
       seed: options.seed,
@@ -95,8 +96,8 @@
       scale: options.quick ? 1 : 2,
     });
     await delay(BEFORE_MS);
-    fail(upstream);
-    const { lastMs, dispatched } = await watchDispatches(site, upstream.name, load.finished);
+    await fail(site);
+    const { lastMs, dispatched } = await watchDispatches(site, WATCHED, load.finished);
     const calls = await load.finished;
     const figures = figuresOf(what, calls, lastMs, dispatched);
     options.print(
@@ -109,14 +110,28 @@
   }
 };
 
-/** Kills, and freezes, the agent of an upstream; the list shows it as live for the whole run. */
+const signalAgent =
+  (signal: NodeJS.Signals) =>
+  (site: Site): void =>
+    site.upstream(WATCHED).agent.signal(signal);
+
+/** Kills the entry and every agent of one data centre; calls open at its entry break off with it. */
+const killDataCentre = (site: Site): Promise<unknown> => {
+  const entries = site.entries.filter(({ dataCentre }) => dataCentre === STOPPED);
+  const upstreams = site.upstreams.filter(({ dataCentre }) => dataCentre === STOPPED);
+  const processes = [...entries.map(({ process }) => process), ...upstreams.map((u) => u.agent)];
+  return Promise.all(processes.map((child) => child.kill()));
+};
+
+/** Kills, and freezes, an agent, then kills a data centre; the list shows all as live throughout. */
 export const runRecovery = async (
   options: ExperimentOptions,
 ): Promise<Record<string, unknown>> => ({
   experiment: 'recovery',
   runs: [
-    await measure('agent-killed', ({ agent }) => agent.signal('SIGKILL'), options),
-    await measure('agent-frozen', ({ agent }) => agent.signal('SIGSTOP'), options),
+    await measure('agent-killed', signalAgent('SIGKILL'), options),
+    await measure('agent-frozen', signalAgent('SIGSTOP'), options),
+    await measure('data-centre-killed', killDataCentre, options),
   ],
 });
 
