An engine's 503 is a failed attempt, and an upstream that goes on failing is left out

Cause: the agent passed 503 and 429 of a model engine on as the answer: callers got neither an outcome nor Retry-After though other engines served. And as the refusal is quick, that engine had the least load in all eyes and drew ever more requests; routing looked at pace and silence only. The same holds for an engine that is down beside a living agent ('upstream-unreachable'). Ruled out: 'not-run' for these statuses (a status proves nothing on what ran); the same for plain services (their statuses are their own answers). Change: new ending 'upstream-refused' (unknown), which the entry may try again elsewhere; five failures in a row without a first byte eject an upstream ('failing'), within the cap on ejections.

--- a/packages/agent/src/core/agent.ts
+++ b/packages/agent/src/core/agent.ts
@@ -68,6 +68,9 @@
   return createAgentQueue({ clock, random, capacity, concurrency });
 };
 
+/** An engine says so when it is full or not up; a plain service's statuses are its own answers. */
+const ENGINE_REFUSALS = [429, 503];
+
 const createRunner = (
   { settings, clock, metrics }: AgentOptions,
   upstream: Upstream,
@@ -75,7 +78,8 @@
   claims: Claims,
 ): AttemptRunner => {
   const bodyOf = settings.upstream.kind === 'model' ? engineBody : ({ body }: Dispatch) => body;
-  const parts = { upstream, bodyOf, metrics, onFirstByte: queue.answering };
+  const refusals = settings.upstream.kind === 'model' ? ENGINE_REFUSALS : [];
+  const parts = { upstream, bodyOf, refusals, metrics, onFirstByte: queue.answering };
   const runKeyed = createKeyedRunner({
     claims,
     run: (attempt, work, begin, observe) => runAttempt(attempt, work, begin, { ...parts, observe }),
--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -19,6 +19,8 @@
   upstream: Upstream;
   /** The body as this upstream takes it. */
   bodyOf: (work: Dispatch) => Uint8Array;
+  /** Statuses by which this upstream refuses what it can't serve now. */
+  refusals: readonly number[];
   metrics: Metrics;
   /** Told of the first byte of an answer. */
   onFirstByte: (id: AttemptId) => void;
@@ -40,13 +42,14 @@
   attempt: Attempt,
   work: Dispatch,
   begin: () => boolean,
-  { upstream, bodyOf, metrics, onFirstByte, observe }: RunAttemptOptions,
+  { upstream, bodyOf, refusals, metrics, onFirstByte, observe }: RunAttemptOptions,
 ): Promise<AttemptOutcome> => {
   if (!begin()) return { outcome: 'not-run', reason: 'cancelled', retryAfterMs: 0 };
   const { answer, abort } = attempt;
   const { method, path } = work;
   const headers = upstreamHeaders(work.headers, work.resumeAfter);
   let begun = false;
+  let refused = false;
   const ended = await upstream.call(
     { method, path, headers, body: bodyOf(work), runsAtMostOnce: runsAtMostOnce(work) },
     {
@@ -56,10 +59,13 @@
         answer.link()?.send({ t: 'started', id: attempt.id });
       },
       head: (status, fields) => {
+        refused = refusals.includes(status);
+        if (refused) return;
         observe?.head(status, fields);
         answer.head(status, fields);
       },
       data: (bytes) => {
+        if (refused) return undefined;
         if (!begun) onFirstByte(attempt.id);
         begun = true;
         observe?.data(bytes);
@@ -68,5 +74,7 @@
     },
     abort.signal,
   );
+  // Such a status does not prove that nothing ran, so another attempt is the entry's to decide.
+  if (refused) return { outcome: 'unknown', reason: 'upstream-refused' };
   return outcomeOf(ended, abort.signal.aborted);
 };
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -51,6 +51,23 @@
     expect(readable([...first, ...(await entry.until('end'))])).toMatchSnapshot();
   });
 
+  // An engine is up and answers 503 to every completion. Passed on, callers would get it as their
+  // answer, with neither a word on whether it ran nor a Retry-After, though other engines serve; and
+  // so quick an end would draw ever more requests. The entry learns that it was refused instead.
+  it('does not pass off the refusal of an engine as an answer', async () => {
+    const agent = await start();
+    const entry = enter(agent.link);
+    const link = await entry.nextLink();
+    link.send(dispatchOf('e:1'));
+    const { res } = await upstream.next();
+    res.writeHead(503, { 'content-type': 'application/json' });
+    res.end('{"error":"unavailable"}');
+    expect(readable(await entry.until('unknown'))).to.deep.equal([
+      { t: 'started', id: 'e:1' },
+      { t: 'unknown', id: 'e:1', reason: 'upstream-refused' },
+    ]);
+  });
+
   it('hands the upstream no more than its concurrency, in order', async () => {
     const agent = await start({ concurrency: 1 });
     const entry = enter(agent.link);
--- a/packages/common/src/errors/request-refusals.ts
+++ b/packages/common/src/errors/request-refusals.ts
@@ -224,6 +224,14 @@
     status: 502,
     outcome: 'unknown',
   },
+  'upstream-refused': {
+    title: 'The upstream refused the request',
+    message: ({ upstream }) =>
+      `${named('upstream', upstream)} answered that it can't serve it now.`,
+    hint: 'Come back after Retry-After; operators should look at the engine.',
+    status: 502,
+    outcome: 'unknown',
+  },
   'upstream-broke-off': {
     title: 'The upstream broke off its answer',
     message: ({ upstream }) => `The answer of ${named('upstream', upstream)} ended too early.`,
--- a/packages/lab/src/experiments/routing-policies.ts
+++ b/packages/lab/src/experiments/routing-policies.ts
@@ -7,7 +7,12 @@
   'choose' | 'dispatched' | 'load' | 'laggedLoad' | 'review'
 >;
 
-const IDLE_TICKET: RouteTicket = { started: () => {}, firstByte: () => {}, ended: () => {} };
+const IDLE_TICKET: RouteTicket = {
+  started: () => {},
+  firstByte: () => {},
+  failed: () => {},
+  ended: () => {},
+};
 
 type Choice = (candidates: readonly string[]) => string;
 
--- a/packages/lab/src/experiments/routing-run.ts
+++ b/packages/lab/src/experiments/routing-run.ts
@@ -188,7 +188,12 @@
   const arrive = () => {
     const entry = Math.floor(random() * entries.length);
     const base = source.next(clock.monotonic());
-    const ticket: RouteTicket = { started: () => {}, firstByte: () => {}, ended: () => {} };
+    const ticket: RouteTicket = {
+      started: () => {},
+      firstByte: () => {},
+      failed: () => {},
+      ended: () => {},
+    };
     const request = { ...base, entry, attempts: 0, tried: new Set<string>(), upstream: '', ticket };
     figures.arrived(request);
     retries[entry]!.requested();
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -130,6 +130,7 @@
   | 'leaving'
   | 'cancelled'
   | 'upstream-unreachable'
+  | 'upstream-refused'
   | 'upstream-broke-off'
   | 'claim-log-down'
   | 'claim-not-confirmed'
--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -35,6 +35,12 @@
   ...(failed.outcome === 'not-run' && { retryAfterMs: failed.retryAfterMs }),
 });
 
+/** Failures that speak against the upstream, whatever the request was. */
+const UPSTREAM_FAILURES = ['upstream-refused', 'upstream-unreachable'];
+
+const isUpstreamsFailure = (ended: AttemptOutcome): boolean =>
+  'reason' in ended && UPSTREAM_FAILURES.includes(ended.reason);
+
 /** Serves one request to its end; the answer or refusal has been written when it resolves. */
 export const serveRequest = async (
   request: EntryRequest,
@@ -68,7 +74,7 @@
     tried.add(upstream.vm().name);
     const budgetMs = Math.max(0, deadline() - clock.monotonic());
     try {
-      return await runAttempt({
+      const ended = await runAttempt({
         id: nextId(),
         upstream,
         work: workOf(request, budgetMs, answer.resumeAfter()),
@@ -80,6 +86,8 @@
         clock,
         metrics,
       });
+      if (isUpstreamsFailure(ended)) ticket.failed();
+      return ended;
     } finally {
       ticket.ended();
     }
--- a/packages/requests/src/routing/health.ts
+++ b/packages/requests/src/routing/health.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@plantaindrum/common';
-import type { HealthChange, UpstreamHealth } from './types.js';
+import type { EjectionReason, HealthChange, UpstreamHealth } from './types.js';
 
 /** Health of one upstream in the eyes of one entry. */
 export interface Health {
@@ -7,7 +7,7 @@
   isSilent(): boolean;
   /** Share of its usual traffic that it may get, 0 to 1. */
   share(): number;
-  eject(reason: 'slow' | 'silent'): HealthChange;
+  eject(reason: EjectionReason): HealthChange;
   setSilent(silent: boolean): void;
   /** Moves on by time: ejected to returning to serving. */
   advance(): HealthChange | undefined;
@@ -37,7 +37,7 @@
 
   const pauseMs = () => Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (ejections - 1));
 
-  const eject = (reason: 'slow' | 'silent') => {
+  const eject = (reason: EjectionReason) => {
     ejections += 1;
     return move('ejected', reason);
   };
--- a/packages/requests/src/routing/outliers.ts
+++ b/packages/requests/src/routing/outliers.ts
@@ -1,5 +1,6 @@
 import type { Health } from './health.js';
 import type { Pace } from './pace.js';
+import type { EjectionReason } from './types.js';
 
 /** What outlier detection looks at. */
 interface Observed {
@@ -15,13 +16,21 @@
 const STUCK_FACTOR = 10;
 /** … and at least this long, in milliseconds. */
 const STUCK_LEAST_MS = 2_000;
+/** So many requests that failed in a row make an upstream a failing one. */
+const MOST_FAILURES = 5;
 /** At most this share of the upstreams is ejected at a time. */
 const MOST_EJECTED = 0.5;
 
 const median = (values: readonly number[]): number | undefined =>
   [...values].sort((a, b) => a - b)[Math.floor((values.length - 1) / 2)];
 
-const reasonToEject = (pace: Pace, medianMs: number): 'slow' | 'silent' | undefined => {
+/**
+ * One that refuses at once always has the least load and draws the most requests; neither its pace
+ * nor its silence tells, so its failures are counted.
+ */
+const reasonToEject = (pace: Pace, medianMs: number | undefined): EjectionReason | undefined => {
+  if (pace.failures() >= MOST_FAILURES) return 'failing';
+  if (medianMs === undefined) return undefined;
   if (pace.oldestWaitMs() > Math.max(STUCK_LEAST_MS, STUCK_FACTOR * medianMs)) return 'silent';
   const smoothed = pace.smoothedMs();
   if (smoothed === undefined) return undefined;
@@ -35,11 +44,10 @@
  */
 export const ejectionsDue = <T extends Observed>(
   members: readonly T[],
-): { member: T; reason: 'slow' | 'silent' }[] => {
+): { member: T; reason: EjectionReason }[] => {
   const inService = members.filter(({ health }) => health.state() !== 'ejected');
   const paces = inService.map(({ pace }) => pace.smoothedMs()).filter((ms) => ms !== undefined);
   const medianMs = median(paces);
-  if (medianMs === undefined) return [];
   const ejected = members.length - inService.length;
   const room = Math.floor(members.length * MOST_EJECTED) - ejected;
   const due = inService.flatMap((member) => {
--- a/packages/requests/src/routing/pace.ts
+++ b/packages/requests/src/routing/pace.ts
@@ -8,6 +8,8 @@
   smoothedMs(): number | undefined;
   /** How long the oldest started request has waited for its first byte, in milliseconds. */
   oldestWaitMs(): number;
+  /** Requests that failed in a row since the last first byte. */
+  failures(): number;
   /** Forgets the samples, after the upstream was ejected. */
   reset(): void;
 }
@@ -25,6 +27,7 @@
   const awaiting = new Set<{ since: number }>();
   let smoothed = 0;
   let samples = 0;
+  let failures = 0;
 
   const sample = (ms: number) => {
     samples += 1;
@@ -42,8 +45,12 @@
           awaiting.add(waiting);
         },
         firstByte: () => {
+          failures = 0;
           if (waiting && awaiting.delete(waiting)) sample(clock.monotonic() - waiting.since);
         },
+        failed: () => {
+          failures += 1;
+        },
         ended: () => {
           if (ended) return;
           ended = true;
@@ -57,7 +64,9 @@
       const [oldest] = awaiting;
       return oldest ? clock.monotonic() - oldest.since : 0;
     },
+    failures: () => failures,
     reset: () => {
+      failures = 0;
       samples = 0;
       awaiting.clear();
     },
--- a/packages/requests/src/routing/types.ts
+++ b/packages/requests/src/routing/types.ts
@@ -31,6 +31,9 @@
 export type Route =
   { upstream: string; method: RouteMethod } | { upstream: undefined; reason: NoRoute };
 
+/** Why an upstream gets no requests for a while. */
+export type EjectionReason = 'slow' | 'silent' | 'failing';
+
 /** State of an upstream in the eyes of one entry. */
 export type UpstreamHealth = 'serving' | 'ejected' | 'returning';
 
@@ -40,6 +43,8 @@
   started(): void;
   /** First sign of the answer: its head or first token. */
   firstByte(): void;
+  /** The upstream refused it or could not be reached. */
+  failed(): void;
   /** It has ended, in whatever way. */
   ended(): void;
 }
@@ -80,7 +85,7 @@
   upstream: string;
   from: UpstreamHealth;
   to: UpstreamHealth;
-  reason: 'slow' | 'silent' | 'pause-over' | 'recovered';
+  reason: EjectionReason | 'pause-over' | 'recovered';
 }
 
 /** One line of `status`. */
--- a/packages/requests/test/router.test.ts
+++ b/packages/requests/test/router.test.ts
@@ -138,6 +138,25 @@
     ]);
   });
 
+  // An engine refuses all that it gets, at once: its load is always the least, so it draws the most
+  // requests, and each costs its caller an attempt. It is left out until its pause is over.
+  it('ejects an upstream that refuses one request after the other', async () => {
+    const { router, shares } = routerWith(upstreamsIn('kent', 4));
+    const fail = () => {
+      const ticket = router.dispatched('kent-1');
+      ticket.started();
+      ticket.failed();
+      ticket.ended();
+    };
+    [1, 2, 3, 4].forEach(fail);
+    expect(router.review()).to.deep.equal([]);
+    fail();
+    expect(router.review()).to.deep.equal([
+      { upstream: 'kent-1', from: 'serving', to: 'ejected', reason: 'failing' },
+    ]);
+    expect(shares(400)).not.to.have.property('kent-1');
+  });
+
   it('never ejects all, and nobody for a slowness that all share', async () => {
     const { router, serve } = routerWith(upstreamsIn('kent', 6));
     await serve(6, (id) => (Number(id.slice(-1)) < 3 ? 100 : 5_000));
