Link: a fault in handling a frame is told from a broken socket

Cause: an exception of this process ended the link as 'socket-error', logged at debug only, so that a bug looked like the network. Change: reason handler-failed, logged as an error; socket errors are values of the reading task. Tried and left out: gathering the frames of one turn of the event loop into one write.

--- a/packages/link/src/connection.ts
+++ b/packages/link/src/connection.ts
@@ -135,12 +135,16 @@
   };
 
   async function* payloads(): AsyncGenerator<Buffer, LinkCloseReason> {
-    for await (const bytes of socket as AsyncIterable<Buffer>) {
-      silentHeartbeats = 0;
-      metrics.count('link_bytes_received', {}, bytes.length);
-      const split = splitter.push(bytes);
-      if (!split.ok) return split.err;
-      yield* split.value;
+    try {
+      for await (const bytes of socket as AsyncIterable<Buffer>) {
+        silentHeartbeats = 0;
+        metrics.count('link_bytes_received', {}, bytes.length);
+        const split = splitter.push(bytes);
+        if (!split.ok) return split.err;
+        yield* split.value;
+      }
+    } catch {
+      return 'socket-error';
     }
     return 'closed-by-peer';
   }
@@ -177,8 +181,9 @@
     try {
       finish(await receive());
     } catch (err) {
-      if (!reason) log.debug(`link broke: ${String(err)}`);
-      finish('socket-error');
+      // A fault of this process, brought out by one peer's frame: only that peer's link pays for it.
+      log.error(`a frame could not be handled: ${String(err)}`);
+      finish('handler-failed');
     }
     const why = reason ?? 'socket-error';
     calls.end();
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -11,7 +11,8 @@
   | 'version-mismatch'
   | 'hello-timeout'
   | 'send-buffer-full'
-  | 'socket-error';
+  | 'socket-error'
+  | 'handler-failed';
 
 /** One established connection to a peer; a new connection is a new link. */
 export interface Link {
--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -299,4 +299,33 @@
     await once(second, 'close');
     expect(agent.metrics.counter('link_refused', { reason: 'connections' })).to.equal(1);
   });
+
+  // Code of this process fails on a frame of one peer. That link ends, counted and logged as a
+  // fault of ours and not of the network; the other peer's link goes on.
+  it('ends only the link whose frame could not be handled', async () => {
+    const errors: string[] = [];
+    const taken = createMailbox<PeerFrame>();
+    const agent = createInbox('agent', {
+      log: { ...silentLogger, error: (message) => errors.push(message) },
+      onLink: (link) => (frame) => {
+        if (frame.t === 'pong') return;
+        if (link.peer.instance === 'bad') throw new Error('no such state');
+        taken.put(frame);
+      },
+    });
+    const server = await listen(agent);
+    const good = createInbox('entry');
+    const bad = createInbox('entry');
+    bad.options.identity = { ...bad.options.identity, instance: 'bad' };
+    dial(good, server);
+    dial(bad, server);
+    const badLink = await bad.nextLink();
+    const goodLink = await good.nextLink();
+    badLink.send({ t: 'cancel', id: 'e:1' });
+    expect(await badLink.closed).to.equal('closed-by-peer');
+    expect(agent.metrics.counter('link_closed', { reason: 'handler-failed' })).to.equal(1);
+    expect(errors).to.have.length(1);
+    goodLink.send({ t: 'cancel', id: 'e:2' });
+    expect(await taken.take()).to.deep.equal({ t: 'cancel', id: 'e:2' });
+  });
 });
