Proof that a log outage for the whole run stops only calls that need a claim

Cause: the outage was proved for single calls, not for a whole mixed load through two entries. Change: release reviews for 4 s with the log down throughout; unkeyed calls are all answered, keyed ones all refused as not run with Retry-After, and the services' counts agree.

--- /dev/null
+++ b/packages/lab/test/failures/log-down.test.ts
@@ -0,0 +1,36 @@
+import { expect } from 'chai';
+import { startLoad } from '../../src/harness/load.js';
+import { smallSite } from '../../src/harness/small-site.js';
+import { setFaults } from '../../src/harness/stand-ins.js';
+import { seededRandom } from '../../src/harness/traffic.js';
+import { releaseTraffic } from '../../src/harness/workloads.js';
+import { runsOf, useSite } from '../support/site.js';
+
+describe("the platform's log is down for the whole run", () => {
+  const site = useSite(() => smallSite('magyar-vizualis', { entries: 2, engines: 2, replicas: 2 }));
+
+  // The log answers nothing from the first call to the last. Verdicts, summaries and pings need no
+  // claim and are served as ever. Approvals carry a key that nobody can claim: each is refused at
+  // once as "not run" with a time to come back, and the service's own count agrees.
+  it('serves what needs no claim and refuses the rest as not run', async () => {
+    await setFaults(site().platform.ready.log, { outage: 'all' });
+    const load = startLoad({
+      kinds: releaseTraffic,
+      urls: () => site().entries.map((entry) => entry.url),
+      random: seededRandom(3),
+      run: 'log-down',
+      durationMs: 4_000,
+    });
+    const calls = await load.finished;
+
+    const keyed = calls.filter((done) => done.spec.idempotencyKey !== undefined);
+    const unkeyed = calls.filter((done) => done.spec.idempotencyKey === undefined);
+    expect(new Set(unkeyed.map((done) => done.result.outcome))).to.deep.equal(
+      new Set(['answered']),
+    );
+    expect(new Set(keyed.map((done) => done.result.outcome))).to.deep.equal(new Set(['not-run']));
+    const runs = await Promise.all(keyed.map((done) => runsOf(site(), done.spec.path)));
+    expect(Math.max(...runs)).to.equal(0);
+    keyed.forEach((done) => expect(Number(done.result.headers['retry-after'])).to.be.at.least(1));
+  });
+});
