One pause and one list of hop-by-hop fields in common

Cause: the same interruptible wait stood in four packages, the list of hop-by-hop fields in two. Change: createPause and isHopByHop in common; behaviour as before.

--- a/packages/agent/src/core/group/peers.ts
+++ b/packages/agent/src/core/group/peers.ts
@@ -1,6 +1,7 @@
 /** The other agents of an expert group: found in the VM list, and kept linked. */
 
 import type { Clock, Metrics, Random, Result } from '@plantaindrum/common';
+import { createPause } from '@plantaindrum/common';
 import type { GroupPeer, PeerCall } from '@plantaindrum/experts';
 import type { Link, LinkClient } from '@plantaindrum/link';
 import type { PlatformFailure, Vm } from '@plantaindrum/platform';
@@ -46,12 +47,12 @@
 /** Starts to look for the peers of a group. */
 export const createGroupPeers = (options: GroupPeersOptions): GroupPeers => {
   const { group, self, rankCount, clock, random, metrics } = options;
+  const pause = createPause(clock);
   const links = new Map<string, Link>();
   const dialled = new Map<string, Dialled>();
   let others: Vm[] = [];
   let model: string | undefined;
   let closed = false;
-  let endWait = (): void => {};
 
   const members = (): GroupPeer[] => [
     self,
@@ -95,20 +96,11 @@
     dropUnlisted();
   };
 
-  const wait = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(ms, resolve);
-      endWait = () => {
-        cancel();
-        resolve();
-      };
-    });
-
   // The list is long in a large fleet, so it is only read often while a peer is missing.
   const watch = async (): Promise<void> => {
     while (!closed) {
       await refresh();
-      await wait((isComplete() ? WATCH_MS : SEARCH_MS) * (0.5 + random()));
+      await pause.wait((isComplete() ? WATCH_MS : SEARCH_MS) * (0.5 + random()));
     }
   };
 
@@ -117,7 +109,7 @@
     links.set(node, link);
     void link.closed.then(() => {
       if (links.get(node) === link) links.delete(node);
-      endWait();
+      pause.end();
     });
   };
 
@@ -133,7 +125,7 @@
     onLink,
     close: async () => {
       closed = true;
-      endWait();
+      pause.end();
       await task;
       await Promise.all([...dialled.values()].map(({ client }) => client.close()));
     },
--- a/packages/intent/src/reader/log-follower.ts
+++ b/packages/intent/src/reader/log-follower.ts
@@ -1,6 +1,7 @@
 /** The task that follows the intent topic of the log. */
 
 import type { Clock, Metrics, Random } from '@plantaindrum/common';
+import { createPause } from '@plantaindrum/common';
 import type { Log, LogRecord } from '@plantaindrum/platform';
 import type { FreshnessTracker } from './freshness.js';
 import type { IntentReplica } from './replica.js';
@@ -40,21 +41,12 @@
 /** Starts following the log. */
 export const startLogFollower = (options: LogFollowerOptions): LogFollower => {
   const { log, clock, random, metrics, replica, freshness } = options;
+  const pause = createPause(clock);
   let closed = false;
-  let endWait = (): void => {};
   let failures = 0;
   let rangeKnown = false;
   let endSeen = { end: 0, at: 0 };
 
-  const wait = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(ms, resolve);
-      endWait = () => {
-        cancel();
-        resolve();
-      };
-    });
-
   /** The log was restored to an older state; a node never goes back, so it holds what it has. */
   const isBehindUs = (end: number): boolean => end - 1 < replica.aggregate().offset();
 
@@ -117,24 +109,24 @@
   const follow = async (): Promise<void> => {
     while (!closed) {
       if (!options.isNeeded()) {
-        await wait(options.readWaitMs);
+        await pause.wait(options.readWaitMs);
         continue;
       }
       const worked = await readOnce();
       failures = worked ? 0 : failures + 1;
       freshness.review();
       const ceiling = Math.min(options.retryMaxMs, RETRY_FIRST_MS * 2 ** Math.min(failures, 20));
-      if (!worked && !closed) await wait(random() * ceiling);
+      if (!worked && !closed) await pause.wait(random() * ceiling);
     }
   };
 
   void follow();
 
   return {
-    wake: () => endWait(),
+    wake: () => pause.end(),
     close: () => {
       closed = true;
-      endWait();
+      pause.end();
     },
   };
 };
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import type { Random } from '@plantaindrum/common';
+import { createPause } from '@plantaindrum/common';
 import type { Connection } from './connection.js';
 import { createConnection } from './connection.js';
 import type { LinkOptions } from './options.js';
@@ -44,12 +45,12 @@
 /** Starts to keep a peer connected; each connection is a new link given to `onLink`. */
 export const createLinkClient = (options: LinkClientOptions): LinkClient => {
   const { clock, metrics, random, backoff } = options;
+  const pause = createPause(clock);
   let current: Link | undefined;
   let connection: Connection | undefined;
   let connecting: Socket | undefined;
   let stopped = false;
   let failures = 0;
-  let endWait = (): void => {};
 
   const linkOptions: LinkOptions = {
     ...options,
@@ -89,22 +90,13 @@
     return reason;
   };
 
-  const wait = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(ms, resolve);
-      endWait = () => {
-        cancel();
-        resolve();
-      };
-    });
-
   const keepConnected = async (): Promise<void> => {
     while (!stopped) {
       const reason = await connectOnce();
       options.onDown?.(reason);
       if (stopped) return;
       metrics.count('link_reconnect', { reason });
-      await wait(random() * backoffCeiling(backoff, failures));
+      await pause.wait(random() * backoffCeiling(backoff, failures));
       failures += 1;
     }
   };
@@ -115,7 +107,7 @@
     link: () => current,
     close: async () => {
       stopped = true;
-      endWait();
+      pause.end();
       connecting?.destroy();
       connection?.close();
       await task;
--- a/packages/plantaindrum/src/core/callers/headers.ts
+++ b/packages/plantaindrum/src/core/callers/headers.ts
@@ -1,20 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { isHopByHop, isSetAnew } from '@plantaindrum/common';
 
-/** Header fields that belong to one connection (RFC 9110, 7.6.1) or are set anew on each. */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const endsHere = (name: string): boolean => isHopByHop(name) || isSetAnew(name);
 
 const OWN_PREFIX = 'x-plantaindrum-';
 
@@ -22,7 +9,7 @@
 export const forwardedHeaders = (headers: IncomingHttpHeaders): Record<string, string> =>
   Object.fromEntries(
     Object.entries(headers)
-      .filter(([name]) => !HOP_BY_HOP.has(name) && name !== 'authorization')
+      .filter(([name]) => !endsHere(name) && name !== 'authorization')
       .filter(([name]) => !name.startsWith(OWN_PREFIX))
       .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : (value ?? '')]),
   );
@@ -31,7 +18,7 @@
 export const answeredHeaders = (headers: Record<string, string>): Record<string, string> =>
   Object.fromEntries(
     Object.entries(headers)
-      .filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase()))
+      .filter(([name]) => !endsHere(name.toLowerCase()))
       // Only this entry says what became of a request.
       .filter(([name]) => !name.toLowerCase().startsWith(OWN_PREFIX)),
   );
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -1,6 +1,7 @@
 /** The upstreams that this entry knows, from the platform's lagging list and its own links. */
 
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
+import { createPause } from '@plantaindrum/common';
 import { createMembership, dialDelayMs } from '@plantaindrum/intent';
 import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
 import type { Vm, VmListClient } from '@plantaindrum/platform';
@@ -55,6 +56,7 @@
 /** Creates a directory that knows nobody yet. */
 export const createDirectory = (options: DirectoryOptions): Directory => {
   const { list, connect, clock, random, metrics, log, intervalMs } = options;
+  const pause = createPause(clock);
   const listed = new Map<string, Entry>();
   const forgotten = new Set<Entry>();
   const membership = createMembership<Vm>({ clock, metrics });
@@ -62,7 +64,6 @@
   let lastRead: Vm[] = [];
   let listAnswers = true;
   let stopped = false;
-  let endWait = (): void => {};
 
   /** When a whole data centre appears in the list, every entry would dial each of its agents at once. */
   const connectLater: ConnectAgent = (vm, onLink) => {
@@ -160,15 +161,6 @@
     else metrics.count('vm_list_failed', { kind: read.err.kind });
   };
 
-  const wait = (ms: number): Promise<void> =>
-    new Promise((resolve) => {
-      const cancel = clock.after(ms, resolve);
-      endWait = () => {
-        cancel();
-        resolve();
-      };
-    });
-
   return {
     upstreams: () => [...listed.values()].map((entry) => entry.upstream),
     vms: () => vms,
@@ -176,12 +168,12 @@
     run: async () => {
       while (!stopped) {
         await refresh();
-        if (!stopped) await wait(intervalMs * (0.75 + random() / 2));
+        if (!stopped) await pause.wait(intervalMs * (0.75 + random() / 2));
       }
     },
     close: async () => {
       stopped = true;
-      endWait();
+      pause.end();
       const entries = [...listed.values(), ...forgotten];
       await Promise.all(entries.map((entry) => entry.client.close()));
     },
