Experts: a large group plans although some reports are always missing

Cause: with a fifth of the reports lost, some of 256 engines were always silent for more than two intervals, and nearly no round counted. Change: nine tenths of the engines must have reported; the rest counts with its last rates.

--- a/packages/experts/src/plan/load-tracker.ts
+++ b/packages/experts/src/plan/load-tracker.ts
@@ -14,6 +14,9 @@
 const LEAST_WEIGHT = 0.1;
 const MOST_WEIGHT = 0.8;
 
+/** Share of a group's engines whose reports must be fresh; the rest counts with its last rates. */
+const FRESH_SHARE = 0.9;
+
 /** Options of the tracker, in milliseconds. */
 export interface LoadTrackerOptions {
   layout: GroupLayout;
@@ -146,8 +149,10 @@
         if (!load?.rates || load.isOutdated) return false;
         return atMs - load.atMs <= options.staleMs;
       };
-      // Half the reports would make the experts of the silent ranks look unpopular.
-      if (!nodes.every(isFresh)) return false;
+      // Half the reports would make the experts of the silent ranks look unpopular; but in a group
+      // of hundreds one report or other is always missing.
+      if (!nodes.every((node) => loads.get(node)?.rates)) return false;
+      if (nodes.filter(isFresh).length < FRESH_SHARE * nodes.length) return false;
       smooth(sumRates(nodes).map(normalized), atMs);
       return true;
     },
