--- a/packages/lab/src/cli/demo/run.ts
+++ b/packages/lab/src/cli/demo/run.ts
@@ -1,8 +1,8 @@
+import { createSeededRandom } from '@plantaindrum/common';
 import type { Load } from '../../harness/load.js';
 import { startLoad } from '../../harness/load.js';
 import { startSite } from '../../harness/site.js';
 import type { Site } from '../../harness/site-types.js';
-import { seededRandom } from '../../harness/traffic.js';
 import { liveSaleTraffic, releaseTraffic } from '../../harness/workloads.js';
 import { readOracle } from './oracle.js';
 import { demoSite } from './site.js';
@@ -52,7 +52,7 @@
   load = startLoad({
     kinds: [...liveSaleTraffic, ...releaseTraffic],
     urls: () => site.entries.map((entry) => entry.url),
-    random: seededRandom(options.seed),
+    random: createSeededRandom(options.seed),
     run: 'demo',
     durationMs: options.seconds * 1000,
     onDone: ({ result }) => {
--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -1,3 +1,4 @@
+import { createSeededRandom } from '@plantaindrum/common';
 /** Two data centres of one deployment under load; for the drain and recovery experiments. */
 
 import { setTimeout as delay } from 'node:timers/promises';
@@ -10,7 +11,7 @@
 import { startSite } from '../harness/site.js';
 import type { Site, SiteEntry, SiteSpec } from '../harness/site-types.js';
 import type { TrafficKind } from '../harness/traffic.js';
-import { completion, seededRandom } from '../harness/traffic.js';
+import { completion } from '../harness/traffic.js';
 import { until } from '../harness/until.js';
 import { liveSaleTraffic } from '../harness/workloads.js';
 
@@ -122,7 +123,7 @@
   startLoad({
     kinds: [...liveSaleTraffic, longStreams],
     urls,
-    random: seededRandom(options.seed),
+    random: createSeededRandom(options.seed),
     ...options,
   });
 
--- a/packages/lab/src/harness/traffic.ts
+++ b/packages/lab/src/harness/traffic.ts
@@ -48,16 +48,3 @@
   const index = Math.floor(random() ** 2 * organisations.length);
   return organisations[index] ?? organisations[0] ?? '';
 };
-
-/** A generator of reproducible random numbers (mulberry32). */
-export const seededRandom = (seed: number): Random => {
-  let state = seed;
-  /* eslint-disable no-bitwise */
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-  /* eslint-enable no-bitwise */
-};
--- a/packages/lab/test/failures/log-down.test.ts
+++ b/packages/lab/test/failures/log-down.test.ts
@@ -1,8 +1,8 @@
+import { createSeededRandom } from '@plantaindrum/common';
 import { expect } from 'chai';
 import { startLoad } from '../../src/harness/load.js';
 import { smallSite } from '../../src/harness/small-site.js';
 import { setFaults } from '../../src/harness/stand-ins.js';
-import { seededRandom } from '../../src/harness/traffic.js';
 import { releaseTraffic } from '../../src/harness/workloads.js';
 import { runsOf, useSite } from '../support/site.js';
 
@@ -17,7 +17,7 @@
     const load = startLoad({
       kinds: releaseTraffic,
       urls: () => site().entries.map((entry) => entry.url),
-      random: seededRandom(3),
+      random: createSeededRandom(3),
       run: 'log-down',
       durationMs: 4_000,
     });
--- a/packages/lab/test/failures/replacement.test.ts
+++ b/packages/lab/test/failures/replacement.test.ts
@@ -1,9 +1,9 @@
+import { createSeededRandom } from '@plantaindrum/common';
 import { expect } from 'chai';
 import type { CallResult } from '../../src/harness/caller.js';
 import { startLoad } from '../../src/harness/load.js';
 import { entryServes } from '../../src/harness/site.js';
 import { smallSite } from '../../src/harness/small-site.js';
-import { seededRandom } from '../../src/harness/traffic.js';
 import { until } from '../../src/harness/until.js';
 import { releaseTraffic } from '../../src/harness/workloads.js';
 import { runsOf, useSite } from '../support/site.js';
@@ -21,7 +21,7 @@
     const load = startLoad({
       kinds: releaseTraffic.filter((kind) => kind.class !== 'baseline-note'),
       urls: () => running().map((entry) => entry.url),
-      random: seededRandom(7),
+      random: createSeededRandom(7),
       run: 'replaced',
       durationMs: 60_000,
     });
