--- /dev/null
+++ b/packages/plantaindrum/test/process.test.ts
@@ -0,0 +1,74 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcessByStdio } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { Readable } from 'node:stream';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import type { LogStandIn, VmListStandIn } from '@plantaindrum/stand-ins';
+import { createLogStandIn, createVmListStandIn } from '@plantaindrum/stand-ins';
+
+const BINARY = fileURLToPath(new URL('../bin/plantaindrum.js', import.meta.url));
+const ANY_PORT = { host: '127.0.0.1', port: 0 };
+
+type Child = ChildProcessByStdio<null, Readable, Readable>;
+
+/** Resolves with what a stream has said once that holds the text. */
+const said = (stream: Readable, text: string): Promise<string> =>
+  new Promise((resolve) => {
+    let all = '';
+    stream.on('data', (part) => {
+      all += String(part);
+      if (all.includes(text)) resolve(all);
+    });
+  });
+
+describe('plantaindrum entry, as a process', () => {
+  let folder: string;
+  let log: LogStandIn;
+  let list: VmListStandIn;
+  let child: Child;
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'plantaindrum-entry-'));
+    log = await createLogStandIn();
+    list = await createVmListStandIn();
+    const file = join(folder, 'entry.json');
+    const settings = {
+      node: { name: 'e1', dataCentre: 'kent', region: 'northwest' },
+      callers: ANY_PORT,
+      operators: { ...ANY_PORT, token: 'operators-token' },
+      link: ANY_PORT,
+      platform: { logUrl: log.url, vmListUrl: list.url },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const args = [BINARY, 'entry', '--settings', file];
+    child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  });
+
+  afterEach(async () => {
+    child.kill('SIGKILL');
+    await list.close();
+    await log.close();
+    rmSync(folder, { recursive: true });
+  });
+
+  it('says where its doors are, and ends with 0 on SIGTERM', async () => {
+    const ready = JSON.parse(await said(child.stdout, '\n')) as Record<string, unknown>;
+    expect(Object.keys(ready)).to.deep.equal(['ready', 'callers', 'operators', 'link']);
+    expect(ready.ready).to.equal(true);
+    child.kill('SIGTERM');
+    expect(await once(child, 'exit')).to.deep.equal([0, null]);
+  });
+
+  it('ends at once on a second signal', async () => {
+    await said(child.stdout, '\n');
+    const noticed = said(child.stderr, 'a second signal ends at once');
+    child.kill('SIGTERM');
+    await noticed;
+    child.kill('SIGINT');
+    expect(await once(child, 'exit')).to.deep.equal([130, null]);
+  });
+});
