An entry is not ready before it has read the VM list

Cause: an entry that starts while the platform's list is down read it once, took the failure for a list without VMs, found no link missing and reported ready. The balancer sent callers there until the list answered; each was refused with 'no upstream' though other entries served. Ruled out: links that are slow to come up (they are waited for once the list is known); the fault plan itself (all upstreams were live). Change: the first reading is repeated every 250 ms until the list answers; readiness waits for it. The experiment prints when and at which entry calls were not answered.

--- a/packages/lab/src/experiments/faults.ts
+++ b/packages/lab/src/experiments/faults.ts
@@ -42,6 +42,28 @@
   return counts;
 };
 
+interface Spell {
+  count: number;
+  fromMs: number;
+  toMs: number;
+}
+
+/** When and at which entry calls were not answered, by kind of work and reason. */
+const spellsOf = (calls: FaultCall[], begunAt: number): Record<string, Spell> => {
+  const spells: Record<string, Spell> = {};
+  calls
+    .filter(({ result }) => result.outcome !== 'answered')
+    .forEach(({ result, target, endedAt }) => {
+      const name = [result.arrival.stream.work.kind, result.reason, target].join(' ');
+      const at = Math.round(endedAt - begunAt);
+      const spell = spells[name] ?? { count: 0, fromMs: at, toMs: at };
+      spell.count += 1;
+      spell.toMs = Math.max(spell.toMs, at);
+      spells[name] = spell;
+    });
+  return spells;
+};
+
 const mixedStepsOf = async ({ site }: FaultSite): Promise<number> => {
   const oracles = await Promise.all(
     site.groups.map(({ process }) => groupOracle(process.ready.control)),
@@ -58,6 +80,7 @@
   const balancer = startBalancer(site);
   try {
     const changes = startChanges(site, createSeededRandom(seed + 1));
+    const begunAt = performance.now();
     const striking = strikeAll(target, plan, print);
     const calls = await runCalls({ spec, seed, durationMs, pick: balancer.pick });
     const strikes = await striking;
@@ -73,6 +96,7 @@
       sent: calls.length,
       reasons: countReasons(calls),
       shareAnswered: shareAnswered(calls),
+      notAnswered: spellsOf(calls, begunAt),
       violations: {
         ...findViolations(results, await executionsOf(site), mayNotRepeat),
         withoutEnd: withoutEnd(calls, strikes),
--- a/packages/plantaindrum/src/core/entry/upstream-side.ts
+++ b/packages/plantaindrum/src/core/entry/upstream-side.ts
@@ -20,7 +20,7 @@
   directory: Directory;
   /** The open link to a VM, if there is one. */
   linkTo(vm: Vm): Link | undefined;
-  /** Reads the list for the first time, then follows it until `close`. */
+  /** Resolves when the list has been read for the first time; it is followed until `close`. */
   start(): Promise<void>;
   /** Resolves when every live upstream is linked; a dead one does not hold it up for long. */
   firstLinks(): Promise<void>;
@@ -29,6 +29,7 @@
 
 const LIST_INTERVAL_MS = 1_000;
 const REVIEW_MS = 1_000;
+const FIRST_LIST_RETRY_MS = 250;
 const FIRST_LINKS_MS = 2_000;
 const LINK_CHECK_MS = 25;
 
@@ -74,6 +75,14 @@
     }
   };
 
+  /**
+   * Reads the list until it answers. Without one an entry knows no upstream: reported ready, it
+   * would draw callers from the entries that serve and refuse each of them.
+   */
+  const firstList = async (): Promise<void> => {
+    while (!(await known.refresh())) await sleep(clock, FIRST_LIST_RETRY_MS);
+  };
+
   const isUnlinked = (): boolean =>
     known.upstreams().some((upstream) => !upstream.link() && !upstream.leaving());
 
@@ -86,7 +95,7 @@
         .find((upstream) => upstream.vm().name === vm.name)
         ?.link(),
     start: async () => {
-      await known.refresh();
+      await firstList();
       void known.run();
       void repeat(REVIEW_MS, router.review);
       void repeat(SILENCE_TICK_MS, () => known.upstreams().forEach((upstream) => upstream.tick()));
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -20,8 +20,8 @@
   upstreams(): Upstream[];
   /** Every VM of the last list, entries included. */
   vms(): Vm[];
-  /** Reads the list once. */
-  refresh(): Promise<void>;
+  /** Reads the list once; false when it did not answer. */
+  refresh(): Promise<boolean>;
   /** Reads the list until `close`. */
   run(): Promise<void>;
   close(): Promise<void>;
@@ -152,13 +152,14 @@
   };
 
   /** An outage of the list is no reason to drop upstreams that still answer. */
-  const refresh = async (): Promise<void> => {
+  const refresh = async (): Promise<boolean> => {
     const read = await list.list();
-    if (stopped) return;
+    if (stopped) return true;
     if (read.ok !== listAnswers) log.warn(`VM list ${read.ok ? 'answers again' : 'is down'}`);
     listAnswers = read.ok;
     if (read.ok) takeRead(read.value);
     else metrics.count('vm_list_failed', { kind: read.err.kind });
+    return read.ok;
   };
 
   return {
--- /dev/null
+++ b/packages/plantaindrum/test/starting.test.ts
@@ -0,0 +1,51 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { answerWith, startFakeAgent } from './support/fake-agent.js';
+import { startSite, upstreamVm } from './support/site.js';
+
+describe('start of an entry', () => {
+  const open: { close(): Promise<unknown> }[] = [];
+
+  afterEach(async () => {
+    for (const part of open.splice(0)) await part.close();
+  });
+
+  /** Answers the first reads by 503, then as the list at the address that it is given. */
+  const startFailingList = async (failures: number) => {
+    let left = failures;
+    let target = '';
+    const server: Server = createServer((_, res) => {
+      left -= 1;
+      if (left >= 0) {
+        res.writeHead(503).end();
+        return;
+      }
+      void request(target).then(async ({ body }) => res.end(await body.text()));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    open.push({ close: async () => server.close() });
+    const { port } = server.address() as AddressInfo;
+    return (url: string): string => {
+      target = url;
+      return `http://127.0.0.1:${port}/vms`;
+    };
+  };
+
+  // A VM is replaced while the platform's list is down. An entry that took "no list" for "no VMs" would
+  // report ready, draw callers from the entries that still serve, and refuse each with "no upstream".
+  it('is not ready before it has read the VM list', async () => {
+    const agent = await startFakeAgent((frame, link) => {
+      if (frame.t === 'dispatch') answerWith(link, frame, '{}');
+    });
+    const list = await startFailingList(2);
+    const site = await startSite([upstreamVm('kent-u1', agent.address)], {}, list);
+    open.push(site, agent);
+    const body = JSON.stringify({ model: 'lot-writer', prompt: 'a car' });
+    expect((await site.call('/v1/completions', { body })).status).to.equal(200);
+  });
+});
--- a/packages/plantaindrum/test/support/site.ts
+++ b/packages/plantaindrum/test/support/site.ts
@@ -102,6 +102,8 @@
 export const startSite = async (
   vms: VmTarget[],
   limits: Record<string, number> = {},
+  /** Address of the VM list, made from that of the stand-in. */
+  vmListUrl: (url: string) => string = (url) => url,
 ): Promise<TestSite> => {
   const log = await createLogStandIn();
   const list = await createVmListStandIn({ vms });
@@ -111,7 +113,7 @@
     callers: door,
     operators: { ...door, token: TOKEN },
     link: door,
-    platform: { logUrl: log.url, vmListUrl: list.url },
+    platform: { logUrl: log.url, vmListUrl: vmListUrl(list.url) },
     limits,
   });
   const metrics = createMetrics();
