Entry process: a second signal always ends with 130, a door in use ends it

Cause: between two signal handlers the system's default applied, so a second signal could end the process without its exit code (the test that had just landed was flaky by it). An entry that could not listen printed its error and stayed alive by what it had started before (red test first). Change: handlers stay from the start and queue signals; the command exits after an error.

--- a/packages/plantaindrum/src/cli/entry/index.ts
+++ b/packages/plantaindrum/src/cli/entry/index.ts
@@ -1,8 +1,11 @@
+import type { EntrySettings } from '@plantaindrum/common';
 import {
   createLogger,
   createMetrics,
   entrySettingsSchema,
+  exitCodeOf,
   exitCodes,
+  formatError,
   formatFault,
   PlantaindrumError,
   readSettings,
@@ -13,7 +16,8 @@
 import type { Entry } from '../../core/entry/entry.js';
 import { startEntry } from '../../core/entry/entry.js';
 import type { Command } from '../command.js';
-import { nextSignal } from './signals.js';
+import type { CliIo } from '../io.js';
+import { watchSignals } from './signals.js';
 
 /** The ready line is not held back longer than this, so that operators can look at the doors. */
 const READY_LINE_MS = 5_000;
@@ -32,6 +36,23 @@
   }
 };
 
+/** Serves until the first signal and the end of every request, or until the second signal. */
+const serve = async (file: string, settings: EntrySettings, io: CliIo): Promise<number> => {
+  const nextSignal = watchSignals();
+  const log = createLogger(settings.node.name);
+  const metrics = createMetrics();
+  const deps = { clock: systemClock, random: systemRandom, metrics, log };
+  const entry = await start(file, settings, deps);
+  const signalled = nextSignal();
+  await Promise.race([entry.ready, sleep(systemClock, READY_LINE_MS), signalled]);
+  const { callers, operators, link } = entry;
+  io.out(JSON.stringify({ ready: entry.isReady(), callers, operators, link }));
+  log.info(`${await signalled}: requests in flight may end, a second signal ends at once`);
+  const second = nextSignal().then(() => exitCodes.endedEarly);
+  const drained = entry.drain().then(() => exitCodes.ok);
+  return Promise.race([drained, second]);
+};
+
 /** `plantaindrum entry`. */
 export const entryCommand: Command<{ settings: string }> = {
   command: 'entry',
@@ -48,18 +69,12 @@
       settings.err.forEach((fault) => io.err(formatFault(file, fault)));
       return exitCodes.invalid;
     }
-    const log = createLogger(settings.value.node.name);
-    const metrics = createMetrics();
-    const deps = { clock: systemClock, random: systemRandom, metrics, log };
-    const entry = await start(file, settings.value, deps);
-    const signalled = nextSignal();
-    await Promise.race([entry.ready, sleep(systemClock, READY_LINE_MS), signalled]);
-    const { callers, operators, link } = entry;
-    io.out(JSON.stringify({ ready: entry.isReady(), callers, operators, link }));
-    log.info(`${await signalled}: requests in flight may end, a second signal ends at once`);
-    const second = nextSignal().then(() => exitCodes.endedEarly);
-    const drained = entry.drain().then(() => exitCodes.ok);
-    const code = await Promise.race([drained, second]);
-    return process.exit(code);
+    try {
+      return process.exit(await serve(file, settings.value, io));
+    } catch (err) {
+      // What had been started before the failure would keep the process alive.
+      io.err(formatError(err));
+      return process.exit(exitCodeOf(err));
+    }
   },
 };
--- a/packages/plantaindrum/src/cli/entry/signals.ts
+++ b/packages/plantaindrum/src/cli/entry/signals.ts
@@ -1,11 +1,14 @@
+import { createInbox } from '../../core/attempts/inbox.js';
+
 const SIGNALS: NodeJS.Signals[] = ['SIGINT', 'SIGTERM'];
 
-/** Resolves with the next signal that asks this process to end. */
-export const nextSignal = (): Promise<NodeJS.Signals> =>
-  new Promise((resolve) => {
-    const take = (signal: NodeJS.Signals): void => {
-      SIGNALS.forEach((name) => process.off(name, take));
-      resolve(signal);
-    };
-    SIGNALS.forEach((name) => process.on(name, take));
-  });
+/**
+ * Takes over the signals that ask this process to end; each call of the result resolves with the
+ * next one. The handlers stay: a second signal that came between two handlers would otherwise end
+ * the process by the system's default, without its exit code.
+ */
+export const watchSignals = (): (() => Promise<NodeJS.Signals>) => {
+  const signals = createInbox<NodeJS.Signals>();
+  SIGNALS.forEach((name) => process.on(name, () => signals.push(name)));
+  return signals.next;
+};
--- a/packages/plantaindrum/test/process.test.ts
+++ b/packages/plantaindrum/test/process.test.ts
@@ -31,14 +31,11 @@
   let list: VmListStandIn;
   let child: Child;
 
-  beforeEach(async () => {
-    folder = mkdtempSync(join(tmpdir(), 'plantaindrum-entry-'));
-    log = await createLogStandIn();
-    list = await createVmListStandIn();
+  const startWith = (callers: { host: string; port: number }): Child => {
     const file = join(folder, 'entry.json');
     const settings = {
       node: { name: 'e1', dataCentre: 'kent', region: 'northwest' },
-      callers: ANY_PORT,
+      callers,
       operators: { ...ANY_PORT, token: 'operators-token' },
       link: ANY_PORT,
       platform: { logUrl: log.url, vmListUrl: list.url },
@@ -46,6 +43,13 @@
     writeFileSync(file, JSON.stringify(settings));
     const args = [BINARY, 'entry', '--settings', file];
     child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    return child;
+  };
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'plantaindrum-entry-'));
+    log = await createLogStandIn();
+    list = await createVmListStandIn();
   });
 
   afterEach(async () => {
@@ -56,6 +60,7 @@
   });
 
   it('says where its doors are, and ends with 0 on SIGTERM', async () => {
+    startWith(ANY_PORT);
     const ready = JSON.parse(await said(child.stdout, '\n')) as Record<string, unknown>;
     expect(Object.keys(ready)).to.deep.equal(['ready', 'callers', 'operators', 'link']);
     expect(ready.ready).to.equal(true);
@@ -64,6 +69,7 @@
   });
 
   it('ends at once on a second signal', async () => {
+    startWith(ANY_PORT);
     await said(child.stdout, '\n');
     const noticed = said(child.stderr, 'a second signal ends at once');
     child.kill('SIGTERM');
@@ -71,4 +77,12 @@
     child.kill('SIGINT');
     expect(await once(child, 'exit')).to.deep.equal([130, null]);
   });
+
+  it('ends with an error when it cannot listen', async () => {
+    const { hostname, port } = new URL(log.url);
+    startWith({ host: hostname, port: Number(port) });
+    const told = said(child.stderr, 'Hint');
+    expect(await once(child, 'exit')).to.deep.equal([5, null]);
+    expect(await told).to.match(/^\[listen-failed\]/m);
+  });
 });
