--- a/packages/lab/src/experiments/faults/changes.ts
+++ b/packages/lab/src/experiments/faults/changes.ts
@@ -26,7 +26,7 @@
   reverted: string[];
   /** Two changes of a key accepted from the same base. */
   acceptedTwice: string[];
-  /** From the end of the faults until all nodes had the same intent; -1 when they never had. */
+  /** From the end of the calls until all nodes had the same intent; -1 when they never had. */
   agreedAfterMs: number;
 }
 
