Routes match whole path segments

Cause: a route to /exports also took /exports-old, so a call could reach a service that its operators never meant, with the wrong class. Change: the prefix must end at a segment's end or at the query.

--- a/packages/plantaindrum/src/core/callers/identify.ts
+++ b/packages/plantaindrum/src/core/callers/identify.ts
@@ -45,10 +45,17 @@
   };
 };
 
+/** Whole segments only: a route to `/exports` must not catch `/exports-archive`. */
+const isBelow = (path: string, prefix: string): boolean => {
+  if (!path.startsWith(prefix)) return false;
+  const next = path[prefix.length];
+  return prefix.endsWith('/') || next === undefined || next === '/' || next === '?';
+};
+
 /** The route with the longest prefix of the path. */
 export const findRoute = (document: IntentDocument, path: string): RouteIntent | undefined =>
   Object.values(document.routes)
-    .filter(({ pathPrefix }) => path.startsWith(pathPrefix))
+    .filter(({ pathPrefix }) => isBelow(path, pathPrefix))
     .sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0];
 
 const headerText = (value: string | string[] | undefined): string | undefined =>
