--- a/packages/agent/src/core/group/group.ts
+++ b/packages/agent/src/core/group/group.ts
@@ -20,7 +20,7 @@
   connect: (address: { host: string; port: number }) => LinkClient;
   /** The operator's word, declared by group or by model; undefined when there is none. */
   weighs: (name: string) => Weighs | undefined;
-  /** False while live traffic needs the machine. */
+  /** False while live traffic needs the VM. */
   mayMove: () => boolean;
   timings?: Partial<GroupTimings>;
   clock: Clock;
--- a/packages/experts/src/types.ts
+++ b/packages/experts/src/types.ts
@@ -206,7 +206,7 @@
   layout: GroupLayout;
   /** The operator's word, read at each plan. */
   weighs: () => Weighs;
-  /** False while live traffic needs the machine; moves wait. */
+  /** False while live traffic needs the VM; moves wait. */
   mayMove: () => boolean;
 }
 
--- a/packages/experts/test/plan.test.ts
+++ b/packages/experts/test/plan.test.ts
@@ -189,7 +189,7 @@
 });
 
 describe('rebalancing', () => {
-  it('waits while live traffic needs the machine', async () => {
+  it('waits while live traffic needs the VM', async () => {
     let mayMove = false;
     const group = createFakeGroup({ mayMove: () => mayMove });
     await group.clock.advance(3_000);
