--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -1,7 +1,7 @@
-import { createSeededRandom } from '@plantaindrum/common';
 /** Two data centres of one deployment under load; for the drain and recovery experiments. */
 
 import { setTimeout as delay } from 'node:timers/promises';
+import { createSeededRandom } from '@plantaindrum/common';
 import type { IntentKey } from '@plantaindrum/intent';
 import { request } from 'undici';
 import { repositoryRoot } from '../harness/child.js';
