An entry that leaves closes only when its last answer has been sent

Cause: a request counted as in flight until its answer was written, not until it was sent. Node corks a written event until the next tick; the drain, told in between that nothing was in flight, destroyed all connections. The last stream of a leaving entry, if its upstream gave it up, was cut with no error event; the unsent rest of an answer to a slow caller would have gone the same way. Change: a request is in flight until its response is closed; a caller that leaves it unread for a minute is ended, as in mid answer.

The new test: no error event before, one after.

--- a/packages/lab/src/experiments/faults/strike.ts
+++ b/packages/lab/src/experiments/faults/strike.ts
@@ -128,7 +128,7 @@
     ) => Promise<void>,
   ): Strikes =>
   async ({ forwarders, fault, lasts }) => {
-    const name = one([...forwarders.keys()], fault.pick);
+    const name = one([...forwarders.keys()].sort(), fault.pick);
     const forwarder = forwarders.get(name);
     if (forwarder) await strike(forwarder, lasts);
     return name;
--- a/packages/plantaindrum/src/core/callers/door.ts
+++ b/packages/plantaindrum/src/core/callers/door.ts
@@ -12,6 +12,7 @@
 import { createAnswer } from './answer.js';
 import { createRequestReader } from './request-reader.js';
 import { createRequestTimes } from './request-times.js';
+import { untilTaken } from './room.js';
 
 /** What the callers' door needs. */
 export interface CallersDoorOptions {
@@ -124,6 +125,8 @@
     inFlight += 1;
     metrics.gauge('requests_in_flight', inFlight);
     await serve(req, res);
+    // Closing the door destroys connections; what is written and not yet sent would be lost.
+    await untilTaken(res, clock, metrics);
     inFlight -= 1;
     metrics.gauge('requests_in_flight', inFlight);
     if (inFlight === 0) onIdle();
--- a/packages/plantaindrum/src/core/callers/room.ts
+++ b/packages/plantaindrum/src/core/callers/room.ts
@@ -29,3 +29,20 @@
       res.on('drain', done);
       res.on('close', done);
     });
+
+/** Resolves when the whole answer has left this process, or its caller has gone or stalled. */
+export const untilTaken = (res: ServerResponse, clock: Clock, metrics: Metrics): Promise<void> =>
+  new Promise((resolve) => {
+    if (res.closed) {
+      resolve();
+      return;
+    }
+    const cancel = clock.after(MOST_UNREAD_MS, () => {
+      metrics.count('callers_stalled');
+      res.destroy();
+    });
+    res.once('close', () => {
+      cancel();
+      resolve();
+    });
+  });
--- a/packages/plantaindrum/test/streams.test.ts
+++ b/packages/plantaindrum/test/streams.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import type { Dispatch, Link, PeerFrame } from '@plantaindrum/link';
 import type { FakeAgent } from './support/fake-agent.js';
@@ -36,6 +38,18 @@
   load: idle,
 });
 
+/** Resolves when nobody listens at the address any more. */
+const doorClosed = async (url: string): Promise<void> => {
+  try {
+    const socket = connect(Number(new URL(url).port), '127.0.0.1');
+    await once(socket, 'connect');
+    socket.destroy();
+  } catch {
+    return;
+  }
+  await doorClosed(url);
+};
+
 describe('streams', () => {
   const open: { close(): Promise<void> }[] = [];
 
@@ -88,6 +102,24 @@
     expect(JSON.parse(error)).to.have.nested.property('error.outcome', 'unknown');
   });
 
+  // An entry leaves while a stream is open, and the stream's upstream gives it up. That ends the last
+  // request, so the entry closes in the same turn; its caller must still get the error event.
+  it('break off with an error event also as the last request of an entry that leaves', async () => {
+    let giveUp = (): void => {};
+    const { site, agents } = await startWith((frame, link) => {
+      if (frame.t !== 'dispatch') return;
+      startStream(link, frame)(events(0, 2));
+      giveUp = () => link.send(unknown(frame));
+    });
+    const call = site.call('/v1/completions', { body });
+    await agents[0]?.next('dispatch');
+    const drained = site.drain();
+    await doorClosed(site.entry.callers);
+    giveUp();
+    expect((await call).text).to.include('event: error');
+    await drained;
+  });
+
   it('break off when the end comes without [DONE]', async () => {
     const { site } = await startWith((frame, link) => {
       if (frame.t !== 'dispatch') return;
