Forwarder: no reset of a socket whose end is under way

Cause: after the cut-link test the test process at times never exited (1 run in 3 to 7, spinning in node's clean-up of handles, seen in gdb): Node 20 does not close a TCP handle that is reset while its shutdown is in flight. Change: such a socket is destroyed instead.

--- a/packages/lab/src/harness/forwarder.ts
+++ b/packages/lab/src/harness/forwarder.ts
@@ -37,6 +37,15 @@
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 };
 
+/**
+ * Resets a connection. A socket whose end is under way can't be reset: Node 20 then never closes its
+ * handle, and the process spins for ever when it exits.
+ */
+const reset = (socket: Socket): void => {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+};
+
 /** Creates a forwarder on a free loopback port to `target` (`host:port`). */
 export const createForwarder = async (
   target: string,
@@ -89,7 +98,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const cut = (): void => sockets.forEach((socket) => socket.resetAndDestroy());
+  const cut = (): void => sockets.forEach(reset);
 
   return {
     address: `127.0.0.1:${port}`,
