Entry goes again to an upstream that a dispatch never reached

Ruled out: the query after the reconnect and routing (the other replica was linked, 'returning'). Change: where no untried upstream is left and the last attempt provably never arrived, those tried may be chosen again, within the deadline, the count of attempts and the retry budget. Figures: new test 503 after 2 dispatches before, 200 after 3.

--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -57,6 +57,7 @@
   };
   // A key is claimed once for all upstreams: a second dispatch could only lose against the first.
   const mayNotRepeat = request.class.mayNotRepeat || request.idempotencyKey !== undefined;
+  let attempts = 0;
   let mayHaveRun = false;
 
   const refuse = (refusal: Refusal): RequestEnd => {
@@ -72,6 +73,7 @@
 
   const attempt = async ({ upstream, ticket }: Chosen): Promise<AttemptOutcome> => {
     tried.add(upstream.vm().name);
+    attempts += 1;
     const budgetMs = Math.max(0, deadline() - clock.monotonic());
     try {
       const ended = await runAttempt({
@@ -100,7 +102,7 @@
       outcome: mayHaveRun ? 'unknown' : 'not-run',
       reason: failed.reason as FailedAttempt['reason'],
       mayNotRepeat,
-      attempts: tried.size,
+      attempts,
       deadline: deadline(),
       answerBegun: answer.begun(),
       ...(resumeAfter !== undefined && { resumeAfter }),
@@ -110,10 +112,18 @@
     return decision.retry;
   };
 
-  retries.requested();
   let last: Refusal | undefined;
+
+  /**
+   * A link that broke under the dispatch says nothing against its upstream. Where no other is left,
+   * the caller would be refused although the same upstream, linked again, could serve.
+   */
+  const chooseAgain = (): Chosen | undefined =>
+    last?.reason === 'never-arrived' ? choose(request, new Set()) : undefined;
+
+  retries.requested();
   for (;;) {
-    const chosen = choose(request, tried);
+    const chosen = choose(request, tried) ?? chooseAgain();
     if (!chosen) return refuse(last ?? { reason: 'no-upstream' });
     const ended = await attempt(chosen);
     if (ended.outcome === 'answered' || ended.outcome === 'caller-gone') return ended;
--- a/packages/plantaindrum/test/requests.test.ts
+++ b/packages/plantaindrum/test/requests.test.ts
@@ -61,6 +61,25 @@
     for (const part of open.splice(0)) await part.close();
   });
 
+  // The links to both upstreams break under the dispatch, one after the other. Each agent proves
+  // that nothing arrived and is linked again, so the caller's approval can still be served; it was
+  // refused before, since an upstream that had been tried was never asked again.
+  it('go again to an upstream that a dispatch never reached, where no other is left', async () => {
+    let lost = 0;
+    const loseTwo: Script = (frame, link) => {
+      if (frame.t !== 'dispatch') return;
+      lost += 1;
+      if (lost > 2) answerWith(link, frame, '{}');
+      else {
+        const reason = 'never-arrived';
+        link.send({ t: 'not-run', id: frame.id, reason, retryAfterMs: 0, load: idle });
+      }
+    };
+    const site = await start(loseTwo);
+    const res = await site.call('/v1/completions', { body });
+    expect([res.status, sent()]).to.deep.equal([200, 3]);
+  });
+
   it('are refused at once with the Retry-After of the last agent', async () => {
     const site = await start(refuseWith('queue-full', 6_500));
     const { status, headers } = await site.call('/v1/completions', { body });
