--- a/packages/agent/src/core/attempts/serving.ts
+++ b/packages/agent/src/core/attempts/serving.ts
@@ -2,7 +2,7 @@
 
 import type { AgentSettings, Clock, Metrics, Random } from '@plantaindrum/common';
 import type { Dispatch, Link, Load } from '@plantaindrum/link';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 import type { AgentQueue, Claims } from '@plantaindrum/requests';
 import { createAgentQueue, createAttemptLedger, createClaims } from '@plantaindrum/requests';
 import { engineBody } from '../upstream/engine-body.js';
--- a/packages/agent/src/core/group/engine-port.ts
+++ b/packages/agent/src/core/group/engine-port.ts
@@ -1,5 +1,5 @@
 import type { EnginePort, EngineState, OrderOutcome } from '@plantaindrum/experts';
-import type { EngineOrderClient, PlatformFailure } from '@plantaindrum/platform';
+import type { EngineOrderClient, PlatformFailure } from '@plantaindrum/service-clients';
 
 /** Only an answer of the engine proves that an order has no effect; any other failure may. */
 const failedOrder = (failure: PlatformFailure): OrderOutcome =>
--- a/packages/agent/src/core/group/group.ts
+++ b/packages/agent/src/core/group/group.ts
@@ -4,8 +4,8 @@
 import type { ExpertMethod, GroupTimings, Weighs } from '@plantaindrum/experts';
 import { createCoordinator, createGroupMember, EXPERT_METHODS } from '@plantaindrum/experts';
 import type { CallHandler, Link, LinkClient } from '@plantaindrum/link';
-import type { Log, VmListClient } from '@plantaindrum/platform';
-import { createEngineOrderClient } from '@plantaindrum/platform';
+import type { Log, VmListClient } from '@plantaindrum/service-clients';
+import { createEngineOrderClient } from '@plantaindrum/service-clients';
 import { createEnginePort } from './engine-port.js';
 import { createGroupPeers } from './peers.js';
 
--- a/packages/agent/src/core/group/peers.ts
+++ b/packages/agent/src/core/group/peers.ts
@@ -4,7 +4,7 @@
 import { createPause } from '@plantaindrum/common';
 import type { GroupPeer, PeerCall } from '@plantaindrum/experts';
 import type { Link, LinkClient } from '@plantaindrum/link';
-import type { PlatformFailure, Vm } from '@plantaindrum/platform';
+import type { PlatformFailure, Vm } from '@plantaindrum/service-clients';
 
 const SEARCH_MS = 1_000;
 const WATCH_MS = 30_000;
--- a/packages/agent/test/support/intent.ts
+++ b/packages/agent/test/support/intent.ts
@@ -1,7 +1,7 @@
 import { createMetrics, silentLogger, systemClock } from '@plantaindrum/common';
 import type { IntentKey } from '@plantaindrum/intent';
 import { createIntentReader } from '@plantaindrum/intent';
-import { createLogClient } from '@plantaindrum/platform';
+import { createLogClient } from '@plantaindrum/service-clients';
 
 /** Declares one new key of the operators' intent, and waits until it is accepted. */
 export const declare = async (logUrl: string, key: IntentKey, value: unknown): Promise<void> => {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './errors/index.js';
+export * from './event-log.js';
 export * from './http-fields.js';
 export * from './logger.js';
 export * from './metric-help.js';
--- a/packages/experts/src/group-claims.ts
+++ b/packages/experts/src/group-claims.ts
@@ -1,6 +1,6 @@
 import type { Result } from '@plantaindrum/common';
 import { ok } from '@plantaindrum/common';
-import type { Log, LogFailure, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogFailure, LogRecord } from '@plantaindrum/service-clients';
 
 /** The log topic of the groups' claims; one partition, so that offsets order all claims. */
 export const GROUPS_TOPIC = 'plantaindrum.groups';
--- a/packages/experts/src/types.ts
+++ b/packages/experts/src/types.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 
 /** Where one expert of a layer has replicas. */
 export interface ExpertPlacement {
--- a/packages/experts/test/fakes/fake-group.ts
+++ b/packages/experts/test/fakes/fake-group.ts
@@ -1,6 +1,6 @@
 import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
 import type { Metrics } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 import { createCoordinator, createGroupMember } from '../../src/index.js';
 import type {
   Coordinator,
--- a/packages/experts/test/fakes/fake-log.ts
+++ b/packages/experts/test/fakes/fake-log.ts
@@ -1,5 +1,5 @@
 import { fail, ok } from '@plantaindrum/common';
-import type { Log, LogFailure } from '@plantaindrum/platform';
+import type { Log, LogFailure } from '@plantaindrum/service-clients';
 
 const failure = (kind: LogFailure['kind']) => fail<LogFailure>({ kind, retryAfterMs: 10 });
 
--- /dev/null
+++ b/packages/gateway/src/admission/admission.ts
@@ -0,0 +1,115 @@
+/** How many requests may be at a service's upstreams, and what is refused beyond that. */
+
+import type { Clock, EventLog } from '@plantaindrum/common';
+import type { Upstream } from '../upstreams/upstream.js';
+import type { PaceMeter } from './pace.js';
+import { createPaceMeter } from './pace.js';
+
+/** What decides on one request. */
+export interface AdmissionRequest {
+  service: string;
+  /** Longest pause and time to the first event that are on time, in ms; undefined for no stream. */
+  targetPauseMs: number | undefined;
+  targetMs: number;
+  /** The caller was refused before: refusing it again costs more than the first time. */
+  isReturn: boolean;
+}
+
+/** Outcome of admission. */
+export type AdmissionDecision =
+  { admitted: true } | { admitted: false; reason: 'upstreams-full' | 'pace-too-slow' };
+
+/** Admission of one entry. */
+export interface Admission {
+  decide(request: AdmissionRequest, upstreams: readonly Upstream[]): AdmissionDecision;
+  pace(service: string): PaceMeter;
+  /** Limit on streams that are in flight at all entries together; for the metrics. */
+  limit(service: string): number | undefined;
+}
+
+/** Requests at one upstream, over its slots, up to which a stream is sent to it. */
+const FULL_STREAMS = 1;
+/** The same for requests without a stream: their work is short, and a queue of two turns is soon gone. */
+const FULL_PLAIN = 3;
+/** Share of the target pause that the limit aims for: the rest is for the network and for chance. */
+const AIMED_SHARE = 0.85;
+/** Share of pauses that must be below the aimed one. */
+const JUDGED_SHARE = 0.75;
+/** The limit is judged this often, in ms: about two passes of a group. */
+const JUDGE_MS = 150;
+/** Streams that the limit grows by at a time, as a share of the slots of all upstreams. */
+const GROWTH = 0.03;
+/** The limit shrinks to this share of what is in flight, at the most, in one step. */
+const SHRINK = 0.85;
+/** The limit never goes below this share of all slots: a stall must not shut the service. */
+const LEAST_SHARE = 0.25;
+/** What a returning caller may have beyond the limit, as a share of it. */
+const RETURN_SHARE = 0.12;
+
+interface StreamLimit {
+  value: number;
+  judgedAt: number;
+}
+
+const sum = (values: readonly number[]): number => values.reduce((total, n) => total + n, 0);
+
+/** Creates the admission of one entry. */
+export const createAdmission = (clock: Clock, log: EventLog): Admission => {
+  const paces = new Map<string, PaceMeter>();
+  const limits = new Map<string, StreamLimit>();
+
+  const pace = (service: string): PaceMeter => {
+    const known = paces.get(service) ?? createPaceMeter(clock);
+    paces.set(service, known);
+    return known;
+  };
+
+  /** Additive growth while streams keep their pauses, a cut in proportion when they don't. */
+  const judge = (request: AdmissionRequest, slots: number, inFlight: number): number => {
+    const now = clock.monotonic();
+    const limit = limits.get(request.service) ?? { value: slots, judgedAt: now };
+    limits.set(request.service, limit);
+    if (now - limit.judgedAt < JUDGE_MS || request.targetPauseMs === undefined) return limit.value;
+    limit.judgedAt = now;
+    const pause = pace(request.service).pause(JUDGED_SHARE);
+    if (pause === undefined) return limit.value;
+    const aimed = request.targetPauseMs * AIMED_SHARE;
+    const before = limit.value;
+    if (pause > aimed) {
+      const cut = Math.max(SHRINK, aimed / pause);
+      limit.value = Math.max(LEAST_SHARE * slots, Math.min(before, inFlight) * cut);
+    } else if (inFlight > before * SHRINK) {
+      limit.value = Math.min(slots, before + GROWTH * slots);
+    }
+    if (limit.value < before) {
+      const { service } = request;
+      log.event('stream-limit-cut', { service, pause, before, limit: limit.value, inFlight });
+    }
+    return limit.value;
+  };
+
+  const decideStream = (
+    request: AdmissionRequest,
+    upstreams: readonly Upstream[],
+  ): AdmissionDecision => {
+    const slots = sum(upstreams.map(({ record }) => record.slots));
+    const inFlight = sum(upstreams.map((upstream) => upstream.total()));
+    const limit = judge(request, slots, inFlight);
+    const most = request.isReturn ? limit * (1 + RETURN_SHARE) : limit;
+    if (inFlight + 1 > most) return { admitted: false, reason: 'pace-too-slow' };
+    return { admitted: true };
+  };
+
+  return {
+    decide: (request, upstreams) => {
+      const full = request.targetPauseMs === undefined ? FULL_PLAIN : FULL_STREAMS;
+      const least = Math.min(...upstreams.map((upstream) => upstream.load()));
+      if (least >= full) return { admitted: false, reason: 'upstreams-full' };
+      return request.targetPauseMs === undefined
+        ? { admitted: true }
+        : decideStream(request, upstreams);
+    },
+    pace,
+    limit: (service) => limits.get(service)?.value,
+  };
+};
--- /dev/null
+++ b/packages/gateway/src/admission/pace.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@plantaindrum/common';
+
+/** How fast the engines of one service make events, as the streams through this entry show it. */
+export interface PaceMeter {
+  /** An event of a stream came this long after the one before it. */
+  notePause(ms: number): void;
+  /** A stream's first event came this long after the request was sent. */
+  noteFirst(ms: number): void;
+  /** Pause that the given share of recent ones stays below; undefined without recent events. */
+  pause(share: number): number | undefined;
+  first(share: number): number | undefined;
+  /** Milliseconds since any stream of the service had an event. */
+  silence(): number;
+}
+
+/** Recent means within this time, in ms: some ten passes of a group. */
+const WINDOW_MS = 600;
+/** Most samples that are kept: a bound on memory under a burst. */
+const MAX_SAMPLES = 512;
+
+interface Sample {
+  at: number;
+  ms: number;
+}
+
+const quantile = (samples: readonly Sample[], share: number): number | undefined => {
+  if (samples.length === 0) return undefined;
+  const sorted = samples.map(({ ms }) => ms).sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+};
+
+/** Creates the meter of one service. */
+export const createPaceMeter = (clock: Clock): PaceMeter => {
+  let pauses: Sample[] = [];
+  let firsts: Sample[] = [];
+  let lastAt = -Infinity;
+
+  const recent = (samples: Sample[]): Sample[] => {
+    const oldest = clock.monotonic() - WINDOW_MS;
+    return samples.filter(({ at }) => at >= oldest).slice(-MAX_SAMPLES);
+  };
+  const add = (samples: Sample[], ms: number): Sample[] => {
+    lastAt = clock.monotonic();
+    samples.push({ at: lastAt, ms });
+    return samples.length > 2 * MAX_SAMPLES ? recent(samples) : samples;
+  };
+
+  return {
+    notePause: (ms) => {
+      pauses = add(pauses, ms);
+    },
+    noteFirst: (ms) => {
+      firsts = add(firsts, ms);
+    },
+    pause: (share) => {
+      pauses = recent(pauses);
+      return quantile(pauses, share);
+    },
+    first: (share) => {
+      firsts = recent(firsts);
+      return quantile(firsts, share);
+    },
+    silence: () => clock.monotonic() - lastAt,
+  };
+};
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,272 @@
+/** The entry before upstreams that are reached directly: what it follows, serves and stops. */
+
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { createAdmission } from './admission/admission.js';
+import { createDoor } from './door.js';
+import type { ListenAddress } from './door.js';
+import { createRouteTable } from './intent/route-table.js';
+import type { RouteTable } from './intent/route-table.js';
+import type { LoadShare, Mesh } from './mesh/mesh.js';
+import { createMesh } from './mesh/mesh.js';
+import type { NodeRecord } from './mesh/roster.js';
+import { decodeNode, encodeNode } from './mesh/roster.js';
+import { followTopic } from './mirror/follow.js';
+import type { Follower, KeyedTopic } from './mirror/follow.js';
+import { createKeyedMirror } from './mirror/keyed-mirror.js';
+import type { KeyedMirror } from './mirror/keyed-mirror.js';
+import { createReadinessDoor } from './readiness-door.js';
+import { createRetryBudget } from './retry/budget.js';
+import { createRequestHandler } from './serving/serve-request.js';
+import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
+import { createDirectory } from './upstreams/directory.js';
+import { createPublisher } from './mesh/publisher.js';
+import type { PublishNode } from './mesh/publisher.js';
+
+/** Where an entry listens. */
+export interface GatewayAddresses {
+  callers: ListenAddress;
+  readiness: ListenAddress;
+  links: ListenAddress;
+  metrics: ListenAddress & { path: string };
+}
+
+/** Bounds that the operators declare. */
+export interface GatewayBounds {
+  retryRatio: number;
+  retryWindowMs: number;
+  retryAllowance: number;
+  /** Time from the signal to stop until the process is ended, in milliseconds. */
+  graceMs: number;
+  stallMs: number;
+  maxConnections: number;
+}
+
+/** Options of `createGateway`. */
+export interface GatewayOptions {
+  self: NodeRecord;
+  region: string;
+  addresses: GatewayAddresses;
+  seeds: readonly ListenAddress[];
+  bounds: GatewayBounds;
+  /** The platform's log: the operators' intent, the list of upstreams, and this system's nodes. */
+  topics: { intent: KeyedTopic; upstreams: KeyedTopic; nodes: KeyedTopic };
+  publish: PublishNode;
+  /** Key of the intent in its topic. */
+  intentKey: string;
+  decodeIntent: (value: Uint8Array) => Intent | undefined;
+  decodeUpstream: (key: string, value: Uint8Array) => UpstreamRecord | undefined;
+  dialect: HeaderDialect;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** A running entry. */
+export interface Gateway {
+  /** Stops without cutting a request; resolves when nothing is under way or the grace is over. */
+  stop(): Promise<void>;
+}
+
+/** Waits at the log and pauses between reads, in ms. A change is due within two seconds. */
+const INTENT_READ = { waitMs: 1_000, pauseMs: 50 };
+/** The list changes several times a second; reading it seldom saves calls, and two seconds are allowed. */
+const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500 };
+/** Nodes come and go seldom. */
+const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
+/** Shares of load are sent this often while they change, in ms: about one pass of a group. */
+const SHARE_MS = 60;
+/** An unchanged share is sent again after this long, in ms, for peers that missed it. */
+const SHARE_AGAIN_MS = 1_000;
+/** After the signal to stop the balancer still sends new connections for two of its checks, in ms. */
+const LISTEN_ON_MS = 3_200;
+/** Kept free at the end of the grace, in ms, to end in order. */
+const GRACE_SLACK_MS = 300;
+const STOP_CHECK_MS = 50;
+
+interface Mirrored {
+  mirror: KeyedMirror;
+  follower: Follower;
+}
+
+/** Starts an entry; rejects when one of its addresses is in use. */
+export const createGateway = async (options: GatewayOptions): Promise<Gateway> => {
+  const { self, bounds, topics, clock, random, metrics, log } = options;
+  let table: RouteTable | undefined;
+  let isStopping = false;
+  const mirrored = new Map<string, Mirrored>();
+
+  // The followers ask the mesh, and the mesh answers from the mirrors; the mesh comes last.
+  let mesh: Mesh | undefined;
+  const askPeers = async (topic: string, after: number) => mesh?.askPeers(topic, after);
+
+  const follow = (
+    topic: KeyedTopic,
+    mirror: KeyedMirror,
+    read: { waitMs: number; pauseMs: number },
+  ): Follower => {
+    const follower = followTopic({ topic, mirror, askPeers, ...read, clock, metrics, log });
+    mirrored.set(topic.name, { mirror, follower });
+    return follower;
+  };
+
+  const directory = createDirectory({
+    decode: options.decodeUpstream,
+    dataCentre: self.dataCentre,
+    logBackAt: () => mirrored.get(topics.upstreams.name)?.follower.logBackAt() ?? -Infinity,
+    clock,
+    random,
+    log,
+  });
+  const admission = createAdmission(clock, log);
+  const budget = createRetryBudget({
+    ratio: bounds.retryRatio,
+    windowMs: bounds.retryWindowMs,
+    allowance: bounds.retryAllowance,
+    entries: () => (mesh?.peers() ?? 0) + 1,
+    clock,
+  });
+
+  const handle = createRequestHandler({
+    dialect: options.dialect,
+    directory,
+    admission,
+    budget,
+    clock,
+    random,
+    metrics,
+    log,
+    stallMs: bounds.stallMs,
+    isStopping: () => isStopping,
+    table: () => table,
+    intentAge: () => mirrored.get(topics.intent.name)?.follower.age() ?? Infinity,
+  });
+
+  const door = await createDoor({
+    listen: options.addresses.callers,
+    handle,
+    maxConnections: bounds.maxConnections,
+    metrics,
+    log,
+  });
+
+  const takeIntent = (value: Uint8Array): void => {
+    const intent = options.decodeIntent(value);
+    if (!intent) {
+      metrics.count('gateway_intent_unreadable');
+      log.event('intent-unreadable', { bytes: value.length });
+      return;
+    }
+    // Never back: an older version from a store or a peer that lags is left out.
+    if (table && intent.version <= table.intent.version) return;
+    table = createRouteTable(intent);
+    door.limit(intent.limits);
+    log.event('intent-in-force', { version: intent.version, routes: intent.routes.length });
+  };
+
+  const intentMirror = createKeyedMirror(({ key, value }) => {
+    if (key === options.intentKey && value) takeIntent(value);
+  });
+  const upstreamMirror = createKeyedMirror((change) => directory.apply(change));
+  const nodes = new Map<string, NodeRecord>();
+  const nodeMirror = createKeyedMirror(({ key, value }) => {
+    const record = value && decodeNode(value);
+    if (record) nodes.set(key, record);
+    else nodes.delete(key);
+    mesh?.setNodes([...nodes.values()]);
+  });
+
+  const intentFollower = follow(topics.intent, intentMirror, INTENT_READ);
+  const upstreamFollower = follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
+  const nodeFollower = follow(topics.nodes, nodeMirror, NODES_READ);
+
+  const onShare = (peer: string, share: LoadShare): void => {
+    directory.all().forEach((upstream) => {
+      upstream.notePeer(peer, share[upstream.record.instance] ?? 0);
+    });
+  };
+
+  mesh = await createMesh({
+    self,
+    region: options.region,
+    listen: options.addresses.links,
+    seeds: options.seeds,
+    intentOffset: () => intentMirror.end(),
+    onPeerAhead: () => intentFollower.hurry(),
+    onShare,
+    onPeerGone: (peer) => directory.all().forEach((upstream) => upstream.forgetPeer(peer)),
+    recordsAfter: (topic, after) => {
+      const held = mirrored.get(topic);
+      if (!held || held.mirror.end() < 0) return undefined;
+      const { mirror, follower } = held;
+      return { records: mirror.changesAfter(after), end: mirror.end(), ageMs: follower.age() };
+    },
+    clock,
+    random,
+    metrics,
+    log,
+  });
+  const publisher = createPublisher({ record: self, publish: options.publish, clock, log });
+
+  const isReady = (): boolean =>
+    !isStopping && table !== undefined && upstreamMirror.end() >= 0;
+  const readiness = await createReadinessDoor(
+    options.addresses.readiness,
+    options.addresses.metrics.path,
+    isReady,
+    metrics,
+  );
+  const metricsDoor = await createReadinessDoor(
+    options.addresses.metrics,
+    options.addresses.metrics.path,
+    isReady,
+    metrics,
+  );
+
+  let lastShare = '';
+  let sharedAt = -Infinity;
+  const shareLoad = (): void => {
+    const busy = directory.all().filter((upstream) => upstream.inFlight() > 0);
+    const share = Object.fromEntries(
+      busy.map((upstream) => [upstream.record.instance, upstream.inFlight()]),
+    );
+    const text = JSON.stringify(share);
+    const now = clock.monotonic();
+    if (text !== lastShare || now - sharedAt > SHARE_AGAIN_MS) {
+      mesh?.shareLoad(share);
+      lastShare = text;
+      sharedAt = now;
+    }
+    clock.after(SHARE_MS, shareLoad);
+  };
+  shareLoad();
+
+  const untilIdle = async (by: number): Promise<void> => {
+    while (door.open() > 0 && clock.monotonic() < by) {
+      await new Promise<void>((resolve) => {
+        clock.after(STOP_CHECK_MS, resolve);
+      });
+    }
+  };
+
+  const stop = async (): Promise<void> => {
+    isStopping = true;
+    const now = clock.monotonic();
+    log.event('stopping', { open: door.open(), graceMs: bounds.graceMs });
+    const endBy = now + bounds.graceMs - GRACE_SLACK_MS;
+    const listenMs = Math.min(LISTEN_ON_MS, bounds.graceMs / 2);
+    await new Promise<void>((resolve) => {
+      clock.after(listenMs, resolve);
+    });
+    door.stopListening();
+    await untilIdle(endBy);
+    log.event('stopped', { cut: door.open() });
+    [intentFollower, upstreamFollower, nodeFollower].forEach((follower) => follower.close());
+    publisher.close();
+    readiness.close();
+    metricsDoor.close();
+    log.flush();
+  };
+
+  return { stop };
+};
--- /dev/null
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -0,0 +1,182 @@
+/** Links between the entries: shares of load, and what one of them misses of the platform's log. */
+
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { silentLogger } from '@plantaindrum/common';
+import {
+  createLinkClient,
+  createLinkServer,
+  defaultLinkLimits,
+} from '@plantaindrum/link';
+import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
+import type { ListenAddress } from '../door.js';
+import type { PeerRecords } from '../mirror/follow.js';
+import type { KeyedRecord } from '../mirror/keyed-mirror.js';
+import { isObject } from '../values.js';
+import type { NodeRecord } from './roster.js';
+
+/** Requests of an entry at each upstream, by the upstream's instance. */
+export type LoadShare = Readonly<Record<string, number>>;
+
+/** The entries that this one is linked with. */
+export interface Mesh {
+  /** Takes the published nodes; dials entries that are new. */
+  setNodes(nodes: readonly NodeRecord[]): void;
+  /** Linked entries, this one not counted. */
+  peers(): number;
+  shareLoad(share: LoadShare): void;
+  /** Asks a linked entry for records of a topic beyond an offset. */
+  askPeers(topic: string, after: number): Promise<PeerRecords | undefined>;
+  close(): Promise<void>;
+}
+
+/** Options of `createMesh`. */
+export interface MeshOptions {
+  self: NodeRecord;
+  region: string;
+  listen: ListenAddress;
+  /** Addresses of entries that are known without the log; they may be stale. */
+  seeds: readonly ListenAddress[];
+  /** Offset of the intent that this entry holds; rides on heartbeats. */
+  intentOffset: () => number;
+  /** A peer holds a newer intent. */
+  onPeerAhead: () => void;
+  onShare: (peer: string, share: LoadShare) => void;
+  onPeerGone: (peer: string) => void;
+  /** What this entry's mirror of a topic holds beyond an offset. */
+  recordsAfter: (topic: string, after: number) => PeerRecords | undefined;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** Time for a peer's answer, in ms: links take a millisecond, a peer's pause up to a hundred. */
+const ASK_MS = 400;
+/** Time for a connection and its hello, in ms. */
+const HELLO_MS = 1_000;
+const BACKOFF = { firstMs: 100, maxMs: 1_500 };
+
+const isRecord = (value: unknown): value is KeyedRecord =>
+  isObject(value) &&
+  typeof value.key === 'string' &&
+  typeof value.offset === 'number' &&
+  (value.value === undefined || value.value === null || value.value instanceof Uint8Array);
+
+const readRecords = (value: unknown): PeerRecords | undefined => {
+  if (!isObject(value)) return undefined;
+  const { records, end, ageMs } = value;
+  if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
+  if (typeof end !== 'number' || typeof ageMs !== 'number') return undefined;
+  return { records: records.map((r) => ({ ...r, value: r.value ?? undefined })), end, ageMs };
+};
+
+const readShare = (value: unknown): LoadShare | undefined => {
+  if (!isObject(value)) return undefined;
+  const isSound = Object.values(value).every((n) => typeof n === 'number');
+  return isSound ? (value as LoadShare) : undefined;
+};
+
+const addressKey = ({ host, port }: ListenAddress): string => `${host}:${port}`;
+
+/** Starts the links of an entry; rejects when its link address is in use. */
+export const createMesh = async (options: MeshOptions): Promise<Mesh> => {
+  const { self, listen, clock, random, metrics, log } = options;
+  const links = new Set<Link>();
+  const clients = new Map<string, LinkClient>();
+
+  const answerRecords = async (args: unknown): Promise<unknown> => {
+    if (!isObject(args) || typeof args.topic !== 'string' || typeof args.after !== 'number') {
+      return undefined;
+    }
+    return options.recordsAfter(args.topic, args.after);
+  };
+
+  const onFrame =
+    (peer: string): FrameHandler =>
+    (frame) => {
+      if (frame.t !== 'note' || frame.method !== 'load.share') return;
+      const share = readShare(frame.args);
+      if (share) options.onShare(peer, share);
+    };
+
+  const onLink = (link: Link): FrameHandler => {
+    const { node } = link.peer;
+    links.add(link);
+    log.event('peer-linked', { peer: node, role: link.peer.role });
+    void link.closed.then((why) => {
+      links.delete(link);
+      log.event('peer-lost', { peer: node, why });
+      if (![...links].some(({ peer }) => peer.node === node)) options.onPeerGone(node);
+    });
+    return onFrame(node);
+  };
+
+  const linkOptions: LinkOptions = {
+    identity: {
+      role: 'entry',
+      node: self.node,
+      instance: self.instance,
+      dataCentre: self.dataCentre,
+      region: options.region,
+    },
+    intentOffset: options.intentOffset,
+    limits: { ...defaultLinkLimits, helloTimeoutMs: HELLO_MS },
+    handlers: { 'mirror.records': answerRecords },
+    onLink,
+    onPeerOffset: options.onPeerAhead,
+    clock,
+    metrics,
+    log: silentLogger,
+  };
+
+  const server: LinkServer = await createLinkServer({ ...linkOptions, listen });
+
+  const dial = (address: ListenAddress): void => {
+    const key = addressKey(address);
+    if (key === addressKey(self) || clients.has(key)) return;
+    clients.set(
+      key,
+      createLinkClient({ ...linkOptions, connect: address, backoff: BACKOFF, random }),
+    );
+  };
+
+  options.seeds.forEach(dial);
+
+  /** One link to each peer: two nodes that dialled each other have two. */
+  const byPeer = (): Link[] => [
+    ...new Map([...links].map((link) => [link.peer.node, link])).values(),
+  ];
+
+  const forget = (keep: ReadonlySet<string>): void => {
+    [...clients].forEach(([key, client]) => {
+      if (keep.has(key) || client.link()) return;
+      clients.delete(key);
+      void client.close();
+    });
+  };
+
+  return {
+    setNodes: (nodes) => {
+      const entries = nodes.filter(({ role }) => role === 'entry');
+      // Of two entries the one with the smaller address dials, so that each pair has one link.
+      entries.filter((entry) => addressKey(self) < addressKey(entry)).forEach(dial);
+      forget(new Set([...entries, ...options.seeds].map(addressKey)));
+    },
+    peers: () => byPeer().length,
+    shareLoad: (share) => {
+      byPeer().forEach((link) => link.send({ t: 'note', method: 'load.share', args: share }));
+    },
+    askPeers: async (topic, after) => {
+      const peers = byPeer();
+      const start = Math.floor(random() * peers.length);
+      const link = peers[start];
+      if (!link) return undefined;
+      const reply = await link.call('mirror.records', { topic, after }, ASK_MS);
+      return reply.outcome === 'answered' ? readRecords(reply.value) : undefined;
+    },
+    close: async () => {
+      await Promise.all([...clients.values()].map((client) => client.close()));
+      await server.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/gateway/src/serving/refuse.ts
@@ -0,0 +1,66 @@
+/** Answers that the entry gives in its own name. */
+
+import type { ServerResponse } from 'node:http';
+import type { RefusalReason, ServingDeps } from './types.js';
+
+/** An answer of the entry's own. */
+export interface Refusal {
+  reason: RefusalReason;
+  status: 400 | 401 | 404 | 413 | 502 | 503 | 504;
+  /** For 503: when the caller may come back, in milliseconds. */
+  retryAfterMs?: number;
+}
+
+/** Pauses before a caller comes back: soon after a moment's trouble, later when all is full. */
+const SOON_MS = 250;
+const SPREAD_MS = 700;
+
+const MS_PER_SECOND = 1_000;
+
+/** A refusal of a request that has not run and won't: the caller may come back. */
+export const notRun = (reason: RefusalReason, random: () => number): Refusal => ({
+  reason,
+  status: 503,
+  // Spread over the interval, so that those refused together do not come back together.
+  retryAfterMs: SOON_MS + random() * SPREAD_MS,
+});
+
+/** A refusal of a request that may have run: nothing is promised. */
+export const mayHaveRun = (reason: RefusalReason): Refusal => ({
+  reason,
+  status: reason === 'deadline' ? 504 : 502,
+});
+
+/** What a refusal is logged with. */
+export interface RefusalContext {
+  id: string | undefined;
+  route: string | undefined;
+  /** Milliseconds from arrival to this answer. */
+  heldMs: number;
+  attempts: number;
+  /** What decided, for example a load or an age. */
+  inputs?: Record<string, string | number | boolean | undefined>;
+}
+
+/** Sends a refusal, counts it and logs what decided it. */
+export const refuse = (
+  res: ServerResponse,
+  refusal: Refusal,
+  context: RefusalContext,
+  deps: Pick<ServingDeps, 'metrics' | 'log' | 'isStopping'>,
+): void => {
+  const { reason, status, retryAfterMs } = refusal;
+  const { inputs, ...request } = context;
+  deps.metrics.count('gateway_refused', { reason });
+  deps.log.event('refused', { ...request, reason, status, retryAfterMs, ...inputs });
+  if (res.headersSent || res.destroyed) {
+    res.destroy();
+    return;
+  }
+  const headers: Record<string, string> = { 'Content-Type': 'text/plain' };
+  if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
+  if (deps.isStopping()) headers.Connection = 'close';
+  const body = `${reason}\n`;
+  res.writeHead(status, { ...headers, 'Content-Length': String(body.length) });
+  res.end(body);
+};
--- /dev/null
+++ b/packages/gateway/src/serving/rounds.ts
@@ -0,0 +1,233 @@
+/** The attempts of one request: what they proved, whether another may follow, what ends them. */
+
+import type { Upstream } from '../upstreams/upstream.js';
+import { startAttempt } from './attempt.js';
+import type { Attempt, AttemptAnswer } from './attempt.js';
+import { onCallerGone } from './caller-gone.js';
+import { beginAnswer, endToEnd, hasField } from './deliver.js';
+import { mayHaveRun, notRun, refuse } from './refuse.js';
+import type { CallerRequest, RefusalReason, ServingDeps } from './types.js';
+import { readBody } from '../attempts/exchange.js';
+
+/** An upstream's answer that has been read whole. */
+export interface WholeAnswer {
+  outcome: 'whole';
+  status: number;
+  headers: string[];
+  body: Uint8Array;
+}
+
+/** How one attempt ended. */
+export type RoundOutcome =
+  | WholeAnswer
+  /** The whole stream has been passed on. */
+  | { outcome: 'streamed' }
+  | { outcome: 'not-run'; why: string; wasSent: boolean }
+  | { outcome: 'unknown'; why: string };
+
+/** What one attempt does once its answer's head is there. */
+export type TakeAnswer = (
+  attempt: Attempt,
+  answer: AttemptAnswer,
+  sentAt: number,
+) => Promise<RoundOutcome>;
+
+/** The attempts of one request. */
+export interface Rounds {
+  /** Event after which the next attempt resumes. */
+  resumeAfter: number | undefined;
+  /** Makes attempts until an answer is given, no further one may follow, or the caller has gone. */
+  run(take: TakeAnswer): Promise<void>;
+  /** Time left for the caller, in milliseconds. */
+  left(): number;
+  /** Attempts that were sent to an upstream. */
+  sent(): number;
+}
+
+/** How attempts of one kind of request differ. */
+export interface RoundsOptions {
+  /** A request that may have run can be sent again. */
+  mayRepeat: boolean;
+  /** Time that the next attempt is given, in milliseconds. */
+  patience: (rounds: Rounds) => number;
+  /** Pause before another attempt, in milliseconds. */
+  pauseMs: () => number;
+  /** Told of each attempt, for watching it; the result ends the watch. */
+  watch: (attempt: Attempt, sentAt: number) => () => void;
+}
+
+/** Largest answer that is held in memory, in bytes. */
+const MAX_ANSWER_BYTES = 8_388_608;
+/** Attempts proved not to have run that a request may have besides those that ran. */
+const MAX_NOT_RUN = 3;
+
+/** Reads an answer that is no stream. */
+export const readWhole: TakeAnswer = async (attempt, answer) => {
+  const body = await readBody(answer.res, MAX_ANSWER_BYTES);
+  if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
+  return { outcome: 'whole', status: answer.status, headers: endToEnd(answer.res), body };
+};
+
+const isUpstreamFault = (outcome: RoundOutcome): boolean =>
+  outcome.outcome === 'unknown' || (outcome.outcome === 'whole' && outcome.status >= 500);
+
+/** Creates the attempts of one request. */
+export const createRounds = (
+  request: CallerRequest,
+  options: RoundsOptions,
+  deps: ServingDeps,
+): Rounds => {
+  const { route, res, service } = request;
+  const { clock, directory, budget, metrics, log } = deps;
+  const { mayRepeat } = options;
+  const tried = new Set<string>();
+  let current: Attempt | undefined;
+  let isGone = false;
+  let isLate = false;
+  let mayHave = false;
+  let runs = 0;
+  let notRuns = 0;
+  let unsent = 0;
+  let lastWhy = '';
+  let failedAnswer: WholeAnswer | undefined;
+
+  const held = (): number => Math.round(clock.monotonic() - request.arrivedAt);
+
+  const attemptAt = async (
+    rounds: Rounds,
+    upstream: Upstream,
+    take: TakeAnswer,
+  ): Promise<RoundOutcome> => {
+    tried.add(upstream.record.instance);
+    const attempt = startAttempt(request, upstream, rounds.resumeAfter, deps);
+    current = attempt;
+    const sentAt = clock.monotonic();
+    const stopTimer = clock.after(options.patience(rounds), () => attempt.abort());
+    const stopWatch = options.watch(attempt, sentAt);
+    const head = await attempt.head;
+    const outcome = head.outcome === 'answered' ? await take(attempt, head, sentAt) : head;
+    stopTimer();
+    stopWatch();
+    attempt.end();
+    if (head.outcome === 'answered' && !isGone && !isLate) {
+      if (isUpstreamFault(outcome)) upstream.noteFailure('failed');
+      else upstream.noteSuccess();
+    }
+    log.event('attempt', {
+      id: request.id,
+      upstream: upstream.record.instance,
+      load: upstream.load(),
+      outcome: outcome.outcome,
+      why: 'why' in outcome ? outcome.why : undefined,
+      status: outcome.outcome === 'whole' ? outcome.status : undefined,
+      resumeAfter: rounds.resumeAfter,
+      ms: held(),
+    });
+    return outcome;
+  };
+
+  const note = (outcome: RoundOutcome): void => {
+    if (outcome.outcome === 'not-run') {
+      notRuns += 1;
+      if (!outcome.wasSent) unsent += 1;
+    } else {
+      runs += 1;
+      mayHave = true;
+    }
+    if (outcome.outcome === 'whole') failedAnswer = outcome;
+    if ('why' in outcome) lastWhy = outcome.why;
+  };
+
+  /** Why no further attempt is made; undefined when one may be. */
+  const obstacle = (): RefusalReason | undefined => {
+    if (isLate) return 'deadline';
+    if (mayHave && !mayRepeat) return 'upstream-failed';
+    const sends = runs + notRuns - unsent;
+    const isSpent = mayRepeat ? runs >= route.maxAttempts : sends >= route.maxAttempts;
+    if (isSpent || notRuns > MAX_NOT_RUN) return 'attempts-spent';
+    if (sends > 0 && !budget.take(service)) return 'retry-budget-spent';
+    return undefined;
+  };
+
+  const answered = (status: number | undefined): void => {
+    metrics.record('gateway_answer_ms', held(), { kind: route.kind });
+    log.event('answered', { id: request.id, route: route.name, status, runs, notRuns, ms: held() });
+  };
+
+  const deliver = ({ status, headers, body }: WholeAnswer): void => {
+    const length = ['Content-Length', String(body.length)];
+    const sized = hasField(headers, 'content-length') ? headers : [...headers, ...length];
+    beginAnswer(res, status, sized, deps.isStopping());
+    res.end(body);
+    answered(status);
+  };
+
+  const giveUp = (reason: RefusalReason): void => {
+    if (failedAnswer && !res.headersSent) {
+      deliver(failedAnswer);
+      return;
+    }
+    const refusal = mayHave ? mayHaveRun(reason) : notRun(reason, deps.random);
+    const context = { id: request.id, route: route.name, heldMs: held(), attempts: runs + notRuns };
+    refuse(res, refusal, { ...context, inputs: { lastWhy, unsent } }, deps);
+  };
+
+  const isFinal = (outcome: RoundOutcome): boolean =>
+    outcome.outcome === 'streamed' ||
+    (outcome.outcome === 'whole' && (outcome.status < 500 || !mayRepeat) && !res.headersSent);
+
+  const pause = (): Promise<void> =>
+    new Promise((resolve) => {
+      clock.after(options.pauseMs(), resolve);
+    });
+
+  const runAll = async (rounds: Rounds, take: TakeAnswer): Promise<void> => {
+    for (;;) {
+      const upstream = directory.choose(service, tried);
+      if (!upstream) {
+        giveUp('no-upstream');
+        return;
+      }
+      const outcome = await attemptAt(rounds, upstream, take);
+      if (isGone) {
+        log.event('caller-gone', { id: request.id, runs, notRuns, ms: held() });
+        return;
+      }
+      if (isFinal(outcome)) {
+        if (outcome.outcome === 'whole') deliver(outcome);
+        else {
+          res.end();
+          answered(undefined);
+        }
+        return;
+      }
+      note(outcome);
+      const reason = obstacle();
+      if (reason) {
+        giveUp(reason);
+        return;
+      }
+      metrics.count('gateway_retries', { reason: outcome.outcome });
+      await pause();
+    }
+  };
+
+  const rounds: Rounds = {
+    resumeAfter: request.fields.lastEventId,
+    left: () => request.deadlineAt - clock.monotonic(),
+    sent: () => runs + notRuns - unsent,
+    run: async (take) => {
+      onCallerGone(res, () => {
+        isGone = true;
+        current?.abort();
+      });
+      const stopDeadline = clock.after(rounds.left(), () => {
+        isLate = true;
+        current?.abort();
+      });
+      await runAll(rounds, take);
+      stopDeadline();
+    },
+  };
+  return rounds;
+};
--- /dev/null
+++ b/packages/gateway/src/serving/types.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import type { Admission } from '../admission/admission.js';
+import type { RouteTable } from '../intent/route-table.js';
+import type { RetryBudget } from '../retry/budget.js';
+import type { CallerFields, HeaderDialect, Organisation, Route } from '../types.js';
+import type { Directory } from '../upstreams/directory.js';
+
+/** What serving a request needs from its entry. */
+export interface ServingDeps {
+  dialect: HeaderDialect;
+  directory: Directory;
+  admission: Admission;
+  budget: RetryBudget;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+  /** How long work at a dead rank may stall before its group answers, in milliseconds. */
+  stallMs: number;
+  /** The entry is stopping: answers tell callers to come back on another connection. */
+  isStopping: () => boolean;
+}
+
+/** A request that has been read whole and may be served. */
+export interface CallerRequest {
+  req: IncomingMessage;
+  res: ServerResponse;
+  id: string;
+  fields: CallerFields;
+  route: Route;
+  table: RouteTable;
+  service: string;
+  organisation: Organisation | undefined;
+  body: Uint8Array;
+  /** When it arrived, and when its answer is due at the latest (monotonic, ms). */
+  arrivedAt: number;
+  deadlineAt: number;
+  /** The caller has been refused before; told by the shorter time that it has left. */
+  isReturn: boolean;
+}
+
+/** Why a request that could not be served got its answer. */
+export type RefusalReason =
+  | 'no-intent'
+  | 'bad-request'
+  | 'unknown-route'
+  | 'unknown-key'
+  | 'intent-outdated'
+  | 'body-too-large'
+  | 'no-upstream'
+  | 'upstreams-full'
+  | 'pace-too-slow'
+  | 'attempts-spent'
+  | 'retry-budget-spent'
+  | 'deadline'
+  | 'upstream-failed';
--- /dev/null
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -0,0 +1,129 @@
+/** All upstreams that are listed, and the choice among those of a service. */
+
+import type { Clock, EventLog, Random } from '@plantaindrum/common';
+import type { KeyedChange } from '../mirror/keyed-mirror.js';
+import type { UpstreamRecord } from '../types.js';
+import { createUpstream } from './upstream.js';
+import type { Upstream } from './upstream.js';
+
+/** Upstreams by service. */
+export interface Directory {
+  /** Takes a change of the platform's list. */
+  apply(change: KeyedChange): void;
+  /** Upstreams of a service that may take new work. */
+  usable(service: string): Upstream[];
+  /** The least loaded of a service's upstreams, apart from those already tried. */
+  choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
+  byInstance(instance: string): Upstream | undefined;
+  all(): Upstream[];
+}
+
+/** Options of `createDirectory`. */
+export interface DirectoryOptions {
+  decode: (key: string, value: Uint8Array) => UpstreamRecord | undefined;
+  dataCentre: string;
+  /** When the platform's log came back after an outage (monotonic, ms). */
+  logBackAt: () => number;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+/**
+ * An upstream whose entry lapsed in an outage of the log is back in the list about two seconds after
+ * the log is, if it lives. So long it serves on where no other upstream of its service is listed.
+ */
+const LAPSED_GRACE_MS = 2_000;
+/** Load that an upstream elsewhere must be below one nearby to be chosen, in slots over slots. */
+const ELSEWHERE_COST = 0.06;
+/** Load that a failing upstream seems to have more, at a failure share of 1. */
+const FAILURE_COST = 4;
+/** Load that an upstream seems to have more while it warms up. */
+const WARMUP_COST = 0.5;
+
+/** Creates a directory that follows the platform's list. */
+export const createDirectory = (options: DirectoryOptions): Directory => {
+  const { decode, dataCentre, logBackAt, clock, random, log } = options;
+  const listed = new Map<string, Upstream>();
+  const lapsed = new Map<string, { upstream: Upstream; at: number }>();
+  const leaving = new Set<string>();
+
+  const add = (record: UpstreamRecord): void => {
+    const known = listed.get(record.instance) ?? lapsed.get(record.instance)?.upstream;
+    // A word that an upstream sent before it announced its leaving may arrive after it.
+    if (known && known.record.sequence > record.sequence) return;
+    const isLeaving = leaving.has(record.instance) || record.state === 'draining';
+    if (isLeaving && !leaving.has(record.instance)) {
+      leaving.add(record.instance);
+      log.event('upstream-leaving', { upstream: record.instance, service: record.service });
+    }
+    const settled: UpstreamRecord = { ...record, state: isLeaving ? 'draining' : record.state };
+    lapsed.delete(record.instance);
+    if (!known) log.event('upstream-listed', { upstream: record.instance, service: record.service });
+    const upstream = known ?? createUpstream(settled, clock);
+    upstream.update(settled);
+    listed.set(record.instance, upstream);
+  };
+
+  const remove = (instance: string): void => {
+    const upstream = listed.get(instance);
+    listed.delete(instance);
+    if (!upstream) return;
+    log.event('upstream-gone', { upstream: instance, service: upstream.record.service });
+    if (!leaving.delete(instance)) lapsed.set(instance, { upstream, at: clock.monotonic() });
+  };
+
+  const isReady = (upstream: Upstream, service: string): boolean =>
+    upstream.record.service === service && upstream.record.state === 'ready';
+
+  const lapsedOf = (service: string): Upstream[] => {
+    const now = clock.monotonic();
+    const oldest = Math.max(logBackAt(), 0);
+    [...lapsed].forEach(([instance, { at }]) => {
+      if (now > Math.max(at, oldest) + LAPSED_GRACE_MS) lapsed.delete(instance);
+    });
+    return [...lapsed.values()]
+      .map(({ upstream }) => upstream)
+      .filter((upstream) => isReady(upstream, service));
+  };
+
+  const usable = (service: string): Upstream[] => {
+    const ready = [...listed.values()].filter((upstream) => isReady(upstream, service));
+    return ready.length > 0 ? ready : lapsedOf(service);
+  };
+
+  const cost = (upstream: Upstream): number => {
+    const { record } = upstream;
+    const away = record.dataCentre === dataCentre ? 0 : ELSEWHERE_COST;
+    const warming = record.warmupLeftMs > 0 ? WARMUP_COST : 0;
+    return upstream.load() + away + warming + upstream.failureShare() * FAILURE_COST;
+  };
+
+  const cheapest = (upstreams: readonly Upstream[]): Upstream | undefined => {
+    const costs = upstreams.map((upstream) => cost(upstream));
+    const least = Math.min(...costs);
+    const best = upstreams.filter((_, at) => (costs[at] ?? Infinity) <= least + 1e-9);
+    return best[Math.floor(random() * best.length)];
+  };
+
+  return {
+    apply: ({ key, value }) => {
+      if (value === undefined) {
+        remove(key);
+        return;
+      }
+      const record = decode(key, value);
+      if (record) add(record);
+      else log.event('upstream-entry-unreadable', { upstream: key });
+    },
+    usable,
+    choose: (service, tried) => {
+      const fresh = usable(service).filter(({ record }) => !tried.has(record.instance));
+      const sound = fresh.filter((upstream) => !upstream.isSuspect());
+      // Never all ejected: with every upstream suspect the least loaded is tried all the same.
+      return cheapest(sound.length > 0 ? sound : fresh);
+    },
+    byInstance: (instance) => listed.get(instance),
+    all: () => [...listed.values()],
+  };
+};
--- /dev/null
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -0,0 +1,97 @@
+import type { Clock } from '@plantaindrum/common';
+import type { UpstreamRecord } from '../types.js';
+
+/** One upstream as this entry sees it. */
+export interface Upstream {
+  readonly record: UpstreamRecord;
+  /** Takes what the upstream says of itself now. */
+  update(record: UpstreamRecord): void;
+  /** Requests of this entry that are at the upstream. */
+  inFlight(): number;
+  begin(): void;
+  end(): void;
+  /** Requests of the other entries that are at the upstream. */
+  notePeer(peer: string, inFlight: number): void;
+  forgetPeer(peer: string): void;
+  /** All requests known to be at the upstream, over its slots. */
+  load(): number;
+  total(): number;
+  /** The upstream's own word on its waiting requests. */
+  noteLoad(running: number, waiting: number): void;
+  /** Outcome of an attempt, for its health. */
+  noteSuccess(): void;
+  noteFailure(kind: 'unreachable' | 'failed' | 'refused'): void;
+  /** Not to be chosen while others are there. */
+  isSuspect(): boolean;
+  /** Share of recent attempts that failed, 0 to 1. */
+  failureShare(): number;
+}
+
+/** Weight of one outcome in the failure share: some eight outcomes are remembered. */
+const OUTCOME_WEIGHT = 0.12;
+/** Failure share from which an upstream is suspect: three failures in a row from a clean state. */
+const SUSPECT_SHARE = 0.3;
+/** First time out after which a suspect is tried again, doubled each time, in ms. */
+const SUSPECT_MS = 400;
+const SUSPECT_MAX_MS = 3_200;
+/** An upstream's word on its load counts this long, in ms: later its queue has changed. */
+const LOAD_WORD_MS = 250;
+
+/** Creates the view of one upstream. */
+export const createUpstream = (first: UpstreamRecord, clock: Clock): Upstream => {
+  let record = first;
+  let own = 0;
+  const peers = new Map<string, number>();
+  let failureShare = 0;
+  let suspectUntil = -Infinity;
+  let suspectMs = SUSPECT_MS;
+  let word = { at: -Infinity, excess: 0 };
+
+  const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
+
+  const suspect = (): void => {
+    const now = clock.monotonic();
+    if (now < suspectUntil) return;
+    suspectUntil = now + suspectMs;
+    suspectMs = Math.min(SUSPECT_MAX_MS, suspectMs * 2);
+  };
+
+  return {
+    get record() {
+      return record;
+    },
+    update: (next) => {
+      record = next;
+    },
+    inFlight: () => own,
+    begin: () => {
+      own += 1;
+    },
+    end: () => {
+      own -= 1;
+    },
+    notePeer: (peer, inFlight) => {
+      if (inFlight > 0) peers.set(peer, inFlight);
+      else peers.delete(peer);
+    },
+    forgetPeer: (peer) => peers.delete(peer),
+    total,
+    load: () => {
+      const excess = clock.monotonic() - word.at < LOAD_WORD_MS ? word.excess : 0;
+      return (total() + excess) / Math.max(1, record.slots);
+    },
+    noteLoad: (running, waiting) => {
+      word = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
+    },
+    noteSuccess: () => {
+      failureShare *= 1 - OUTCOME_WEIGHT;
+      if (clock.monotonic() > suspectUntil) suspectMs = SUSPECT_MS;
+    },
+    noteFailure: (kind) => {
+      failureShare += (1 - failureShare) * OUTCOME_WEIGHT;
+      if (kind === 'unreachable' || failureShare > SUSPECT_SHARE) suspect();
+    },
+    isSuspect: () => clock.monotonic() < suspectUntil,
+    failureShare: () => failureShare,
+  };
+};
--- a/packages/intent/src/core/document/checkpoint.ts
+++ b/packages/intent/src/core/document/checkpoint.ts
@@ -1,7 +1,7 @@
 /** Checkpoint records: the state as of an offset, for readers that retention left behind. */
 
 import { z } from 'zod';
-import type { LogRecord } from '@plantaindrum/platform';
+import type { LogRecord } from '@plantaindrum/service-clients';
 import type { IntentSnapshot } from './aggregate.js';
 import type { SnapshotPart } from './snapshot-parts.js';
 import { joinParts, partsOf } from './snapshot-parts.js';
--- a/packages/intent/src/core/document/snapshot-parts.ts
+++ b/packages/intent/src/core/document/snapshot-parts.ts
@@ -6,7 +6,7 @@
  * default (1 MB). So it goes in parts of one frozen state; records go in batches anyway.
  */
 
-import type { LogRecord } from '@plantaindrum/platform';
+import type { LogRecord } from '@plantaindrum/service-clients';
 import type { IntentSnapshot } from './aggregate.js';
 
 /** One part of a state; all parts of one `asOf` make the whole. */
--- a/packages/intent/src/reader/log-follower.ts
+++ b/packages/intent/src/reader/log-follower.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, Metrics, Random } from '@plantaindrum/common';
 import { createPause } from '@plantaindrum/common';
-import type { Log, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogRecord } from '@plantaindrum/service-clients';
 import type { FreshnessTracker } from './freshness.js';
 import type { IntentReplica } from './replica.js';
 
--- a/packages/intent/src/reader/reader.ts
+++ b/packages/intent/src/reader/reader.ts
@@ -1,7 +1,7 @@
 /** Keeps one node's intent up to date from the log and from peers. */
 
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
-import type { Log, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogRecord } from '@plantaindrum/service-clients';
 import type { IntentReader, IntentView } from '../types.js';
 import { createIntentWriter } from '../writer/writer.js';
 import { createFreshnessTracker } from './freshness.js';
--- a/packages/intent/src/reader/replica.ts
+++ b/packages/intent/src/reader/replica.ts
@@ -1,6 +1,6 @@
 /** One node's copy of the intent: the aggregate, the newest records for peers, and the way back. */
 
-import type { LogRecord } from '@plantaindrum/platform';
+import type { LogRecord } from '@plantaindrum/service-clients';
 import type { IntentAggregate, IntentSnapshot, ReplayStep } from '../core/document/aggregate.js';
 import { createIntentAggregate } from '../core/document/aggregate.js';
 import type { CheckpointMark, WholeCheckpoint } from '../core/document/checkpoint.js';
--- a/packages/intent/src/writer/checkpointer.ts
+++ b/packages/intent/src/writer/checkpointer.ts
@@ -8,7 +8,7 @@
 
 import { randomUUID } from 'node:crypto';
 import type { Clock, Metrics, Random } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 import { checkpointRecords } from '../core/document/checkpoint.js';
 import { INTENT_PARTITION, INTENT_TOPIC } from '../reader/log-follower.js';
 import type { IntentNode } from '../reader/reader.js';
--- a/packages/intent/src/writer/writer.ts
+++ b/packages/intent/src/writer/writer.ts
@@ -2,7 +2,7 @@
 
 import { sleep } from '@plantaindrum/common';
 import type { Clock, Metrics, Random } from '@plantaindrum/common';
-import type { Log, LogFailure } from '@plantaindrum/platform';
+import type { Log, LogFailure } from '@plantaindrum/service-clients';
 import type { IntentAggregate, RecentChange } from '../core/document/aggregate.js';
 import { digestOf } from '../core/document/aggregate.js';
 import { submissionSchema } from '../core/document/validation.js';
--- a/packages/intent/test/support/fake-log.ts
+++ b/packages/intent/test/support/fake-log.ts
@@ -1,6 +1,6 @@
 import { fail, ok, sleep } from '@plantaindrum/common';
 import type { ManualClock, Result } from '@plantaindrum/common';
-import type { Log, LogFailure, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogFailure, LogRecord } from '@plantaindrum/service-clients';
 
 /** Faults of one client's way to the log. */
 export interface LogFaults {
--- a/packages/intent/test/support/nodes.ts
+++ b/packages/intent/test/support/nodes.ts
@@ -1,7 +1,7 @@
 import { setImmediate } from 'node:timers/promises';
 import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
 import type { ManualClock, Metrics } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 import { createIntentReader, fetchWhole } from '../../src/index.js';
 import type {
   IntentChange,
--- a/packages/lab/src/experiments/balance-agreement.ts
+++ b/packages/lab/src/experiments/balance-agreement.ts
@@ -16,7 +16,7 @@
   GroupTimings,
   PeerOutcome,
 } from '@plantaindrum/experts';
-import { createEngineOrderClient, createLogClient } from '@plantaindrum/platform';
+import { createEngineOrderClient, createLogClient } from '@plantaindrum/service-clients';
 import { createEngineGroupStandIn, createLogStandIn } from '@plantaindrum/stand-ins';
 import { quantile } from './balance-simulation.js';
 
--- a/packages/lab/src/experiments/claims.ts
+++ b/packages/lab/src/experiments/claims.ts
@@ -1,7 +1,7 @@
 import { createMetrics, createSeededRandom, sleep, systemClock } from '@plantaindrum/common';
 import type { Random } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
-import { createLogClient } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
+import { createLogClient } from '@plantaindrum/service-clients';
 import type { Claims } from '@plantaindrum/requests';
 import { createClaims } from '@plantaindrum/requests';
 import { createLogStandIn } from '@plantaindrum/stand-ins';
--- a/packages/lab/src/experiments/intent/node.ts
+++ b/packages/lab/src/experiments/intent/node.ts
@@ -18,8 +18,8 @@
   defaultBackoff,
   defaultLinkLimits,
 } from '@plantaindrum/link';
-import { createLogClient } from '@plantaindrum/platform';
-import type { Log } from '@plantaindrum/platform';
+import { createLogClient } from '@plantaindrum/service-clients';
+import type { Log } from '@plantaindrum/service-clients';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
--- a/packages/lab/src/experiments/slopes/claims.ts
+++ b/packages/lab/src/experiments/slopes/claims.ts
@@ -1,7 +1,7 @@
 /** What claims on idempotency keys cost an agent: replay of others' claims, and appends. */
 
 import { createMetrics, ok, systemClock } from '@plantaindrum/common';
-import type { Log, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogRecord } from '@plantaindrum/service-clients';
 import { createClaims } from '@plantaindrum/requests';
 import { fitLine } from './fit.js';
 import type { Line } from './fit.js';
--- a/packages/lab/src/experiments/slopes/node.ts
+++ b/packages/lab/src/experiments/slopes/node.ts
@@ -1,7 +1,7 @@
 /** What every node carries for the size of the fleet: metrics by organisation, the VM list. */
 
 import { createMetrics } from '@plantaindrum/common';
-import { parseVmList } from '@plantaindrum/platform';
+import { parseVmList } from '@plantaindrum/service-clients';
 import { fitLine } from './fit.js';
 import type { Line } from './fit.js';
 import { atSizes, bytesInUse, microsPerCall } from './measure.js';
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -189,6 +189,13 @@
   value: unknown;
 }
 
+/** A word to a peer that asks for no answer (shares of load, reports of ranks); it may be lost. */
+export interface Note {
+  t: 'note';
+  method: string;
+  args: unknown;
+}
+
 /** Every frame after the hello. */
 export type Frame =
   | Ping
@@ -206,4 +213,5 @@
   | InProgress
   | Leaving
   | Call
-  | Reply;
+  | Reply
+  | Note;
--- a/packages/link/src/shapes.ts
+++ b/packages/link/src/shapes.ts
@@ -82,6 +82,7 @@
   leaving: {},
   call: { seq: isCount, method: isText, args: isAnything },
   reply: { seq: isCount, ok: isFlag, value: isAnything },
+  note: { method: isText, args: isAnything },
 };
 
 /** Whether a decoded value is a frame. */
--- a/packages/plantaindrum/src/core/entry/ask-node.ts
+++ b/packages/plantaindrum/src/core/entry/ask-node.ts
@@ -3,7 +3,7 @@
 import type { Clock, Random } from '@plantaindrum/common';
 import type { CallOutcome, Link, LinkOptions, NodeStatus } from '@plantaindrum/link';
 import { createLinkClient, defaultBackoff, NODE_STATUS } from '@plantaindrum/link';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 import { linkAddress } from './links.js';
 
 /** What asking needs. */
--- a/packages/plantaindrum/src/core/entry/intent-side.ts
+++ b/packages/plantaindrum/src/core/entry/intent-side.ts
@@ -3,7 +3,7 @@
 import type { EntrySettings } from '@plantaindrum/common';
 import type { IntentLinks, IntentNode } from '@plantaindrum/intent';
 import { createIntentReader, joinIntentToLinks, startCheckpointer } from '@plantaindrum/intent';
-import { createLogClient } from '@plantaindrum/platform';
+import { createLogClient } from '@plantaindrum/service-clients';
 import type { EntryDeps } from './deps.js';
 
 /** The intent and what belongs to it. */
--- a/packages/plantaindrum/src/core/entry/links.ts
+++ b/packages/plantaindrum/src/core/entry/links.ts
@@ -4,7 +4,7 @@
 import type { IntentLinks } from '@plantaindrum/intent';
 import type { CallHandler, FrameHandler, Link, LinkOptions } from '@plantaindrum/link';
 import { createLinkClient, defaultBackoff, defaultLinkLimits } from '@plantaindrum/link';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 import type { ConnectAgent } from '../upstreams/directory.js';
 
 /** What links need. */
--- a/packages/plantaindrum/src/core/entry/node-reports.ts
+++ b/packages/plantaindrum/src/core/entry/node-reports.ts
@@ -1,7 +1,7 @@
 /** What other nodes tell about themselves: work in flight, intent, expert group. */
 
 import type { NodeStatus } from '@plantaindrum/link';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 
 /** One node's report; without its figures when it did not answer. */
 export interface NodeReport {
--- a/packages/plantaindrum/src/core/routing/entry-router.ts
+++ b/packages/plantaindrum/src/core/routing/entry-router.ts
@@ -3,7 +3,7 @@
 import type { Clock, Logger, Metrics, Random } from '@plantaindrum/common';
 import type { IntentDocument } from '@plantaindrum/intent';
 import { createReturnRamp, mayDispatch } from '@plantaindrum/intent';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 import type { Route, RouteTicket, UpstreamStatus } from '@plantaindrum/requests';
 import { createRouter, prefixHash } from '@plantaindrum/requests';
 import type { EntryRequest } from '../requests/types.js';
--- a/packages/plantaindrum/src/core/upstreams/directory.ts
+++ b/packages/plantaindrum/src/core/upstreams/directory.ts
@@ -4,7 +4,7 @@
 import { createPause } from '@plantaindrum/common';
 import { createMembership, dialDelayMs } from '@plantaindrum/intent';
 import type { FrameHandler, Link, LinkClient } from '@plantaindrum/link';
-import type { Vm, VmListClient } from '@plantaindrum/platform';
+import type { Vm, VmListClient } from '@plantaindrum/service-clients';
 import type { Upstream, UpstreamEvents } from './upstream.js';
 import { createUpstream } from './upstream.js';
 
--- a/packages/plantaindrum/src/core/upstreams/upstream.ts
+++ b/packages/plantaindrum/src/core/upstreams/upstream.ts
@@ -2,7 +2,7 @@
 
 import type { Metrics } from '@plantaindrum/common';
 import type { AttemptId, FrameHandler, Link, Load, PeerFrame } from '@plantaindrum/link';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 import type { AttemptUpstream, OpenAttempt } from '../attempts/types.js';
 
 const MOST_PENDING_CANCELS = 1_024;
--- a/packages/plantaindrum/test/directory.test.ts
+++ b/packages/plantaindrum/test/directory.test.ts
@@ -2,7 +2,7 @@
 import { createManualClock, createMetrics, ok, silentLogger } from '@plantaindrum/common';
 import type { ManualClock, Metrics } from '@plantaindrum/common';
 import type { Link, LinkCloseReason } from '@plantaindrum/link';
-import type { Vm } from '@plantaindrum/platform';
+import type { Vm } from '@plantaindrum/service-clients';
 import type { Directory } from '../src/core/upstreams/directory.js';
 import { createDirectory } from '../src/core/upstreams/directory.js';
 
--- a/packages/requests/src/claims/batching-log.ts
+++ b/packages/requests/src/claims/batching-log.ts
@@ -1,6 +1,6 @@
 import type { Clock, Result } from '@plantaindrum/common';
 import { fail, ok } from '@plantaindrum/common';
-import type { Log, LogFailure } from '@plantaindrum/platform';
+import type { Log, LogFailure } from '@plantaindrum/service-clients';
 
 /** Settings of a batching log. */
 export interface BatchingLogOptions {
--- a/packages/requests/src/claims/claims.ts
+++ b/packages/requests/src/claims/claims.ts
@@ -1,5 +1,5 @@
 import type { Clock, Metrics } from '@plantaindrum/common';
-import type { Log, LogFailure } from '@plantaindrum/platform';
+import type { Log, LogFailure } from '@plantaindrum/service-clients';
 import { createBatchingLog } from './batching-log.js';
 import type { Holder } from './key-table.js';
 import type { PartitionReplay } from './partition-replay.js';
--- a/packages/requests/src/claims/partition-replay.ts
+++ b/packages/requests/src/claims/partition-replay.ts
@@ -1,6 +1,6 @@
 import type { Clock, Result } from '@plantaindrum/common';
 import { fail, ok } from '@plantaindrum/common';
-import type { Log, LogFailure } from '@plantaindrum/platform';
+import type { Log, LogFailure } from '@plantaindrum/service-clients';
 import type { KeyTable } from './key-table.js';
 import { createKeyTable } from './key-table.js';
 import { CLAIMS_TOPIC, parseClaimRecord } from './records.js';
--- a/packages/requests/src/claims/tail-appender.ts
+++ b/packages/requests/src/claims/tail-appender.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/platform';
+import type { Log } from '@plantaindrum/service-clients';
 import type { ClaimLogRecord } from './records.js';
 import { CLAIMS_TOPIC } from './records.js';
 
--- a/packages/requests/test/fake-log.ts
+++ b/packages/requests/test/fake-log.ts
@@ -1,5 +1,5 @@
 import { fail, ok } from '@plantaindrum/common';
-import type { Log, LogFailure, LogRecord } from '@plantaindrum/platform';
+import type { Log, LogFailure, LogRecord } from '@plantaindrum/service-clients';
 
 /** What happens to one append. */
 export type AppendFault = 'none' | 'down' | 'lost-answer' | 'lost-request' | 'late-effect';
