Rank groups: plan, change of map by hold, arm and go, settling, agents beside the ranks

Cause: engines here take single orders, don't compare maps and may carry an order out seconds late; the protocol of packages/experts needs engines that vote. Ruled out: guarding orders by the engines' sequence. What it showed: one prepared version a rank, prepare refused while armed, arm refused once its pass has begun.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,19 @@
 /** The entry before upstreams that are reached directly: what it follows, serves and stops. */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import {
+  createKeyedMirror,
+  createPublisher,
+  decodeNode,
+  followTopic,
+} from '@plantaindrum/mirror';
+import type {
+  Follower,
+  KeyedMirror,
+  KeyedTopic,
+  NodeRecord,
+  PublishNode,
+} from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
 import { createDoor } from './door.js';
 import type { ListenAddress } from './door.js';
@@ -8,19 +21,11 @@
 import type { RouteTable } from './intent/route-table.js';
 import type { LoadShare, Mesh } from './mesh/mesh.js';
 import { createMesh } from './mesh/mesh.js';
-import type { NodeRecord } from './mesh/roster.js';
-import { decodeNode, encodeNode } from './mesh/roster.js';
-import { followTopic } from './mirror/follow.js';
-import type { Follower, KeyedTopic } from './mirror/follow.js';
-import { createKeyedMirror } from './mirror/keyed-mirror.js';
-import type { KeyedMirror } from './mirror/keyed-mirror.js';
 import { createReadinessDoor } from './readiness-door.js';
 import { createRetryBudget } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
 import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
-import { createPublisher } from './mesh/publisher.js';
-import type { PublishNode } from './mesh/publisher.js';
 
 /** Where an entry listens. */
 export interface GatewayAddresses {
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -9,10 +9,8 @@
 } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
 import type { ListenAddress } from '../door.js';
-import type { PeerRecords } from '../mirror/follow.js';
-import type { KeyedRecord } from '../mirror/keyed-mirror.js';
-import { isObject } from '../values.js';
-import type { NodeRecord } from './roster.js';
+import { isObject } from '@plantaindrum/mirror';
+import type { KeyedRecord, NodeRecord, PeerRecords } from '@plantaindrum/mirror';
 
 /** Requests of an entry at each upstream, by the upstream's instance. */
 export type LoadShare = Readonly<Record<string, number>>;
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -1,7 +1,7 @@
 /** All upstreams that are listed, and the choice among those of a service. */
 
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
-import type { KeyedChange } from '../mirror/keyed-mirror.js';
+import type { KeyedChange } from '@plantaindrum/mirror';
 import type { UpstreamRecord } from '../types.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
--- a/packages/gateway/src/mesh/roster.ts
+++ b/packages/mirror/src/roster.ts
@@ -1,6 +1,6 @@
 /** Nodes of this system as they have published themselves in the platform's log. */
 
-import { isObject } from '../values.js';
+import { isObject } from './values.js';
 
 /** What a node publishes of itself. */
 export interface NodeRecord {
@@ -12,6 +12,16 @@
   /** Where it takes links. */
   host: string;
   port: number;
+  /** An agent's expert group and the engine beside it. */
+  group?: RankPlace | undefined;
+}
+
+/** Where an agent stands in an expert group. */
+export interface RankPlace {
+  name: string;
+  rank: number;
+  engineHost: string;
+  enginePort: number;
 }
 
 const encoder = new TextEncoder();
@@ -20,6 +30,17 @@
 /** A node's record as the bytes that are kept in the log. */
 export const encodeNode = (record: NodeRecord): Uint8Array => encoder.encode(JSON.stringify(record));
 
+const decodePlace = (value: unknown): RankPlace | undefined => {
+  if (!isObject(value)) return undefined;
+  const { name, rank, engineHost, enginePort } = value;
+  const isSound =
+    typeof name === 'string' &&
+    typeof rank === 'number' &&
+    typeof engineHost === 'string' &&
+    typeof enginePort === 'number';
+  return isSound ? { name, rank, engineHost, enginePort } : undefined;
+};
+
 /** Reads a node's record; undefined when it isn't one. */
 export const decodeNode = (bytes: Uint8Array): NodeRecord | undefined => {
   let value: unknown;
@@ -37,5 +58,6 @@
     typeof dataCentre === 'string' &&
     typeof host === 'string' &&
     typeof port === 'number';
-  return isSound ? { node, instance, role, dataCentre, host, port } : undefined;
+  if (!isSound) return undefined;
+  return { node, instance, role, dataCentre, host, port, group: decodePlace(value.group) };
 };
--- /dev/null
+++ b/packages/rank-groups/src/change/settle.ts
@@ -0,0 +1,98 @@
+/** Ends what another coordinator, or an earlier process, left half done: a pass that is held. */
+
+import type { Clock, EventLog, Random } from '@plantaindrum/common';
+import type { Placement, RankReport } from '../types.js';
+import type { GroupPort } from './group-port.js';
+import { allRanks, freshReports, insist, insistAll } from './group-port.js';
+import { nextVersion, versionsOf } from './versions.js';
+
+/** How a held pass was settled. */
+export type SettleOutcome = 'completed' | 'withdrawn' | 'nothing-held' | 'unreachable';
+
+/** What settling needs. */
+export interface SettleOptions {
+  port: GroupPort;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+interface HeldPass {
+  rank: number;
+  step: number;
+}
+
+/** The held pass that comes first; the others can't be reached before it. */
+const firstHeld = (reports: readonly RankReport[]): HeldPass | undefined =>
+  reports
+    .flatMap(({ rank, held }) => (held === undefined ? [] : [{ rank, step: held }]))
+    .sort((a, b) => a.step - b.step)[0];
+
+/**
+ * The version that all ranks can be armed with for a pass: those that are armed for it are armed
+ * with this one, and the others have it prepared and aren't armed.
+ */
+const commonVersion = (reports: readonly RankReport[], step: number): number | undefined => {
+  const candidates = reports.map(({ armed, prepared }) => {
+    if (!armed) return prepared;
+    return armed.step === step ? armed.version : undefined;
+  });
+  const [version] = candidates;
+  return version !== undefined && candidates.every((other) => other === version)
+    ? version
+    : undefined;
+};
+
+/**
+ * Settles the first held pass of a group. To complete it is safe whatever its coordinator does
+ * meanwhile, as both arm the same version for the same pass. To withdraw it is safe only where it
+ * can't be completed: then some rank never was armed for the pass and can't be any more, so its
+ * coordinator has not let the pass begin and never will with some ranks armed.
+ */
+export const settleHeldPass = async (
+  epoch: number,
+  current: Placement | undefined,
+  options: SettleOptions,
+): Promise<SettleOutcome> => {
+  const { port, clock, random, log } = options;
+  const reports = await freshReports(port, epoch);
+  if (!reports) return 'unreachable';
+  const held = firstHeld(reports);
+  if (!held) return 'nothing-held';
+  // Read last: while it is still held, no pass has begun between the reports above.
+  const again = await port.report(held.rank);
+  if (again?.held !== held.step || again.epoch !== epoch) return 'nothing-held';
+
+  const go = async (): Promise<void> => {
+    await insist(port, clock, held.rank, { op: 'go', epoch, step: held.step });
+  };
+  const version = commonVersion(reports, held.step);
+  log.event('settling', { epoch, rank: held.rank, step: held.step, version });
+
+  if (version !== undefined) {
+    const order = { op: 'arm', epoch, version, step: held.step } as const;
+    const outcomes = await insistAll(port, clock, order);
+    if (!outcomes.every((outcome) => outcome === 'done')) return 'unreachable';
+    await go();
+    return 'completed';
+  }
+
+  // Nothing is armed and nothing can be: the hold itself came late.
+  if (reports.every(({ armed, prepared }) => !armed && prepared === undefined)) {
+    await go();
+    return 'withdrawn';
+  }
+  if (!current) return 'unreachable';
+  for (const rank of allRanks(port)) {
+    const armed = reports[rank]?.armed;
+    if (armed?.step === held.step) {
+      await insist(port, clock, rank, { op: 'disarm', epoch, version: armed.version });
+    }
+  }
+  const newer = nextVersion(Math.max(...reports.map(versionsOf)), random);
+  const supersede = { op: 'prepare', epoch, version: newer, placement: current } as const;
+  const outcomes = await insistAll(port, clock, supersede);
+  if (!outcomes.every((outcome) => outcome === 'done')) return 'unreachable';
+  await go();
+  return 'withdrawn';
+};
--- /dev/null
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -0,0 +1,161 @@
+/**
+ * The change of a group's map by orders that may be lost, or carried out seconds late.
+ *
+ * What must hold: when a pass begins, all ranks use the same map. A rank's map changes only where
+ * it is armed for a pass that begins. So for each pass S: when S begins, either all ranks are armed
+ * for S with one version, or none is.
+ *
+ * 1. `prepare` a version that no other map bears, on all ranks, and see it prepared on all. A rank
+ *    keeps one prepared version, and refuses others while it is armed.
+ * 2. `hold` a pass S at this coordinator's own rank. No rank begins S before `go` S at that rank.
+ * 3. `arm` the version for S on all ranks, until each has said yes.
+ * 4. `go` S, only when all are armed or none can ever be.
+ *
+ * An order that arrives late does no harm. A late `arm` finds S begun and is refused, or finds the
+ * rank armed with the same version for the same S. A late `hold` finds S begun, or holds a pass
+ * that `settle` lets go. A late `go` S can only be one that was sent when S was allowed to begin, S is not
+ * used again in the epoch by this coordinator, and others hold at ranks of their own. A late
+ * `prepare` is of a version that the rank has had. A late `disarm` is of a version that is never
+ * armed again. In another epoch all of them are refused.
+ *
+ * Two coordinators do no harm either: a rank that is armed refuses to prepare, so only one version
+ * can be armed everywhere, and a hold is released only by whoever sees its pass settled.
+ */
+
+import type { Clock, EventLog, Random } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
+import type { Placement } from '../types.js';
+import type { GroupPort } from './group-port.js';
+import { freshReports, insist, insistAll } from './group-port.js';
+import { nextVersion } from './versions.js';
+
+/** How a change ended. */
+export type SwitchOutcome = 'switched' | 'not-prepared' | 'not-held' | 'aborted' | 'group-formed-anew';
+
+/** What a change needs. */
+export interface SwitchOptions {
+  port: GroupPort;
+  /** The rank beside this coordinator, at which it holds passes. */
+  ownRank: number;
+  /** Whether a rank is known to have the version prepared, from the reports that it pushes. */
+  isPrepared: (rank: number, version: number) => boolean;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+/** One change. */
+export interface MapChange {
+  epoch: number;
+  version: number;
+  placement: Placement;
+  /** The map in use, to which an aborted change goes back. */
+  current: Placement;
+  /** How long copying takes, in milliseconds. */
+  copyMs: number;
+}
+
+/** Passes between the one that runs and the one that is held: orders take a fraction of a pass. */
+const LEAD_PASSES = 2;
+/** Tries to hold a pass before it begins. */
+const HOLD_TRIES = 3;
+/** Time beyond the copying until a change that isn't prepared is given up, in ms. */
+const PREPARE_SLACK_MS = 700;
+/** How often the ranks' reports are looked at while they copy, in ms. */
+const LOOK_MS = 10;
+
+/** The highest pass that this process has held, by epoch: none is held twice. */
+const createHeldSteps = () => {
+  let last = { epoch: -1, step: -1 };
+  return (epoch: number, step: number): number => {
+    const next = last.epoch === epoch ? Math.max(step, last.step + 1) : step;
+    last = { epoch, step: next };
+    return next;
+  };
+};
+
+/** Creates the way a coordinator changes its group's map. */
+export const createMapSwitch = (options: SwitchOptions) => {
+  const { port, ownRank, isPrepared, clock, random, log } = options;
+  const heldStep = createHeldSteps();
+
+  const isAnew = (epoch: number): boolean => port.epoch() !== epoch;
+
+  const prepareAll = async (change: MapChange): Promise<boolean> => {
+    const { epoch, version, placement } = change;
+    const giveUpAt = clock.monotonic() + change.copyMs + PREPARE_SLACK_MS;
+    const order = { op: 'prepare', epoch, version, placement } as const;
+    const outcomes = await insistAll(port, clock, order, giveUpAt);
+    if (outcomes.some((outcome) => outcome !== 'done')) return false;
+    const ranks = outcomes.map((_, rank) => rank);
+    while (!ranks.every((rank) => isPrepared(rank, version))) {
+      if (clock.monotonic() > giveUpAt || isAnew(epoch)) return false;
+      await sleep(clock, LOOK_MS);
+    }
+    return true;
+  };
+
+  /** Holds a pass that has not begun; the pass, or undefined when it can't be done. */
+  const holdAhead = async (epoch: number): Promise<number | undefined> => {
+    for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
+      const report = await port.report(ownRank);
+      if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
+      const step = heldStep(epoch, report.step + LEAD_PASSES);
+      const outcome = await insist(port, clock, ownRank, { op: 'hold', epoch, step });
+      if (outcome === 'done') return step;
+      if (outcome === 'gave-up') return undefined;
+    }
+    return undefined;
+  };
+
+  /**
+   * Gives a change up whose pass is held: takes the arms back, then makes late ones impossible by
+   * preparing a newer version, and only then lets the pass begin.
+   */
+  const abort = async (change: MapChange, step: number): Promise<SwitchOutcome> => {
+    const { epoch, version, current } = change;
+    await insistAll(port, clock, { op: 'disarm', epoch, version });
+    for (let newer = version; !isAnew(epoch); ) {
+      newer = nextVersion(newer, random);
+      const supersede = { op: 'prepare', epoch, version: newer, placement: current } as const;
+      const outcomes = await insistAll(port, clock, supersede);
+      if (outcomes.every((outcome) => outcome === 'done')) break;
+      const reports = await freshReports(port, epoch);
+      const isHarmless = reports?.every(({ prepared, armed }) => prepared !== version && !armed);
+      if (isHarmless) break;
+      await insistAll(port, clock, { op: 'disarm', epoch, version });
+    }
+    await insist(port, clock, ownRank, { op: 'go', epoch, step });
+    return isAnew(epoch) ? 'group-formed-anew' : 'aborted';
+  };
+
+  const armAndGo = async (change: MapChange, step: number): Promise<SwitchOutcome> => {
+    const { epoch, version } = change;
+    const armed = await insistAll(port, clock, { op: 'arm', epoch, version, step });
+    if (isAnew(epoch)) return 'group-formed-anew';
+    if (armed.every((outcome) => outcome === 'done')) {
+      await insist(port, clock, ownRank, { op: 'go', epoch, step });
+      return 'switched';
+    }
+    const own = await port.report(ownRank);
+    // Somebody else has armed the rest and let the pass begin: the change is made.
+    if (own?.epoch === epoch && own.map === version) return 'switched';
+    return abort(change, step);
+  };
+
+  return async (change: MapChange): Promise<SwitchOutcome> => {
+    const startedAt = clock.monotonic();
+    const elapsed = (): number => Math.round(clock.monotonic() - startedAt);
+    const { epoch, version } = change;
+    const isReady = await prepareAll(change);
+    if (isAnew(epoch)) return 'group-formed-anew';
+    if (!isReady) return 'not-prepared';
+    const preparedMs = elapsed();
+    const step = await holdAhead(epoch);
+    if (step === undefined) return 'not-held';
+    const heldMs = elapsed();
+    const outcome = await armAndGo(change, step);
+    log.event('map-switch', { epoch, version, step, outcome, preparedMs, heldMs, ms: elapsed() });
+    return outcome;
+  };
+};
--- /dev/null
+++ b/packages/rank-groups/src/coordinator.ts
@@ -0,0 +1,187 @@
+/** Balances one group: notices what is popular, plans a map, and makes the change. */
+
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
+import { allRanks } from './change/group-port.js';
+import type { GroupPort } from './change/group-port.js';
+import { settleHeldPass } from './change/settle.js';
+import { createMapSwitch } from './change/switch-map.js';
+import { nextVersion, versionsOf } from './change/versions.js';
+import type { MemberNews } from './member.js';
+import { planChange } from './plan/plan.js';
+import type { MapPlan } from './plan/plan.js';
+import { createPopularity } from './plan/popularity.js';
+import type { Popularity } from './plan/popularity.js';
+import type { GroupShape, Placement, RankPlacement, RankReport, Weighs } from './types.js';
+
+/** The part of an agent that coordinates its group while no lower rank does. */
+export interface Coordinator {
+  /** Takes the news of a rank. */
+  onNews(news: MemberNews): void;
+  close(): void;
+}
+
+/** Options of `createCoordinator`. */
+export interface CoordinatorOptions {
+  port: GroupPort;
+  ownRank: number;
+  shape: GroupShape;
+  weighs: Weighs;
+  /** Whether this agent is the one to coordinate. */
+  isLowest: () => boolean;
+  placementOf: (rank: number) => Promise<RankPlacement | undefined>;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** Between two looks at the group, in ms. */
+const LOOK_MS = 40;
+/** News older than this says nothing about a rank, in ms: six readings. */
+const NEWS_MS = 500;
+/** A pass that has been held this long by nobody at work here is settled, in ms: some ten orders. */
+const HELD_MS = 250;
+/** Pause after a change that did not come about, in ms. */
+const FAILED_MS = 200;
+/** A group that has begun no pass for this long is idle and is left alone, in ms. */
+const IDLE_MS = 600;
+
+interface RankNews {
+  report: RankReport;
+  at: number;
+}
+
+/** Starts to coordinate; runs until `close`. */
+export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
+  const { port, ownRank, shape, clock, random, metrics, log } = options;
+  const news = new Map<number, RankNews>();
+  const popularity: Popularity = createPopularity(shape.sets, shape.experts);
+  let stopped = false;
+  let wasLowest = false;
+  let placement: Placement | undefined;
+  let placedEpoch = -1;
+  let placedVersion = -1;
+  let highest = 0;
+  let heldSince: number | undefined;
+  let lastStep = { step: -1, at: -Infinity };
+
+  const isPrepared = (rank: number, version: number): boolean =>
+    news.get(rank)?.report.prepared === version;
+
+  const switchMap = createMapSwitch({ port, ownRank, isPrepared, clock, random, log });
+
+  const onNews = ({ report, picks }: MemberNews): void => {
+    news.set(report.rank, { report, at: clock.monotonic() });
+    highest = Math.max(highest, versionsOf(report));
+    if (report.step > lastStep.step || report.epoch !== placedEpoch) {
+      lastStep = { step: report.step, at: clock.monotonic() };
+    }
+    if (picks.length > 0) popularity.add(picks);
+  };
+
+  /** Ranks whose agents are silent are read from here: their counts are missed, not their state. */
+  const readSilent = async (): Promise<void> => {
+    const oldest = clock.monotonic() - NEWS_MS;
+    const silent = allRanks(port).filter((rank) => (news.get(rank)?.at ?? -Infinity) < oldest);
+    await Promise.all(
+      silent.map(async (rank) => {
+        const report = await port.report(rank);
+        if (report) onNews({ report, picks: [] });
+      }),
+    );
+  };
+
+  const openReports = (): RankReport[] | undefined => {
+    const oldest = clock.monotonic() - 2 * NEWS_MS;
+    const fresh = allRanks(port).flatMap((rank) => {
+      const known = news.get(rank);
+      return known && known.at > oldest ? [known.report] : [];
+    });
+    const isWhole =
+      fresh.length === port.size() &&
+      fresh.every(({ isOpen, epoch }) => isOpen && epoch === port.epoch());
+    return isWhole ? fresh : undefined;
+  };
+
+  const loadPlacement = async (epoch: number): Promise<void> => {
+    const all = await Promise.all(allRanks(port).map((rank) => options.placementOf(rank)));
+    const known = all.flatMap((entry) => (entry?.epoch === epoch ? [entry] : []));
+    const [first] = known;
+    const isWhole = known.length === port.size() && known.every((e) => e.version === first?.version);
+    if (!isWhole || !first) return;
+    placement = first.experts.map((_, set) => known.map((entry) => [...(entry.experts[set] ?? [])]));
+    placedEpoch = epoch;
+    placedVersion = first.version;
+    log.event('map-known', { epoch, version: first.version });
+  };
+
+  const settleIfHeld = async (reports: readonly RankReport[], epoch: number): Promise<boolean> => {
+    const isHeld = reports.some(({ held }) => held !== undefined);
+    const now = clock.monotonic();
+    heldSince = isHeld ? (heldSince ?? now) : undefined;
+    if (heldSince === undefined) return false;
+    if (now - heldSince < HELD_MS) return true;
+    const outcome = await settleHeldPass(epoch, placement, { port, clock, random, log });
+    metrics.count('rank_settled', { outcome });
+    log.event('settled', { epoch, outcome });
+    heldSince = undefined;
+    placement = undefined;
+    return true;
+  };
+
+  const change = async (plan: MapPlan, epoch: number, current: Placement): Promise<void> => {
+    const version = nextVersion(highest, random);
+    highest = version;
+    const { before, after, copies, mostCopies } = plan;
+    log.event('map-planned', { epoch, version, before, after, copies });
+    const copyMs = mostCopies * shape.copyMs;
+    const outcome = await switchMap({ epoch, version, placement: plan.placement, current, copyMs });
+    metrics.count('rank_map_changes', { outcome });
+    metrics.count('rank_experts_copied', {}, copies);
+    if (outcome === 'switched') {
+      placement = plan.placement;
+      placedVersion = version;
+      return;
+    }
+    log.event('map-not-changed', { epoch, version, outcome });
+    placement = undefined;
+    await sleep(clock, FAILED_MS);
+  };
+
+  const look = async (): Promise<void> => {
+    await readSilent();
+    const reports = openReports();
+    const epoch = port.epoch();
+    if (!reports || (await settleIfHeld(reports, epoch))) return;
+    if (placedEpoch !== epoch) placement = undefined;
+    if (!placement) {
+      await loadPlacement(epoch);
+      return;
+    }
+    const isIdle = clock.monotonic() - lastStep.at > IDLE_MS;
+    const shares = popularity.shares();
+    if (isIdle || !shares) return;
+    const plan = planChange(placement, shares, shape, options.weighs);
+    if (plan) await change(plan, epoch, placement);
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopped) {
+      await sleep(clock, LOOK_MS);
+      const isLowest = options.isLowest();
+      if (isLowest !== wasLowest) log.event('coordinating', { isLowest, version: placedVersion });
+      if (isLowest && !wasLowest) placement = undefined;
+      wasLowest = isLowest;
+      if (isLowest && !stopped) await look();
+    }
+  };
+  void run();
+
+  return {
+    onNews,
+    close: () => {
+      stopped = true;
+    },
+  };
+};
--- a/packages/rank-groups/src/index.ts
+++ b/packages/rank-groups/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './coordinator.js';
+export * from './change/group-port.js';
+export * from './change/settle.js';
+export * from './change/switch-map.js';
+export * from './change/versions.js';
+export * from './member.js';
+export * from './plan/plan.js';
+export * from './plan/popularity.js';
+export * from './rank-agent.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -0,0 +1,177 @@
+/** Links between the agents of a group: each keeps one to the lowest ranks, one of which coordinates. */
+
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { silentLogger } from '@plantaindrum/common';
+import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
+import type { FrameHandler, Link, LinkClient, LinkOptions } from '@plantaindrum/link';
+import type { NodeRecord } from '@plantaindrum/mirror';
+import type { MemberNews, RankMember } from '../member.js';
+import { readNews, readOrder } from './shapes.js';
+
+/** Links of one agent. */
+export interface RankLinks {
+  /** Takes the published nodes and this agent's own rank. */
+  setNodes(nodes: readonly NodeRecord[], group: string, rank: number): void;
+  /** Link to the agent of a rank. */
+  toRank(rank: number): Link | undefined;
+  /** Whether no agent of a lower rank is linked. */
+  isLowest(): boolean;
+  /** Tells the lowest linked rank. */
+  tell(news: MemberNews): void;
+  close(): Promise<void>;
+}
+
+/** Options of `createRankLinks`. */
+export interface RankLinksOptions {
+  self: NodeRecord;
+  region: string;
+  member: () => RankMember | undefined;
+  onNews: (news: MemberNews) => void;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/**
+ * Lowest ranks that each agent keeps a link to. Three may be lost at once before the others have to
+ * dial; a link to every other agent would cost a heartbeat for each pair.
+ */
+const KEPT_LINKS = 3;
+/** A link that has been down for this long makes way for one to the next rank, in ms. */
+const DOWN_MS = 1_000;
+/** Heartbeats: a coordinator that froze is noticed in about a second. */
+const LIMITS = {
+  ...defaultLinkLimits,
+  heartbeatMs: 300,
+  heartbeatsMissed: 3,
+  helloTimeoutMs: 800,
+  connections: 256,
+};
+const BACKOFF = { firstMs: 50, maxMs: 1_000 };
+
+interface Dialled {
+  client: LinkClient;
+  node: string;
+  downSince: number | undefined;
+}
+
+/** Opens the agent's link address; rejects when it is in use. */
+export const createRankLinks = async (options: RankLinksOptions): Promise<RankLinks> => {
+  const { self, member, onNews, clock, random, metrics, log } = options;
+  const links = new Map<string, Link>();
+  const dialled = new Map<string, Dialled>();
+  let ranks = new Map<string, number>();
+  let ownRank = Infinity;
+
+  const handlers = {
+    'rank.report': async () => member()?.report(),
+    'rank.placement': async () => member()?.placement(),
+    'rank.order': async (args: unknown) => {
+      const order = readOrder(args);
+      return order ? member()?.order(order) : 'refused';
+    },
+  };
+
+  const onLink = (link: Link): FrameHandler => {
+    const { node } = link.peer;
+    links.set(node, link);
+    log.event('rank-linked', { peer: node, rank: ranks.get(node) });
+    void link.closed.then((why) => {
+      if (links.get(node) === link) links.delete(node);
+      log.event('rank-lost', { peer: node, rank: ranks.get(node), why });
+    });
+    return (frame) => {
+      if (frame.t !== 'note' || frame.method !== 'rank.news') return;
+      const news = readNews(frame.args);
+      if (news) onNews(news);
+    };
+  };
+
+  const linkOptions: LinkOptions = {
+    identity: {
+      role: 'agent',
+      node: self.node,
+      instance: self.instance,
+      dataCentre: self.dataCentre,
+      region: options.region,
+    },
+    intentOffset: () => -1,
+    limits: LIMITS,
+    handlers,
+    onLink,
+    clock,
+    metrics,
+    log: silentLogger,
+  };
+  const listen = { host: self.host, port: self.port };
+  const server = await createLinkServer({ ...linkOptions, listen });
+
+  const dial = ({ node, host, port }: NodeRecord): void => {
+    const key = `${host}:${port}`;
+    if (dialled.has(key)) return;
+    const entry: Dialled = {
+      node,
+      downSince: undefined,
+      client: createLinkClient({
+        ...linkOptions,
+        connect: { host, port },
+        backoff: BACKOFF,
+        random,
+        onDown: () => {
+          entry.downSince ??= clock.monotonic();
+        },
+      }),
+    };
+    dialled.set(key, entry);
+  };
+
+  const isDown = ({ host, port }: NodeRecord): boolean => {
+    const entry = dialled.get(`${host}:${port}`);
+    if (!entry) return false;
+    if (entry.client.link()) entry.downSince = undefined;
+    return entry.downSince !== undefined && clock.monotonic() - entry.downSince > DOWN_MS;
+  };
+
+  const linkedRanks = (): { rank: number; link: Link }[] =>
+    [...links]
+      .flatMap(([node, link]) => {
+        const rank = ranks.get(node);
+        return rank === undefined ? [] : [{ rank, link }];
+      })
+      .sort((a, b) => a.rank - b.rank);
+
+  return {
+    setNodes: (nodes, group, rank) => {
+      ownRank = rank;
+      const members = nodes.flatMap((record) =>
+        record.group?.name === group ? [{ record, rank: record.group.rank }] : [],
+      );
+      ranks = new Map(members.map((entry) => [entry.record.node, entry.rank]));
+      const lower = members
+        .filter((entry) => entry.rank < rank && entry.record.node !== self.node)
+        .sort((a, b) => a.rank - b.rank)
+        .map(({ record }) => record);
+      const alive = lower.filter((record) => !isDown(record)).slice(0, KEPT_LINKS);
+      // Those that are down are dialled on: one of them that comes back coordinates again.
+      const down = lower.filter(isDown).slice(0, KEPT_LINKS);
+      const keep = [...alive, ...down];
+      keep.forEach(dial);
+      const keys = new Set(keep.map(({ host, port }) => `${host}:${port}`));
+      [...dialled].forEach(([key, { client }]) => {
+        if (keys.has(key) || client.link()) return;
+        dialled.delete(key);
+        void client.close();
+      });
+    },
+    toRank: (rank) => linkedRanks().find((entry) => entry.rank === rank)?.link,
+    isLowest: () => !linkedRanks().some(({ rank }) => rank < ownRank),
+    tell: (news) => {
+      linkedRanks()[0]?.link.send({ t: 'note', method: 'rank.news', args: news });
+    },
+    close: async () => {
+      await Promise.all([...dialled.values()].map(({ client }) => client.close()));
+      await server.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/rank-groups/src/member.ts
@@ -0,0 +1,123 @@
+/** The agent beside one rank: it reads the rank's engine, tells the coordinator, passes orders on. */
+
+import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
+import type { OrderOutcome, RankEngine, RankOrder, RankPlacement, RankReport } from './types.js';
+
+/** What a member tells the coordinator of its group. */
+export interface MemberNews {
+  report: RankReport;
+  /** Picks of each expert since the last news. */
+  picks: number[];
+}
+
+/** The agent's part in its group. */
+export interface RankMember {
+  /** The newest report; undefined before the first. */
+  lastReport(): RankReport | undefined;
+  report(): Promise<RankReport | undefined>;
+  order(order: RankOrder): Promise<OrderOutcome>;
+  placement(): Promise<RankPlacement | undefined>;
+  close(): void;
+}
+
+/** Options of `createRankMember`. */
+export interface RankMemberOptions {
+  engine: RankEngine;
+  /** Told of each reading of the engine. */
+  onNews: (news: MemberNews) => void;
+  clock: Clock;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** Readings of the engine, in ms: about one a pass, so that a shift shows within two passes. */
+const READ_MS = 80;
+/** Readings while the engine copies experts for a change that all ranks wait for, in ms. */
+const COPYING_MS = 15;
+/** An engine that does not answer is asked less often, in ms. */
+const SILENT_MS = 500;
+/** Copying takes less than this, in ms; an order that was superseded must not keep the pace up. */
+const COPYING_MOST_MS = 2_000;
+
+/** Picks since an earlier reading; an engine that started anew counts from nothing. */
+const picksSince = (before: readonly number[] | undefined, now: readonly number[]): number[] => {
+  const isAnew = before === undefined || now.some((n, at) => n < (before[at] ?? 0));
+  return isAnew ? [...now] : now.map((n, at) => n - (before[at] ?? 0));
+};
+
+/** Starts to read the engine; runs until `close`. */
+export const createRankMember = (options: RankMemberOptions): RankMember => {
+  const { engine, onNews, clock, metrics, log } = options;
+  let last: RankReport | undefined;
+  let counts: readonly number[] | undefined;
+  let copying: { version: number; until: number } | undefined;
+  let stopped = false;
+
+  const noteReport = (report: RankReport): void => {
+    if (last?.epoch !== report.epoch || last.isOpen !== report.isOpen) {
+      const { group, epoch, rank, isOpen, map } = report;
+      log.event('rank-state', { group, epoch, rank, isOpen, map });
+    }
+    last = report;
+    if (copying && (report.prepared === copying.version || clock.monotonic() > copying.until)) {
+      copying = undefined;
+    }
+  };
+
+  const readPicks = async (): Promise<number[]> => {
+    const reading = await engine.counts();
+    if (!reading) return [];
+    const picks = picksSince(counts, reading.counts);
+    // The first reading holds all of the engine's past, which says nothing about now.
+    const isFirst = counts === undefined;
+    counts = reading.counts;
+    return isFirst ? [] : picks;
+  };
+
+  const readOnce = async (): Promise<boolean> => {
+    const report = await engine.report();
+    if (!report) {
+      metrics.count('rank_engine_silent');
+      return false;
+    }
+    const wasCopying = copying !== undefined;
+    noteReport(report);
+    onNews({ report, picks: wasCopying ? [] : await readPicks() });
+    return true;
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopped) {
+      const isThere = await readOnce();
+      const usual = copying ? COPYING_MS : READ_MS;
+      await sleep(clock, isThere ? usual : SILENT_MS);
+    }
+  };
+  void run();
+
+  return {
+    lastReport: () => last,
+    report: async () => {
+      const report = await engine.report();
+      if (report) noteReport(report);
+      return report;
+    },
+    order: async (order) => {
+      if (order.op === 'prepare') {
+        copying = { version: order.version, until: clock.monotonic() + COPYING_MOST_MS };
+      }
+      const outcome = await engine.order(order);
+      metrics.count('rank_orders', { op: order.op, outcome });
+      if (outcome !== 'done') {
+        const { op, epoch } = order;
+        log.event('order-not-done', { op, epoch, outcome });
+      }
+      return outcome;
+    },
+    placement: () => engine.placement(),
+    close: () => {
+      stopped = true;
+    },
+  };
+};
--- /dev/null
+++ b/packages/rank-groups/src/plan/edits.ts
@@ -0,0 +1,152 @@
+/** Changes of a set's placement that take load off its busiest rank. */
+
+import type { SetPlacement } from './set-placement.js';
+
+/** Limits of one change of map. */
+export interface EditLimits {
+  places: number;
+  /** Experts that may still come new to a rank, in this set and in all sets. */
+  room: (rank: number, set: SetPlacement) => number;
+}
+
+/** One edit: experts that ranks give up and take. */
+export interface Edit {
+  drops: readonly { rank: number; expert: number }[];
+  takes: readonly { rank: number; expert: number }[];
+  /** Experts copied. */
+  copies: number;
+  /** Relief for each copy; larger is better. */
+  value: number;
+}
+
+/** Ranks with the least load that are tried as receivers. */
+const RECEIVERS = 6;
+/** Cost of an edit without a copy, in copies; keeps the value finite. */
+const FREE_EDIT = 0.1;
+
+/**
+ * The sixth power follows the busiest ranks, whose load sets a pass's time, and unlike the maximum
+ * it also rewards an edit while several ranks are equally busy.
+ */
+const weight = (load: number): number => load ** 6;
+
+type Deltas = Map<number, number>;
+
+const shift = (deltas: Deltas, rank: number, by: number): void => {
+  deltas.set(rank, (deltas.get(rank) ?? 0) + by);
+};
+
+/** How the loads change when an expert's hosts change. */
+const rehost = (
+  set: SetPlacement,
+  deltas: Deltas,
+  expert: number,
+  lose: number | undefined,
+  gain: number | undefined,
+): void => {
+  const before = set.hosts(expert);
+  const after = before.length - (lose === undefined ? 0 : 1) + (gain === undefined ? 0 : 1);
+  const [was, is] = [set.part(expert, before.length), set.part(expert, after)];
+  before.forEach((rank) => shift(deltas, rank, rank === lose ? -was : is - was));
+  if (gain !== undefined) shift(deltas, gain, is);
+};
+
+const relief = (set: SetPlacement, deltas: Deltas): number => {
+  let total = 0;
+  deltas.forEach((by, rank) => {
+    const load = set.loads[rank] ?? 0;
+    total += weight(load) - weight(load + by);
+  });
+  return total;
+};
+
+const coolest = (set: SetPlacement, hot: number): number[] =>
+  set.loads
+    .map((load, rank) => ({ load, rank }))
+    .filter(({ rank }) => rank !== hot)
+    .sort((a, b) => a.load - b.load)
+    .slice(0, RECEIVERS)
+    .map(({ rank }) => rank);
+
+/** The best edit for a set's busiest rank; undefined when none helps within the limits. */
+export const bestEdit = (set: SetPlacement, limits: EditLimits): Edit | undefined => {
+  const hot = set.loads.indexOf(set.highest());
+  let best: Edit | undefined;
+
+  const copiesOf = (rank: number, expert: number): number =>
+    set.hadBefore(rank, expert) ? 0 : 1;
+  const hasRoom = (rank: number, copies: number): boolean =>
+    copies === 0 || limits.room(rank, set) >= copies;
+
+  const consider = (deltas: Deltas, edit: Omit<Edit, 'value'>): void => {
+    const gain = relief(set, deltas);
+    const value = gain / (edit.copies + FREE_EDIT);
+    if (gain > 1e-9 && value > (best?.value ?? 0)) best = { ...edit, value };
+  };
+
+  /** `cool` takes `expert`, from `hot` or beside it, and gives up `freed` where it is full. */
+  const tryTake = (expert: number, cool: number, freed: number | undefined): void => {
+    const copies = copiesOf(cool, expert);
+    const drops = freed === undefined ? [] : [{ rank: cool, expert: freed }];
+    const takes = [{ rank: cool, expert }];
+    const shared: Deltas = new Map();
+    const moved: Deltas = new Map();
+    rehost(set, shared, expert, undefined, cool);
+    rehost(set, moved, expert, hot, cool);
+    if (freed !== undefined) {
+      rehost(set, shared, freed, cool, undefined);
+      rehost(set, moved, freed, cool, undefined);
+    }
+    consider(shared, { drops, takes, copies });
+    consider(moved, { drops: [...drops, { rank: hot, expert }], takes, copies });
+  };
+
+  const trySwap = (expert: number, cool: number, other: number): void => {
+    if (set.held(hot).includes(other)) return;
+    const back = copiesOf(hot, other);
+    if (!hasRoom(hot, back)) return;
+    const deltas: Deltas = new Map();
+    rehost(set, deltas, expert, hot, cool);
+    rehost(set, deltas, other, cool, hot);
+    consider(deltas, {
+      drops: [
+        { rank: hot, expert },
+        { rank: cool, expert: other },
+      ],
+      takes: [
+        { rank: cool, expert },
+        { rank: hot, expert: other },
+      ],
+      copies: copiesOf(cool, expert) + back,
+    });
+  };
+
+  const tryReceiver = (expert: number, cool: number): void => {
+    const there = set.held(cool);
+    if (there.includes(expert) || !hasRoom(cool, copiesOf(cool, expert))) return;
+    if (there.length < limits.places) tryTake(expert, cool, undefined);
+    else {
+      there
+        .filter((other) => set.hosts(other).length > 1)
+        .forEach((other) => tryTake(expert, cool, other));
+    }
+    there.forEach((other) => trySwap(expert, cool, other));
+  };
+
+  const receivers = coolest(set, hot);
+  set.held(hot).forEach((expert) => {
+    if (set.hosts(expert).length > 1) {
+      const deltas: Deltas = new Map();
+      rehost(set, deltas, expert, hot, undefined);
+      consider(deltas, { drops: [{ rank: hot, expert }], takes: [], copies: 0 });
+    }
+    receivers.forEach((cool) => tryReceiver(expert, cool));
+  });
+  return best;
+};
+
+/** Carries an edit out. Takes come first, so that no expert is without a host in between. */
+export const applyEdit = (set: SetPlacement, edit: Edit): void => {
+  edit.takes.forEach(({ rank, expert }) => set.add(rank, expert));
+  edit.drops.forEach(({ rank, expert }) => set.remove(rank, expert));
+};
--- /dev/null
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -0,0 +1,92 @@
+/** Plans the next map of a group: the worst experts first, a few at a time. */
+
+import type { GroupShape, Placement, Weighs } from '../types.js';
+import { applyEdit, bestEdit } from './edits.js';
+import type { EditLimits } from './edits.js';
+import { createSetPlacement } from './set-placement.js';
+import type { SetPlacement } from './set-placement.js';
+
+/** A map that may follow the one in use. */
+export interface MapPlan {
+  placement: Placement;
+  /** Busiest rank's load over the mean, averaged over the sets, now and with the plan. */
+  before: number;
+  after: number;
+  /** Experts copied by all ranks together, and by the rank that copies most. */
+  copies: number;
+  mostCopies: number;
+}
+
+/** What one word of the operator stands for. */
+interface Price {
+  /** Gain in the busiest rank's load, over the mean, that is worth a change. */
+  leastGain: number;
+  /** The same gain that one copied expert of a group must bring, over the group's ranks. */
+  gainPerCopy: number;
+}
+
+/**
+ * From counts of a played day with a shift every 3.7 s: changes for less than 0.06 double the
+ * experts copied and leave the load where it is; a higher price halves the copies for 0.02 of load.
+ */
+const PRICES: Readonly<Record<Weighs, Price>> = {
+  skew: { leastGain: 0.07, gainPerCopy: 0.02 },
+  'rebalancing-cost': { leastGain: 0.15, gainPerCopy: 0.06 },
+};
+
+/**
+ * Experts that one change brings new to a rank, over all sets. A rank copies them one after the
+ * other and the change waits for the slowest, so small changes follow a shift sooner: with one each
+ * the busiest rank's load over a day was 1.56 of the mean, with two 1.59, with eight 1.93.
+ */
+const COPIES_PER_CHANGE = 1;
+/** A set whose busiest rank has less than this over the mean is left alone. */
+const EVEN_ENOUGH = 1.03;
+/** Edits of one plan, for each rank: a bound on the time that planning takes. */
+const EDITS_PER_RANK = 3;
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, n) => sum + n, 0) / Math.max(1, values.length);
+
+/** Load of the busiest rank over the mean, averaged over the sets: what a pass pays for. */
+export const imbalance = (placement: Placement, shares: readonly (readonly number[])[]): number =>
+  mean(placement.map((ranks, set) => createSetPlacement(ranks, shares[set] ?? []).highest()));
+
+const addedBy = (sets: readonly SetPlacement[], rank: number): number =>
+  sets.reduce((sum, set) => sum + set.added(rank), 0);
+
+/** Plans one small change; `undefined` when none is worth its price. */
+export const planChange = (
+  current: Placement,
+  shares: readonly (readonly number[])[],
+  shape: GroupShape,
+  weighs: Weighs,
+): MapPlan | undefined => {
+  const price = PRICES[weighs];
+  const rankCount = current[0]?.length ?? 0;
+  const sets = current.map((ranks, at) => createSetPlacement(ranks, shares[at] ?? []));
+  const before = mean(sets.map((set) => set.highest()));
+  const limits: EditLimits = {
+    places: shape.places,
+    room: (rank, set) =>
+      Math.min(shape.spare - set.added(rank), COPIES_PER_CHANGE - addedBy(sets, rank)),
+  };
+
+  const done = new Set<SetPlacement>();
+  for (let edits = 0; edits < EDITS_PER_RANK * rankCount; edits += 1) {
+    const open = sets.filter((set) => !done.has(set) && set.highest() > EVEN_ENOUGH);
+    const worst = open.sort((a, b) => b.highest() - a.highest())[0];
+    if (!worst) break;
+    const edit = bestEdit(worst, limits);
+    if (edit) applyEdit(worst, edit);
+    else done.add(worst);
+  }
+
+  const after = mean(sets.map((set) => set.highest()));
+  const byRank = Array.from({ length: rankCount }, (_, rank) => addedBy(sets, rank));
+  const copies = byRank.reduce((sum, n) => sum + n, 0);
+  const needed = Math.max(price.leastGain, (price.gainPerCopy * copies) / Math.max(1, rankCount));
+  if (before - after < needed) return undefined;
+  const placement = sets.map((set) => set.snapshot());
+  return { placement, before, after, copies, mostCopies: Math.max(...byRank) };
+};
--- /dev/null
+++ b/packages/rank-groups/src/plan/set-placement.ts
@@ -0,0 +1,67 @@
+/** Experts of one set on the ranks of a group, with the load that each rank has from them. */
+
+/** The placement of one set while it is planned. */
+export interface SetPlacement {
+  /** Load of each rank; 1 is an even share. */
+  readonly loads: readonly number[];
+  /** Ranks that hold an expert. */
+  hosts(expert: number): readonly number[];
+  held(rank: number): readonly number[];
+  /** Load that an expert puts on each of its hosts, with this many hosts. */
+  part(expert: number, hosts: number): number;
+  /** Whether a rank had the expert before planning began: taking it back costs no copy. */
+  hadBefore(rank: number, expert: number): boolean;
+  /** Experts that are new to a rank. */
+  added(rank: number): number;
+  add(rank: number, expert: number): void;
+  remove(rank: number, expert: number): void;
+  highest(): number;
+  snapshot(): number[][];
+}
+
+/** Creates the placement; `shares` is each expert's share of the picks. */
+export const createSetPlacement = (
+  ranks: readonly (readonly number[])[],
+  shares: readonly number[],
+): SetPlacement => {
+  const before = ranks.map((experts) => new Set(experts));
+  const held = ranks.map((experts) => [...experts]);
+  const hosts = shares.map((_, expert) =>
+    ranks.flatMap((experts, rank) => (experts.includes(expert) ? [rank] : [])),
+  );
+  const loads = new Array<number>(ranks.length).fill(0);
+
+  const part = (expert: number, count: number): number =>
+    ((shares[expert] ?? 0) * ranks.length) / Math.max(1, count);
+
+  const shift = (expert: number, by: 1 | -1): void => {
+    const on = hosts[expert] ?? [];
+    on.forEach((rank) => {
+      loads[rank] = (loads[rank] ?? 0) + by * part(expert, on.length);
+    });
+  };
+  shares.forEach((_, expert) => shift(expert, 1));
+
+  return {
+    loads,
+    hosts: (expert) => hosts[expert] ?? [],
+    held: (rank) => held[rank] ?? [],
+    part,
+    hadBefore: (rank, expert) => before[rank]?.has(expert) ?? false,
+    added: (rank) => (held[rank] ?? []).filter((expert) => !before[rank]?.has(expert)).length,
+    add: (rank, expert) => {
+      shift(expert, -1);
+      hosts[expert]?.push(rank);
+      held[rank]?.push(expert);
+      shift(expert, 1);
+    },
+    remove: (rank, expert) => {
+      shift(expert, -1);
+      hosts[expert] = (hosts[expert] ?? []).filter((other) => other !== rank);
+      held[rank] = (held[rank] ?? []).filter((other) => other !== expert);
+      shift(expert, 1);
+    },
+    highest: () => Math.max(...loads),
+    snapshot: () => held.map((experts) => [...experts]),
+  };
+};
--- /dev/null
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -0,0 +1,180 @@
+/** An agent beside one rank of an expert group: member, links and, while it is the lowest, coordinator. */
+
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
+import { createKeyedMirror, createPublisher, decodeNode, followTopic } from '@plantaindrum/mirror';
+import type { KeyedTopic, NodeRecord, PublishNode, RankPlace } from '@plantaindrum/mirror';
+import type { GroupPort } from './change/group-port.js';
+import { createCoordinator } from './coordinator.js';
+import type { Coordinator } from './coordinator.js';
+import { createRankLinks } from './links/rank-links.js';
+import type { RankLinks } from './links/rank-links.js';
+import { readOutcome, readPlacement, readReport } from './links/shapes.js';
+import { createRankMember } from './member.js';
+import type { MemberNews, RankMember } from './member.js';
+import type { GroupShape, RankEngine, RankReport, Weighs } from './types.js';
+
+/** Options of `createRankAgent`. */
+export interface RankAgentOptions {
+  self: NodeRecord;
+  region: string;
+  engineHost: string;
+  enginePort: number;
+  openEngine: (host: string, port: number) => RankEngine;
+  /** The group's shape from the operators' intent; undefined while it isn't known. */
+  readShape: () => Promise<GroupShape | undefined>;
+  weighs: Weighs;
+  nodes: KeyedTopic;
+  publish: PublishNode;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** A running agent. */
+export interface RankAgent {
+  stop(): Promise<void>;
+}
+
+/** Agents come and go seldom; the list is read again after each change, but not more often. */
+const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
+/** A call to another agent, in ms: the link and its engine take some ten. */
+const CALL_MS = 150;
+/** How often links follow what is known of the nodes, in ms. */
+const LINKS_MS = 250;
+/** How often the shape is asked for until it is known, in ms. */
+const SHAPE_MS = 1_500;
+
+/** Starts an agent; rejects when its link address is in use. */
+export const createRankAgent = async (options: RankAgentOptions): Promise<RankAgent> => {
+  const { self, engineHost, enginePort, openEngine, clock, random, metrics, log } = options;
+  const nodes = new Map<string, NodeRecord>();
+  let place: RankPlace | undefined;
+  let coordinator: Coordinator | undefined;
+  let stopped = false;
+  let stopPublishing = (): void => {};
+  const engine = openEngine(engineHost, enginePort);
+
+  const takePlace = ({ group, rank }: RankReport): void => {
+    if (place?.name === group && place.rank === rank) return;
+    place = { name: group, rank, engineHost, enginePort };
+    stopPublishing();
+    const record = { ...self, group: place };
+    stopPublishing = createPublisher({ record, publish: options.publish, clock, log }).close;
+  };
+
+  let links: RankLinks | undefined;
+  const onNews = (news: MemberNews): void => {
+    takePlace(news.report);
+    coordinator?.onNews(news);
+    if (links && !links.isLowest()) links.tell(news);
+  };
+  const member: RankMember = createRankMember({ engine, onNews, clock, metrics, log });
+  links = await createRankLinks({
+    self,
+    region: options.region,
+    member: () => member,
+    onNews: (news) => coordinator?.onNews(news),
+    clock,
+    random,
+    metrics,
+    log,
+  });
+  const linked = links;
+
+  const mirror = createKeyedMirror(({ key, value }) => {
+    const record = value && decodeNode(value);
+    if (record) nodes.set(key, record);
+    else nodes.delete(key);
+  });
+  const follower = followTopic({
+    topic: options.nodes,
+    mirror,
+    askPeers: async () => undefined,
+    ...NODES_READ,
+    clock,
+    metrics,
+    log,
+  });
+
+  const keepLinks = async (): Promise<void> => {
+    while (!stopped) {
+      if (place) linked.setNodes([...nodes.values()], place.name, place.rank);
+      await sleep(clock, LINKS_MS);
+    }
+  };
+  void keepLinks();
+
+  /** A rank whose agent is not linked is reached at its engine, as the agent published it. */
+  const direct = (rank: number): RankEngine | undefined => {
+    const record = [...nodes.values()].find(
+      ({ group }) => group?.name === place?.name && group?.rank === rank,
+    );
+    return record?.group && openEngine(record.group.engineHost, record.group.enginePort);
+  };
+
+  const ask = async (rank: number, method: string, args: unknown): Promise<unknown> => {
+    const reply = await linked.toRank(rank)?.call(method, args, CALL_MS);
+    return reply?.outcome === 'answered' ? reply.value : undefined;
+  };
+
+  const isOwn = (rank: number): boolean => rank === place?.rank;
+
+  const port: GroupPort = {
+    size: () => member.lastReport()?.size ?? 0,
+    epoch: () => member.lastReport()?.epoch ?? -1,
+    report: async (rank) => {
+      if (isOwn(rank)) return member.report();
+      if (linked.toRank(rank)) return readReport(await ask(rank, 'rank.report', {}));
+      return direct(rank)?.report();
+    },
+    order: async (rank, order) => {
+      if (isOwn(rank)) return member.order(order);
+      if (linked.toRank(rank)) return readOutcome(await ask(rank, 'rank.order', order));
+      return (await direct(rank)?.order(order)) ?? 'no-answer';
+    },
+  };
+
+  const placementOf: Parameters<typeof createCoordinator>[0]['placementOf'] = async (rank) => {
+    if (isOwn(rank)) return member.placement();
+    if (linked.toRank(rank)) return readPlacement(await ask(rank, 'rank.placement', {}));
+    return direct(rank)?.placement();
+  };
+
+  const awaitShape = async (): Promise<void> => {
+    while (!stopped) {
+      const shape = place && (await options.readShape());
+      if (shape && place && shape.sets > 0) {
+        coordinator = createCoordinator({
+          port,
+          ownRank: place.rank,
+          shape,
+          weighs: options.weighs,
+          isLowest: linked.isLowest,
+          placementOf,
+          clock,
+          random,
+          metrics,
+          log,
+        });
+        return;
+      }
+      await sleep(clock, SHAPE_MS);
+    }
+  };
+  void awaitShape();
+
+  return {
+    stop: async () => {
+      stopped = true;
+      log.event('stopping', {});
+      coordinator?.close();
+      member.close();
+      stopPublishing();
+      follower.close();
+      await linked.close();
+      log.flush();
+    },
+  };
+};
