--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -44,6 +44,8 @@
 const HELD_MS = 250;
 /** Pause after a change that did not come about, in ms. */
 const FAILED_MS = 200;
+/** Reports that show another map this long after a change show that somebody else made one, in ms. */
+const FOREIGN_MS = 1_000;
 /** A group that has begun no pass for this long is idle and is left alone, in ms. */
 const IDLE_MS = 600;
 
@@ -64,6 +66,7 @@
   let placedVersion = -1;
   let highest = 0;
   let heldSince: number | undefined;
+  let switchedAt = -Infinity;
   let lastStep = { step: -1, at: -Infinity };
 
   const isPrepared = (rank: number, version: number): boolean =>
@@ -142,6 +145,7 @@
     if (outcome === 'switched') {
       placement = plan.placement;
       placedVersion = version;
+      switchedAt = clock.monotonic();
       return;
     }
     log.event('map-not-changed', { epoch, version, outcome });
@@ -155,13 +159,17 @@
     const epoch = port.epoch();
     if (!reports || (await settleIfHeld(reports, epoch))) return;
     if (placedEpoch !== epoch) placement = undefined;
+    const isForeign = clock.monotonic() - switchedAt > FOREIGN_MS;
+    if (isForeign && reports.some(({ map }) => map !== placedVersion)) placement = undefined;
     if (!placement) {
       await loadPlacement(epoch);
       return;
     }
     const isIdle = clock.monotonic() - lastStep.at > IDLE_MS;
+    // A rank that is armed takes no preparation: the last change waits for its pass.
+    const isUnderWay = reports.some(({ map }) => map !== placedVersion);
     const shares = popularity.shares();
-    if (isIdle || !shares) return;
+    if (isIdle || isUnderWay || !shares) return;
     const plan = planChange(placement, shares, shape, options.weighs);
     if (plan) await change(plan, epoch, placement);
   };
