A body without a length that ends in a reset is not whole

Change: the exchange remembers that its connection failed; a body is whole only without that. Test: packages/gateway/test/exchange.test.ts, red without the safeguard.

--- a/packages/gateway/src/attempts/exchange.ts
+++ b/packages/gateway/src/attempts/exchange.ts
@@ -26,9 +26,16 @@
   /** The request was sent and no head came: it may have run. */
   | { outcome: 'unknown'; why: string };
 
+/** How the reading of an answer's body ended. */
+export type BodyEnd = 'whole' | 'broken';
+
 /** A running exchange. */
 export interface Exchange {
   head: Promise<HeadOutcome>;
+  /** Resolves when the body has ended; anything but a clean end is `broken`. */
+  bodyEnd(res: IncomingMessage): Promise<BodyEnd>;
+  /** Reads a body into memory; undefined when it broke off or is larger than `most` bytes. */
+  readBody(res: IncomingMessage, most: number): Promise<Uint8Array | undefined>;
   /** Gives up; the upstream sees its connection close. */
   abort(): void;
 }
@@ -44,6 +51,7 @@
   const { host, port, method, path, headers, body, connectMs } = options;
   let isConnected = false;
   let isDone = false;
+  let hasFailed = false;
   let req: ClientRequest | undefined;
 
   const head = new Promise<HeadOutcome>((resolve) => {
@@ -72,42 +80,37 @@
     });
     sent.on('error', (err) => {
       stopTimer();
+      hasFailed = true;
       if (!isDone) failed(codeOf(err));
     });
     sent.on('response', (res) => settle({ outcome: 'head', res }));
     sent.end(body);
   });
 
+  // A body without a length ends with its connection. Node's parser takes a reset for that end, too,
+  // and marks the answer as complete; only the error tells a cut body from a whole one.
+  const bodyEnd = (res: IncomingMessage): Promise<BodyEnd> =>
+    new Promise((resolve) => {
+      res.once('error', () => resolve('broken'));
+      res.once('close', () => resolve(res.complete && !hasFailed ? 'whole' : 'broken'));
+    });
+
   return {
     head,
+    bodyEnd,
+    readBody: async (res, most) => {
+      const chunks: Uint8Array[] = [];
+      let size = 0;
+      const ended = bodyEnd(res);
+      res.on('data', (chunk: Uint8Array) => {
+        size += chunk.length;
+        if (size > most) res.destroy();
+        else chunks.push(chunk);
+      });
+      return (await ended) === 'whole' && size <= most ? Buffer.concat(chunks, size) : undefined;
+    },
     abort: () => {
       req?.destroy();
     },
   };
 };
-
-/** How the reading of an answer's body ended. */
-export type BodyEnd = 'whole' | 'broken';
-
-/** Resolves when the body has ended; anything but a clean end is `broken`. */
-export const bodyEnd = (res: IncomingMessage): Promise<BodyEnd> =>
-  new Promise((resolve) => {
-    res.once('error', () => resolve('broken'));
-    res.once('close', () => resolve(res.complete ? 'whole' : 'broken'));
-  });
-
-/** Reads a body into memory; undefined when it broke off or is larger than `most` bytes. */
-export const readBody = async (
-  res: IncomingMessage,
-  most: number,
-): Promise<Uint8Array | undefined> => {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  const ended = bodyEnd(res);
-  res.on('data', (chunk: Uint8Array) => {
-    size += chunk.length;
-    if (size > most) res.destroy();
-    else chunks.push(chunk);
-  });
-  return (await ended) === 'whole' && size <= most ? Buffer.concat(chunks, size) : undefined;
-};
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -26,6 +26,8 @@
 export interface Attempt {
   upstream: Upstream;
   head: Promise<AttemptAnswer | AttemptFailure>;
+  bodyEnd: Exchange['bodyEnd'];
+  readBody: Exchange['readBody'];
   abort(): void;
   /** Ends the attempt: the upstream's slot counts as free, and its connection is closed. */
   end(): void;
@@ -117,5 +119,6 @@
     exchange.abort();
   };
 
-  return { upstream, head, abort: end, end };
+  const { bodyEnd, readBody } = exchange;
+  return { upstream, head, bodyEnd, readBody, abort: end, end };
 };
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -7,7 +7,6 @@
 import { beginAnswer, endToEnd, hasField } from './deliver.js';
 import { mayHaveRun, notRun, refuse } from './refuse.js';
 import type { CallerRequest, RefusalReason, ServingDeps } from './types.js';
-import { readBody } from '../attempts/exchange.js';
 
 /** An upstream's answer that has been read whole. */
 export interface WholeAnswer {
@@ -63,7 +62,7 @@
 
 /** Reads an answer that is no stream. */
 export const readWhole: TakeAnswer = async (attempt, answer) => {
-  const body = await readBody(answer.res, MAX_ANSWER_BYTES);
+  const body = await attempt.readBody(answer.res, MAX_ANSWER_BYTES);
   if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
   return { outcome: 'whole', status: answer.status, headers: endToEnd(answer.res), body };
 };
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -1,6 +1,5 @@
 /** A stream of events: forwarded as they come, and resumed at another upstream where it may be. */
 
-import { bodyEnd } from '../attempts/exchange.js';
 import { createEventSplitter, isOversized } from '../streams/events.js';
 import type { StreamEvent } from '../streams/events.js';
 import type { Attempt, AttemptAnswer } from './attempt.js';
@@ -92,9 +91,13 @@
   };
 
   /** Passes a stream's events on; the fault that ended it, or undefined when it is whole. */
-  const pipe = async (answer: AttemptAnswer, sentAt: number): Promise<string | undefined> => {
+  const pipe = async (
+    attempt: Attempt,
+    answer: AttemptAnswer,
+    sentAt: number,
+  ): Promise<string | undefined> => {
     const splitter = createEventSplitter();
-    const ended = bodyEnd(answer.res);
+    const ended = attempt.bodyEnd(answer.res);
     let fault: string | undefined;
     const breakOff = (why: string): void => {
       fault ??= why;
@@ -115,7 +118,7 @@
 
   return rounds.run(async (attempt, answer, sentAt): Promise<RoundOutcome> => {
     if (!isStreamAnswer(answer)) return readWhole(attempt, answer, sentAt);
-    const fault = await pipe(answer, sentAt);
+    const fault = await pipe(attempt, answer, sentAt);
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
     return { outcome: 'streamed' };
   });
--- /dev/null
+++ b/packages/gateway/test/exchange.test.ts
@@ -0,0 +1,101 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { expect } from 'chai';
+import { systemClock } from '@plantaindrum/common';
+import { startExchange } from '../src/attempts/exchange.js';
+import type { Exchange, HeadOutcome } from '../src/attempts/exchange.js';
+
+/** A server that does as told with each connection, once a request's head has come. */
+const serveOnce = async (act: (socket: Socket) => void): Promise<{ server: Server; port: number }> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => act(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { server, port: (server.address() as AddressInfo).port };
+};
+
+const ask = (port: number, connectMs = 1_000): Exchange =>
+  startExchange(
+    {
+      host: '127.0.0.1',
+      port,
+      method: 'GET',
+      path: '/a',
+      headers: ['Host', 'h', 'Connection', 'close'],
+      body: new Uint8Array(),
+      connectMs,
+    },
+    systemClock,
+  );
+
+const resOf = (head: HeadOutcome) => {
+  if (head.outcome !== 'head') throw new Error(`no head: ${JSON.stringify(head)}`);
+  return head.res;
+};
+
+const read = async (act: (socket: Socket) => void): Promise<string | undefined> => {
+  const { server, port } = await serveOnce(act);
+  const exchange = ask(port);
+  const body = await exchange.readBody(resOf(await exchange.head), 1_000);
+  exchange.abort();
+  server.close();
+  return body && Buffer.from(body).toString();
+};
+
+const HEAD_WITHOUT_LENGTH = 'HTTP/1.1 200 OK\r\n\r\n';
+
+describe('exchange', () => {
+  it('takes a body without a length that ends with its connection', async () => {
+    const body = await read((socket) => socket.end(`${HEAD_WITHOUT_LENGTH}whole`));
+    expect(body).to.equal('whole');
+  });
+
+  // The caller would get a short body that looks complete. An upstream sends an answer without a
+  // length, crashes in its middle, and its connection is reset. Node's parser ends the message on the
+  // reset as it does on a clean end, and marks it as complete.
+  it('does not take a body without a length whose connection is reset', async () => {
+    const body = await read((socket) => {
+      socket.write(`${HEAD_WITHOUT_LENGTH}cut`, () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+    expect(body).to.equal(undefined);
+  });
+
+  it('does not take a body that is shorter than its length', async () => {
+    const body = await read((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'),
+    );
+    expect(body).to.equal(undefined);
+  });
+
+  // The caller may be told that nothing ran: the port has no listener, so no byte of the request
+  // can have reached an upstream.
+  it('says that nothing was sent when no connection came about', async () => {
+    const { server, port } = await serveOnce(() => {});
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    const head = await ask(port).head;
+    expect(head).to.deep.equal({ outcome: 'not-sent', why: 'ECONNREFUSED' });
+  });
+
+  // The caller must not be told that nothing ran: the upstream has read the request, and its
+  // connection is reset before any answer.
+  it('says that the outcome is unknown when the connection is reset after the request', async () => {
+    const { server, port } = await serveOnce((socket) => socket.resetAndDestroy());
+    const head = await ask(port).head;
+    server.close();
+    expect(head.outcome).to.equal('unknown');
+  });
+
+  it('treats bytes that are no answer as an unknown outcome', async () => {
+    const { server, port } = await serveOnce((socket) => socket.end('nonsense\r\n\r\n'));
+    const head = await ask(port).head;
+    server.close();
+    expect(head.outcome).to.equal('unknown');
+  });
+});
