Plans end where a copy costs more than it brings; a silent rank is reached at its engine's own address

A coordinator that took over never heard of a rank whose agent was silent. Change: the best prefix of a plan's edits under a price for each copy; engine finder.

--- a/packages/rank-groups/src/index.ts
+++ b/packages/rank-groups/src/index.ts
@@ -3,6 +3,7 @@
 export * from './change/settle.js';
 export * from './change/switch-map.js';
 export * from './change/versions.js';
+export * from './engine-finder.js';
 export * from './member.js';
 export * from './plan/plan.js';
 export * from './plan/popularity.js';
--- a/packages/rank-groups/src/plan/plan.ts
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -25,13 +25,9 @@
   gainPerCopy: number;
 }
 
-/**
- * From counts of a played day with a shift every 3.7 s: changes for less than 0.06 double the
- * experts copied and leave the load where it is; a higher price halves the copies for 0.02 of load.
- */
 const PRICES: Readonly<Record<Weighs, Price>> = {
-  skew: { leastGain: 0.07, gainPerCopy: 0.02 },
-  'rebalancing-cost': { leastGain: 0.15, gainPerCopy: 0.06 },
+  skew: { leastGain: 0.1, gainPerCopy: 0.15 },
+  'rebalancing-cost': { leastGain: 0.2, gainPerCopy: 0.4 },
 };
 
 /**
@@ -72,21 +68,31 @@
       Math.min(shape.spare - set.added(rank), COPIES_PER_CHANGE - addedBy(sets, rank)),
   };
 
+  const copiesByRank = (): number[] =>
+    Array.from({ length: rankCount }, (_, rank) => addedBy(sets, rank));
+  const mark = (): MapPlan => {
+    const byRank = copiesByRank();
+    const copies = byRank.reduce((sum, n) => sum + n, 0);
+    const after = mean(sets.map((set) => set.highest()));
+    const placement = sets.map((set) => set.snapshot());
+    return { placement, before, after, copies, mostCopies: Math.max(...byRank) };
+  };
+  const worth = ({ after, copies }: MapPlan): number =>
+    before - after - (price.gainPerCopy * copies) / Math.max(1, rankCount);
+
+  // The last edits of a plan bring least; the plan ends where one costs more than it brings.
+  let best: MapPlan | undefined;
   const done = new Set<SetPlacement>();
   for (let edits = 0; edits < EDITS_PER_RANK * rankCount; edits += 1) {
     const open = sets.filter((set) => !done.has(set) && set.highest() > EVEN_ENOUGH);
     const worst = open.sort((a, b) => b.highest() - a.highest())[0];
     if (!worst) break;
     const edit = bestEdit(worst, limits);
-    if (edit) applyEdit(worst, edit);
-    else done.add(worst);
+    if (edit) {
+      applyEdit(worst, edit);
+      const plan = mark();
+      if (worth(plan) > (best ? worth(best) : 0)) best = plan;
+    } else done.add(worst);
   }
-
-  const after = mean(sets.map((set) => set.highest()));
-  const byRank = Array.from({ length: rankCount }, (_, rank) => addedBy(sets, rank));
-  const copies = byRank.reduce((sum, n) => sum + n, 0);
-  const needed = Math.max(price.leastGain, (price.gainPerCopy * copies) / Math.max(1, rankCount));
-  if (before - after < needed) return undefined;
-  const placement = sets.map((set) => set.snapshot());
-  return { placement, before, after, copies, mostCopies: Math.max(...byRank) };
+  return best && best.before - best.after >= price.leastGain ? best : undefined;
 };
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -7,6 +7,8 @@
 import type { GroupPort } from './change/group-port.js';
 import { createCoordinator } from './coordinator.js';
 import type { Coordinator } from './coordinator.js';
+import { createEngineFinder } from './engine-finder.js';
+import type { EngineFinderOptions } from './engine-finder.js';
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { readOutcome, readPlacement, readReport } from './links/shapes.js';
@@ -23,6 +25,8 @@
   openEngine: (host: string, port: number) => RankEngine;
   /** The group's shape from the operators' intent; undefined while it isn't known. */
   readShape: () => Promise<GroupShape | undefined>;
+  /** Engines of the group's service as the platform lists them. */
+  listEngines: EngineFinderOptions['list'];
   weighs: Weighs;
   nodes: KeyedTopic;
   publish: PublishNode;
@@ -106,13 +110,11 @@
   };
   void keepLinks();
 
-  /** A rank whose agent is not linked is reached at its engine, as the agent published it. */
-  const direct = (rank: number): RankEngine | undefined => {
-    const record = [...nodes.values()].find(
-      ({ group }) => group?.name === place?.name && group?.rank === rank,
-    );
-    return record?.group && openEngine(record.group.engineHost, record.group.enginePort);
-  };
+  // A rank whose agent is not linked is reached at its engine's own address: the one that its agent
+  // uses belongs to the agent's VM, which may be frozen or gone while the engine runs on.
+  const finder = createEngineFinder({ list: options.listEngines, open: openEngine, clock, log });
+  const direct = async (rank: number): Promise<RankEngine | undefined> =>
+    place && finder.find(place.name, rank);
 
   const ask = async (rank: number, method: string, args: unknown): Promise<unknown> => {
     const reply = await linked.toRank(rank)?.call(method, args, CALL_MS);
@@ -127,25 +129,26 @@
     report: async (rank) => {
       if (isOwn(rank)) return member.report();
       if (linked.toRank(rank)) return readReport(await ask(rank, 'rank.report', {}));
-      return direct(rank)?.report();
+      return (await direct(rank))?.report();
     },
     order: async (rank, order) => {
       if (isOwn(rank)) return member.order(order);
       if (linked.toRank(rank)) return readOutcome(await ask(rank, 'rank.order', order));
-      return (await direct(rank)?.order(order)) ?? 'no-answer';
+      return (await (await direct(rank))?.order(order)) ?? 'no-answer';
     },
   };
 
   const placementOf: Parameters<typeof createCoordinator>[0]['placementOf'] = async (rank) => {
     if (isOwn(rank)) return member.placement();
     if (linked.toRank(rank)) return readPlacement(await ask(rank, 'rank.placement', {}));
-    return direct(rank)?.placement();
+    return (await direct(rank))?.placement();
   };
 
   const awaitShape = async (): Promise<void> => {
     while (!stopped) {
       const shape = place && (await options.readShape());
       if (shape && place && shape.sets > 0) {
+        await finder.prepare();
         coordinator = createCoordinator({
           port,
           ownRank: place.rank,
