Settling and aborting share one way to withdraw a held pass; model of the change with every fault

Cause: enumerating faults over a model of the ranks showed a pass held for good: a dead coordinator's hold, and all ranks armed by another for a later pass; withdrawing was refused by ranks that are armed. The abort of a change looped without a pause in the same state. Change: withdrawPass leaves ranks alone that are armed for another pass, and both callers use it.

--- a/packages/rank-groups/src/change/settle.ts
+++ b/packages/rank-groups/src/change/settle.ts
@@ -3,8 +3,8 @@
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import type { Placement, RankReport } from '../types.js';
 import type { GroupPort } from './group-port.js';
-import { allRanks, freshReports, insist, insistAll } from './group-port.js';
-import { nextVersion, versionsOf } from './versions.js';
+import { freshReports, insist, insistAll } from './group-port.js';
+import { withdrawPass } from './withdraw.js';
 
 /** How a held pass was settled. */
 export type SettleOutcome = 'completed' | 'withdrawn' | 'nothing-held' | 'unreachable';
@@ -17,13 +17,13 @@
   log: EventLog;
 }
 
-interface HeldPass {
+interface FoundHold {
   rank: number;
   step: number;
 }
 
 /** The held pass that comes first; the others can't be reached before it. */
-const firstHeld = (reports: readonly RankReport[]): HeldPass | undefined =>
+const firstHeld = (reports: readonly RankReport[]): FoundHold | undefined =>
   reports
     .flatMap(({ rank, held }) => (held === undefined ? [] : [{ rank, step: held }]))
     .sort((a, b) => a.step - b.step)[0];
@@ -54,7 +54,7 @@
   current: Placement | undefined,
   options: SettleOptions,
 ): Promise<SettleOutcome> => {
-  const { port, clock, random, log } = options;
+  const { port, clock, log } = options;
   const reports = await freshReports(port, epoch);
   if (!reports) return 'unreachable';
   const held = firstHeld(reports);
@@ -83,16 +83,8 @@
     return 'withdrawn';
   }
   if (!current) return 'unreachable';
-  for (const rank of allRanks(port)) {
-    const armed = reports[rank]?.armed;
-    if (armed?.step === held.step) {
-      await insist(port, clock, rank, { op: 'disarm', epoch, version: armed.version });
-    }
-  }
-  const newer = nextVersion(Math.max(...reports.map(versionsOf)), random);
-  const supersede = { op: 'prepare', epoch, version: newer, placement: current } as const;
-  const outcomes = await insistAll(port, clock, supersede);
-  if (!outcomes.every((outcome) => outcome === 'done')) return 'unreachable';
+  const isSafe = await withdrawPass({ epoch, step: held.step, current }, options);
+  if (!isSafe) return 'unreachable';
   await go();
   return 'withdrawn';
 };
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -26,8 +26,8 @@
 import { sleep } from '@plantaindrum/common';
 import type { Placement } from '../types.js';
 import type { GroupPort } from './group-port.js';
-import { freshReports, insist, insistAll } from './group-port.js';
-import { nextVersion } from './versions.js';
+import { insist, insistAll } from './group-port.js';
+import { withdrawPass } from './withdraw.js';
 
 /** How a change ended. */
 export type SwitchOutcome = 'switched' | 'not-prepared' | 'not-held' | 'aborted' | 'group-formed-anew';
@@ -61,6 +61,8 @@
 const HOLD_TRIES = 3;
 /** Time beyond the copying until a change that isn't prepared is given up, in ms. */
 const PREPARE_SLACK_MS = 700;
+/** Pause between two tries to withdraw a change while a rank can't be reached, in ms. */
+const WITHDRAW_AGAIN_MS = 40;
 /** How often the ranks' reports are looked at while they copy, in ms. */
 const LOOK_MS = 10;
 
@@ -76,7 +78,7 @@
 
 /** Creates the way a coordinator changes its group's map. */
 export const createMapSwitch = (options: SwitchOptions) => {
-  const { port, ownRank, isPrepared, clock, random, log } = options;
+  const { port, ownRank, isPrepared, clock, log } = options;
   const heldStep = createHeldSteps();
 
   const isAnew = (epoch: number): boolean => port.epoch() !== epoch;
@@ -108,25 +110,17 @@
     return undefined;
   };
 
-  /**
-   * Gives a change up whose pass is held: takes the arms back, then makes late ones impossible by
-   * preparing a newer version, and only then lets the pass begin.
-   */
+  /** Gives a change up whose pass is held, and lets the pass begin with the map in use. */
   const abort = async (change: MapChange, step: number): Promise<SwitchOutcome> => {
-    const { epoch, version, current } = change;
-    await insistAll(port, clock, { op: 'disarm', epoch, version });
-    for (let newer = version; !isAnew(epoch); ) {
-      newer = nextVersion(newer, random);
-      const supersede = { op: 'prepare', epoch, version: newer, placement: current } as const;
-      const outcomes = await insistAll(port, clock, supersede);
-      if (outcomes.every((outcome) => outcome === 'done')) break;
-      const reports = await freshReports(port, epoch);
-      const isHarmless = reports?.every(({ prepared, armed }) => prepared !== version && !armed);
-      if (isHarmless) break;
-      await insistAll(port, clock, { op: 'disarm', epoch, version });
+    const { epoch, current } = change;
+    while (!isAnew(epoch)) {
+      if (await withdrawPass({ epoch, step, current }, options)) {
+        await insist(port, clock, ownRank, { op: 'go', epoch, step });
+        return 'aborted';
+      }
+      await sleep(clock, WITHDRAW_AGAIN_MS);
     }
-    await insist(port, clock, ownRank, { op: 'go', epoch, step });
-    return isAnew(epoch) ? 'group-formed-anew' : 'aborted';
+    return 'group-formed-anew';
   };
 
   const armAndGo = async (change: MapChange, step: number): Promise<SwitchOutcome> => {
--- /dev/null
+++ b/packages/rank-groups/test/fakes/fake-ranks.ts
@@ -0,0 +1,138 @@
+/** A group of ranks that takes orders as the users' engines do, on a clock that tests drive. */
+
+import type { ManualClock } from '@plantaindrum/common';
+import type { GroupPort, OrderOutcome, RankOrder, RankReport } from '../../src/index.js';
+
+/** What becomes of one order on its way. */
+export type Fate = 'answered' | 'lost' | 'unanswered' | 'late';
+
+interface FakeRank {
+  map: number;
+  prepared: number | undefined;
+  highest: number;
+  armed: { version: number; step: number } | undefined;
+  held: number | undefined;
+}
+
+/** Options of `createFakeRanks`. */
+export interface FakeRanksOptions {
+  size: number;
+  clock: ManualClock;
+  /** Fate of the n-th order of all. */
+  fate: (n: number) => Fate;
+  /** How much later a late order is carried out, in ms. */
+  lateMs: number;
+}
+
+/** The fake group. */
+export interface FakeRanks {
+  /** A port for one coordinator; `isAlive` false: its orders go nowhere and nothing comes back. */
+  port(isAlive: () => boolean): GroupPort;
+  report(rank: number): RankReport;
+  /** Begins the next pass unless a rank holds it. */
+  pass(): void;
+  step(): number;
+  /** Passes at whose begin two ranks had different maps. */
+  mixed(): number[];
+  /** The group forms anew: another epoch, map 0, nothing prepared. */
+  formAnew(): void;
+  orders(): number;
+}
+
+const fresh = (): FakeRank => ({
+  map: 0,
+  prepared: undefined,
+  highest: 0,
+  armed: undefined,
+  held: undefined,
+});
+
+/** Creates the fake group, open and with map 0. */
+export const createFakeRanks = ({ size, clock, fate, lateMs }: FakeRanksOptions): FakeRanks => {
+  let ranks = Array.from({ length: size }, fresh);
+  let epoch = 1;
+  let step = 10;
+  let orders = 0;
+  const mixed: number[] = [];
+
+  const prepare = (rank: FakeRank, version: number): OrderOutcome => {
+    if (rank.prepared === version || rank.map === version) return 'done';
+    if (rank.armed || version <= rank.highest) return 'refused';
+    Object.assign(rank, { prepared: version, highest: version });
+    return 'done';
+  };
+
+  const apply = (at: number, order: RankOrder): OrderOutcome => {
+    const rank = ranks[at];
+    if (!rank || order.epoch !== epoch) return 'refused';
+    if (order.op === 'prepare') return prepare(rank, order.version);
+    if (order.op === 'disarm') {
+      if (rank.map === order.version) return 'refused';
+      if (rank.armed?.version === order.version) rank.armed = undefined;
+      return 'done';
+    }
+    if (order.op === 'go') {
+      if (rank.held === order.step) rank.held = undefined;
+      return 'done';
+    }
+    if (order.step <= step) return 'refused';
+    if (order.op === 'hold') {
+      if (rank.held !== undefined && rank.held !== order.step) return 'refused';
+      rank.held = order.step;
+      return 'done';
+    }
+    if (rank.prepared !== order.version) return 'refused';
+    rank.armed = { version: order.version, step: order.step };
+    return 'done';
+  };
+
+  const report = (at: number): RankReport => {
+    const rank = ranks[at] ?? fresh();
+    const { map, prepared, armed, held } = rank;
+    return { group: 'g', epoch, rank: at, size, isOpen: true, step, map, prepared, armed, held };
+  };
+
+  const order = async (at: number, given: RankOrder): Promise<OrderOutcome> => {
+    orders += 1;
+    const what = fate(orders);
+    if (what === 'lost') return 'no-answer';
+    if (what === 'late') {
+      clock.after(lateMs, () => apply(at, given));
+      return 'no-answer';
+    }
+    const outcome = apply(at, given);
+    return what === 'answered' ? outcome : 'no-answer';
+  };
+
+  const never = <T>(): Promise<T> => new Promise<T>(() => {});
+
+  return {
+    port: (isAlive) => ({
+      size: () => size,
+      epoch: () => epoch,
+      report: async (rank) => (isAlive() ? report(rank) : never()),
+      order: async (rank, given) => {
+        if (!isAlive()) return never();
+        const outcome = await order(rank, given);
+        return isAlive() ? outcome : never();
+      },
+    }),
+    report,
+    pass: () => {
+      if (ranks.some(({ held }) => held === step + 1)) return;
+      step += 1;
+      ranks.forEach((rank) => {
+        if (rank.armed?.step !== step) return;
+        Object.assign(rank, { map: rank.armed.version, armed: undefined, prepared: undefined });
+      });
+      if (new Set(ranks.map(({ map }) => map)).size > 1) mixed.push(step);
+    },
+    step: () => step,
+    mixed: () => mixed,
+    formAnew: () => {
+      ranks = ranks.map(fresh);
+      epoch += 1;
+    },
+    orders: () => orders,
+  };
+};
