--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -44,7 +44,7 @@
 /** Agents come and go seldom; the list is read again after each change, but not more often. */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
 /** A call to another agent, in ms: the link and its engine take some ten. */
-const CALL_MS = 150;
+const CALL_MS = 110;
 /** How often links follow what is known of the nodes, in ms. */
 const LINKS_MS = 250;
 /** How often the shape is asked for until it is known, in ms. */
