--- a/packages/rank-groups/src/plan/plan.ts
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -26,8 +26,8 @@
 }
 
 const PRICES: Readonly<Record<Weighs, Price>> = {
-  skew: { leastGain: 0.1, gainPerCopy: 0.15 },
-  'rebalancing-cost': { leastGain: 0.2, gainPerCopy: 0.4 },
+  skew: { leastGain: 0.12, gainPerCopy: 0.3 },
+  'rebalancing-cost': { leastGain: 0.2, gainPerCopy: 0.6 },
 };
 
 /**
