--- /dev/null
+++ b/packages/mirror/test/follow.test.ts
@@ -0,0 +1,157 @@
+import { expect } from 'chai';
+import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
+import { createKeyedMirror, followTopic } from '../src/index.js';
+import type { KeyedRecord, KeyedTopic, LogReadOutcome, PeerRecords } from '../src/index.js';
+
+const record = (key: string, offset: number, value: string): KeyedRecord => ({
+  key,
+  offset,
+  value: Buffer.from(value),
+});
+
+/** A log that tests fill, cut off and shorten. */
+const createFakeLog = () => {
+  const records: KeyedRecord[] = [];
+  let first = 0;
+  let mode: 'up' | 'refusing' | 'silent' = 'up';
+  let reads = 0;
+  const answer = async <T>(value: () => T): Promise<T | { outcome: 'failed'; why: 'refused' }> => {
+    reads += 1;
+    if (mode === 'silent') return new Promise(() => {});
+    return mode === 'refusing' ? { outcome: 'failed', why: 'refused' } : value();
+  };
+  const read = (from: number): LogReadOutcome =>
+    from < first
+      ? { outcome: 'expired' }
+      : { outcome: 'records', records: records.slice(from), end: records.length };
+  const topic: KeyedTopic = {
+    name: 't',
+    read: (from) => answer(() => read(from)),
+    newest: () =>
+      answer(() => ({
+        outcome: 'items' as const,
+        items: [...new Map(records.map((r) => [r.key, r])).values()].flatMap((r) =>
+          r.value ? [{ ...r, value: r.value }] : [],
+        ),
+        hasMore: false,
+        end: records.length,
+      })),
+  };
+  return {
+    topic,
+    add: (key: string, value: string) => records.push(record(key, records.length, value)),
+    set: (next: typeof mode) => {
+      mode = next;
+    },
+    forget: () => {
+      first = records.length;
+    },
+    reads: () => reads,
+  };
+};
+
+const start = async (peer?: () => PeerRecords | undefined) => {
+  const clock = createManualClock();
+  const log = createFakeLog();
+  const mirror = createKeyedMirror(() => {});
+  const follower = followTopic({
+    topic: log.topic,
+    mirror,
+    askPeers: async () => peer?.(),
+    waitMs: 0,
+    pauseMs: 100,
+    clock,
+    metrics: createMetrics(),
+    log: silentEventLog,
+  });
+  const value = (): string | undefined => {
+    const item = mirror.items().find(({ key }) => key === 'k');
+    return item && Buffer.from(item.value).toString();
+  };
+  // The first read begins with the follower; its answer is there after a turn of the event loop.
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  return { clock, log, mirror, follower, value };
+};
+
+describe('following a topic', () => {
+  it('reads the newest values first and then what is added', async () => {
+    const { clock, log, follower, value } = await start();
+    log.add('k', '1');
+    await clock.advance(150);
+    expect(value()).to.equal('1');
+    log.add('k', '2');
+    await clock.advance(150);
+    expect(value()).to.equal('2');
+    expect(follower.age()).to.be.below(151);
+    follower.close();
+  });
+
+  // An operator's change would be missed for good: the records between the mirror and the log's
+  // first one are gone. The newest values are read again.
+  it('reads the newest values again when history is gone', async () => {
+    const { clock, log, follower, value } = await start();
+    log.add('k', '1');
+    await clock.advance(150);
+    log.set('refusing');
+    await clock.advance(300);
+    log.add('x', '1');
+    log.add('k', '2');
+    log.forget();
+    log.set('up');
+    await clock.advance(2_000);
+    expect(value()).to.equal('2');
+    follower.close();
+  });
+
+  // The store turns this node away and serves the others. A key that was taken away would still be
+  // served here; a peer that hears the store passes the change on.
+  it('learns from a peer while the log refuses', async () => {
+    let peer: PeerRecords | undefined;
+    const { clock, log, follower, value } = await start(() => peer);
+    log.add('k', '1');
+    await clock.advance(150);
+    log.set('refusing');
+    await clock.advance(300);
+    peer = { records: [record('k', 1, '2')], end: 2, ageMs: 40 };
+    await clock.advance(600);
+    expect(value()).to.equal('2');
+    expect(follower.age()).to.be.below(400);
+    expect(follower.logAge()).to.be.above(500);
+    follower.close();
+  });
+
+  // The same when the store accepts the call and never answers.
+  it('learns from a peer while the log is silent', async () => {
+    const peer: PeerRecords = { records: [record('k', 1, '2')], end: 2, ageMs: 0 };
+    const { clock, log, follower, value } = await start(() => peer);
+    log.add('k', '1');
+    await clock.advance(50);
+    log.set('silent');
+    await clock.advance(1_500);
+    expect(value()).to.equal('2');
+    follower.close();
+  });
+
+  // A peer that is cut off as well confirms nothing, or two of them would keep each other in the
+  // belief that what they hold is current.
+  it('does not grow younger by a peer that is as old', async () => {
+    const peer: PeerRecords = { records: [], end: 1, ageMs: 10_000 };
+    const { clock, log, follower } = await start(() => peer);
+    log.add('k', '1');
+    await clock.advance(50);
+    log.set('refusing');
+    await clock.advance(3_000);
+    expect(follower.age()).to.be.above(2_500);
+    follower.close();
+  });
+
+  it('asks a log that refuses less and less often', async () => {
+    const { clock, log, follower } = await start();
+    log.set('refusing');
+    await clock.advance(10_000);
+    expect(log.reads()).to.be.below(16);
+    follower.close();
+  });
+});
