--- /dev/null
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -0,0 +1,201 @@
+/** A small stand-in of the users' model server: one rank that takes orders and answers requests. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+/** State of the rank that the stand-in plays. */
+export interface RankState {
+  epoch: number;
+  step: number;
+  map: number;
+  prepared: number | null;
+  armed: { version: number; step: number } | null;
+  held: number | null;
+  experts: number[][];
+  preparedExperts: number[][];
+  counts: number[];
+}
+
+/** Ranks of one group, which step together. */
+export interface GroupStandIn {
+  size: number;
+  ranks: RankState[];
+  /** Begins the next pass unless a rank holds it; each rank picks experts by `picks`. */
+  pass(): void;
+  /** Passes that began with different maps. */
+  mixed(): number;
+}
+
+/** Options of `createGroup`. */
+export interface GroupOptions {
+  size: number;
+  sets: number;
+  experts: number;
+  /** Picks of each expert that one rank makes in a pass, set by set. */
+  picks: () => number[];
+}
+
+/** Creates a group with map 0: experts in turn. */
+export const createGroup = ({ size, sets, experts, picks }: GroupOptions): GroupStandIn => {
+  const inTurn = (rank: number): number[] =>
+    Array.from({ length: experts }, (_, expert) => expert).filter((e) => e % size === rank);
+  const ranks = Array.from({ length: size }, (_, rank): RankState => ({
+    epoch: 1,
+    step: 0,
+    map: 0,
+    prepared: null,
+    armed: null,
+    held: null,
+    experts: Array.from({ length: sets }, () => inTurn(rank)),
+    preparedExperts: [],
+    counts: new Array<number>(sets * experts).fill(0),
+  }));
+  let mixed = 0;
+
+  const begin = (rank: RankState, step: number): void => {
+    const { armed, preparedExperts } = rank;
+    const changes =
+      armed?.step === step
+        ? { map: armed.version, experts: preparedExperts, armed: null, prepared: null }
+        : {};
+    const chosen = picks();
+    const counts = rank.counts.map((n, at) => n + (chosen[at] ?? 0));
+    Object.assign(rank, changes, { step, counts });
+  };
+
+  return {
+    size,
+    ranks,
+    pass: () => {
+      const next = (ranks[0]?.step ?? 0) + 1;
+      if (ranks.some(({ held }) => held === next)) return;
+      ranks.forEach((rank) => begin(rank, next));
+      if (new Set(ranks.map(({ map }) => map)).size > 1) mixed += 1;
+    },
+    mixed: () => mixed,
+  };
+};
+
+interface Order {
+  op: string;
+  epoch?: number;
+  version: number;
+  step: number;
+  map: number[][][];
+}
+
+const carryOut = (state: RankState, rank: number, order: Order): number => {
+  if (order.epoch !== undefined && order.epoch !== state.epoch) return 409;
+  switch (order.op) {
+    case 'prepare': {
+      if (state.prepared === order.version) return 200;
+      if (state.armed || order.version <= Math.max(state.map, state.prepared ?? 0)) return 409;
+      const preparedExperts = order.map.map((ranks) => ranks[rank] ?? []);
+      Object.assign(state, { prepared: order.version, preparedExperts });
+      return 202;
+    }
+    case 'arm':
+      if (state.prepared !== order.version || order.step <= state.step) return 409;
+      Object.assign(state, { armed: { version: order.version, step: order.step } });
+      return 200;
+    case 'disarm':
+      if (state.armed?.version === order.version) Object.assign(state, { armed: null });
+      return 200;
+    case 'hold':
+      if (order.step <= state.step || (state.held ?? order.step) !== order.step) return 409;
+      Object.assign(state, { held: order.step });
+      return 200;
+    case 'go':
+      if (state.held === order.step) Object.assign(state, { held: null });
+      return 200;
+    default:
+      return 400;
+  }
+};
+
+const readBody = async (req: IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
+  return Buffer.concat(chunks).toString();
+};
+
+/** A running server. */
+export interface ServerStandIn {
+  /** Ids of the requests that ran. */
+  ran: string[];
+  /** Headers of the last request. */
+  lastHeaders(): IncomingMessage['headers'];
+  close(): Promise<void>;
+}
+
+/** Starts a server; with a group it is that rank, without one it is a plain service. */
+export const startServerStandIn = async (
+  listen: { host: string; port: number },
+  instance: string,
+  group?: { group: GroupStandIn; rank: number },
+): Promise<ServerStandIn> => {
+  const ran: string[] = [];
+  let lastHeaders: IncomingMessage['headers'] = {};
+  const state = group?.group.ranks[group.rank];
+
+  const reply = (res: ServerResponse, status: number, value?: unknown): void => {
+    res.writeHead(status, { 'Content-Type': 'application/json' });
+    res.end(value === undefined ? '' : JSON.stringify(value));
+  };
+
+  const report = (): unknown => {
+    const { epoch, step, map, prepared, armed, held } = state ?? {};
+    const place = { name: 'g', epoch, rank: group?.rank, state: 'open' };
+    return { group: place, size: group?.group.size, step, map, prepared, armed, held };
+  };
+
+  const picked = (isLists: boolean): unknown =>
+    isLists
+      ? { epoch: state?.epoch, map: { version: state?.map, experts: state?.experts } }
+      : { step: state?.step, epoch: state?.epoch, counts: state?.counts };
+
+  const run = (req: IncomingMessage, res: ServerResponse): void => {
+    const id = String(req.headers['x-request-id']);
+    lastHeaders = req.headers;
+    if (req.headers['x-expect-instance'] !== instance) {
+      res.writeHead(421, { 'X-Instance-Id': instance }).end();
+      return;
+    }
+    ran.push(id);
+    const sound = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}` };
+    if (!group) {
+      res.writeHead(200, { ...sound, 'X-Server-Load': '1,0,6' }).end('done');
+      return;
+    }
+    res.writeHead(200, { ...sound, 'Content-Type': 'text/event-stream' });
+    [1, 2, 3].forEach((event) => res.write(`id: ${event}\ndata: t\n\n`));
+    res.end();
+  };
+
+  const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const body = await readBody(req);
+    const url = new URL(req.url ?? '/', 'http://server');
+    if (!url.pathname.startsWith('/plantaindrum/')) run(req, res);
+    else if (!state || !group) reply(res, 404);
+    else if (url.pathname === '/plantaindrum/report') reply(res, 200, report());
+    else if (url.pathname === '/plantaindrum/picked') {
+      reply(res, 200, picked(url.searchParams.has('lists')));
+    } else reply(res, carryOut(state, group.rank, JSON.parse(body) as Order));
+  };
+
+  const server: Server = createServer((req, res) => {
+    void serve(req, res);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(listen.port, listen.host, resolve);
+  });
+  return {
+    ran,
+    lastHeaders: () => lastHeaders,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
