--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,7 @@
 /** The entry before upstreams that are reached directly: what it follows, serves and stops. */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
-import {
-  createKeyedMirror,
-  createPublisher,
-  decodeNode,
-  followTopic,
-} from '@plantaindrum/mirror';
+import { createKeyedMirror, createPublisher, decodeNode, followTopic } from '@plantaindrum/mirror';
 import type {
   Follower,
   KeyedMirror,
@@ -213,8 +208,7 @@
   });
   const publisher = createPublisher({ record: self, publish: options.publish, clock, log });
 
-  const isReady = (): boolean =>
-    !isStopping && table !== undefined && upstreamMirror.end() >= 0;
+  const isReady = (): boolean => !isStopping && table !== undefined && upstreamMirror.end() >= 0;
   const readiness = await createReadinessDoor(
     options.addresses.readiness,
     options.addresses.metrics.path,
--- a/packages/gateway/src/intent/route-table.ts
+++ b/packages/gateway/src/intent/route-table.ts
@@ -20,9 +20,7 @@
     if (routes) routes.push(route);
     else byHost.set(host, [route]);
   }
-  byHost.forEach((routes) =>
-    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
-  );
+  byHost.forEach((routes) => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
   const services = new Map(intent.services.map((service) => [service.name, service]));
   const organisations = new Map(
     (intent.organisations ?? []).flatMap((organisation) =>
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -2,15 +2,11 @@
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { silentLogger } from '@plantaindrum/common';
-import {
-  createLinkClient,
-  createLinkServer,
-  defaultLinkLimits,
-} from '@plantaindrum/link';
+import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
-import type { ListenAddress } from '../door.js';
 import { isObject } from '@plantaindrum/mirror';
 import type { KeyedRecord, NodeRecord, PeerRecords } from '@plantaindrum/mirror';
+import type { ListenAddress } from '../door.js';
 
 /** Requests of an entry at each upstream, by the upstream's instance. */
 export type LoadShare = Readonly<Record<string, number>>;
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -58,7 +58,9 @@
     return;
   }
   const headers: Record<string, string> = { 'Content-Type': 'text/plain' };
-  if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
+  if (retryAfterMs !== undefined) {
+    headers['Retry-After'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
+  }
   if (deps.isStopping()) headers.Connection = 'close';
   const body = `${reason}\n`;
   res.writeHead(status, { ...headers, 'Content-Length': String(body.length) });
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -59,7 +59,9 @@
     }
     const settled: UpstreamRecord = { ...record, state: isLeaving ? 'draining' : record.state };
     lapsed.delete(record.instance);
-    if (!known) log.event('upstream-listed', { upstream: record.instance, service: record.service });
+    if (!known) {
+      log.event('upstream-listed', { upstream: record.instance, service: record.service });
+    }
     const upstream = known ?? createUpstream(settled, clock);
     upstream.update(settled);
     listed.set(record.instance, upstream);
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -6,7 +6,9 @@
 import type { Exchange, HeadOutcome } from '../src/attempts/exchange.js';
 
 /** A server that does as told with each connection, once a request's head has come. */
-const serveOnce = async (act: (socket: Socket) => void): Promise<{ server: Server; port: number }> => {
+const serveOnce = async (
+  act: (socket: Socket) => void,
+): Promise<{ server: Server; port: number }> => {
   const server = createServer((socket) => {
     socket.on('error', () => {});
     socket.once('data', () => act(socket));
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -127,7 +127,8 @@
   // An answer that another request was due: an upstream sends it late, on the connection on which
   // this one waits. The caller must not see it.
   it('does not pass on the answer to another request', async () => {
-    const crossed: Act = (_, res) => res.writeHead(200, { 'x-id': 'other', 'x-receipt': 'r' }).end('x');
+    const crossed: Act = (_, res) =>
+      res.writeHead(200, { 'x-id': 'other', 'x-receipt': 'r' }).end('x');
     await withEntry([crossed], { route: unsafe }, async (entry) => {
       const answer = await entry.ask({}, '/p/x', 'a');
       expect(answer.status).to.equal(502);
@@ -136,7 +137,8 @@
   });
 
   it('does not take a success without a receipt', async () => {
-    const bare: Act = (req, res) => res.writeHead(200, { 'x-id': String(req.headers['x-id']) }).end();
+    const bare: Act = (req, res) =>
+      res.writeHead(200, { 'x-id': String(req.headers['x-id']) }).end();
     await withEntry([bare], { route: unsafe }, async (entry) => {
       expect((await entry.ask({}, '/p/x', 'a')).status).to.equal(502);
     });
@@ -178,7 +180,12 @@
     ['without an intent: 503', { withoutIntent: true }, '/p/x', 503],
     ['an unknown path: 404', {}, '/q/x', 404],
     ['an unknown path with an outdated intent: 503', { intentAge: 5_000 }, '/q/x', 503],
-    ['a key that nobody holds: 401', { route: { anonymous: false }, intent: { organisations: [] } }, '/p/x', 401],
+    [
+      'a key that nobody holds: 401',
+      { route: { anonymous: false }, intent: { organisations: [] } },
+      '/p/x',
+      401,
+    ],
     [
       'a key that nobody holds with an outdated intent: 503',
       { route: { anonymous: false }, intent: { organisations: [] }, intentAge: 5_000 },
@@ -238,7 +245,9 @@
       const answer = await entry.ask();
       expect(eventsOf(answer.body)).to.deep.equal([1, 2, 3, 4, 5]);
       expect(answer.isWhole).to.equal(true);
-      const resumed = upstreams.flatMap(({ seen }) => seen.map(({ headers }) => headers['x-after']));
+      const resumed = upstreams.flatMap(({ seen }) =>
+        seen.map(({ headers }) => headers['x-after']),
+      );
       expect(resumed.filter((after) => after !== undefined)).to.deep.equal(['3']);
     });
   });
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -1,7 +1,6 @@
 /** One entry's request handling on loopback, before fake upstreams. */
 
-import { request } from 'node:http';
-import { createServer } from 'node:http';
+import { request, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import {
   createMetrics,
--- a/packages/lab/test/operating-page.test.ts
+++ b/packages/lab/test/operating-page.test.ts
@@ -10,11 +10,14 @@
   'agent',
   'common',
   'experts',
+  'gateway',
   'intent',
   'link',
+  'mirror',
   'plantaindrum',
-  'platform',
+  'rank-groups',
   'requests',
+  'service-clients',
 ];
 const METRIC = /metrics\s*\??\.(?:count|gauge|record)\(\s*'([a-z_]+)'/g;
 
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -37,10 +37,7 @@
 }
 
 /** Records that a peer holds beyond an offset; undefined when no peer answered. */
-export type AskPeers = (
-  topic: string,
-  after: number,
-) => Promise<PeerRecords | undefined>;
+export type AskPeers = (topic: string, after: number) => Promise<PeerRecords | undefined>;
 
 /** Options of `followTopic`. */
 export interface FollowOptions {
--- a/packages/mirror/src/roster.ts
+++ b/packages/mirror/src/roster.ts
@@ -28,7 +28,8 @@
 const decoder = new TextDecoder();
 
 /** A node's record as the bytes that are kept in the log. */
-export const encodeNode = (record: NodeRecord): Uint8Array => encoder.encode(JSON.stringify(record));
+export const encodeNode = (record: NodeRecord): Uint8Array =>
+  encoder.encode(JSON.stringify(record));
 
 const decodePlace = (value: unknown): RankPlace | undefined => {
   if (!isObject(value)) return undefined;
--- a/packages/mirror/test/keyed-mirror.test.ts
+++ b/packages/mirror/test/keyed-mirror.test.ts
@@ -76,7 +76,9 @@
   // log says, and no key ever goes back to an older record.
   it('ends with the newest record of each key in any order of batches', () => {
     const keys = fc.constantFrom('a', 'b', 'c');
-    const log = fc.array(fc.tuple(keys, fc.option(fc.string({ minLength: 1 }), { nil: undefined })));
+    const log = fc.array(
+      fc.tuple(keys, fc.option(fc.string({ minLength: 1 }), { nil: undefined })),
+    );
     fc.assert(
       fc.property(log, fc.array(fc.nat(), { maxLength: 12 }), (entries, cuts) => {
         const records = entries.map(([key, value], offset) => record(key, offset, value));
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -30,7 +30,8 @@
 import { withdrawPass } from './withdraw.js';
 
 /** How a change ended. */
-export type SwitchOutcome = 'switched' | 'not-prepared' | 'not-held' | 'aborted' | 'group-formed-anew';
+export type SwitchOutcome =
+  'switched' | 'not-prepared' | 'not-held' | 'aborted' | 'group-formed-anew';
 
 /** What a change needs. */
 export interface SwitchOptions {
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -111,9 +111,12 @@
     const all = await Promise.all(allRanks(port).map((rank) => options.placementOf(rank)));
     const known = all.flatMap((entry) => (entry?.epoch === epoch ? [entry] : []));
     const [first] = known;
-    const isWhole = known.length === port.size() && known.every((e) => e.version === first?.version);
+    const isWhole =
+      known.length === port.size() && known.every((e) => e.version === first?.version);
     if (!isWhole || !first) return;
-    placement = first.experts.map((_, set) => known.map((entry) => [...(entry.experts[set] ?? [])]));
+    placement = first.experts.map((_, set) =>
+      known.map((entry) => [...(entry.experts[set] ?? [])]),
+    );
     placedEpoch = epoch;
     placedVersion = first.version;
     log.event('map-known', { epoch, version: first.version });
--- a/packages/rank-groups/src/plan/edits.ts
+++ b/packages/rank-groups/src/plan/edits.ts
@@ -73,8 +73,7 @@
   const hot = set.loads.indexOf(set.highest());
   let best: Edit | undefined;
 
-  const copiesOf = (rank: number, expert: number): number =>
-    set.hadBefore(rank, expert) ? 0 : 1;
+  const copiesOf = (rank: number, expert: number): number => (set.hadBefore(rank, expert) ? 0 : 1);
   const hasRoom = (rank: number, copies: number): boolean =>
     copies === 0 || limits.room(rank, set) >= copies;
 
--- a/packages/rank-groups/src/plan/popularity.ts
+++ b/packages/rank-groups/src/plan/popularity.ts
@@ -58,8 +58,7 @@
       // Small pieces are joined until they can tell a shift from chance.
       pending = pending.map((n, at) => n + (picks[at] ?? 0));
       if (!isEnough(pending, PICKS_FOR_SHIFT)) return;
-      const isShift =
-        isEnough(estimate, PICKS_FOR_SHIFT) && difference(pending, estimate) > SHIFT;
+      const isShift = isEnough(estimate, PICKS_FOR_SHIFT) && difference(pending, estimate) > SHIFT;
       pieces = isShift ? 0 : pieces + 1;
       const kept = isShift ? 0 : KEPT;
       estimate = estimate.map((n, at) => n * kept + (pending[at] ?? 0));
--- a/packages/stand-ins/src/users-platform/store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -51,12 +51,15 @@
 
 const parseAppend = (body: Buffer): StoredRecord[] => {
   const records: StoredRecord[] = [];
-  for (let at = 0; at < body.length; ) {
+  for (let at = 0; at < body.length;) {
     const length = body.readUInt32BE(at);
     const start = at + LENGTH_BYTES;
     const keyEnd = start + 1 + (body[start] ?? 0);
     const end = start + length;
-    records.push({ key: body.toString('utf8', start + 1, keyEnd), value: body.subarray(keyEnd, end) });
+    records.push({
+      key: body.toString('utf8', start + 1, keyEnd),
+      value: body.subarray(keyEnd, end),
+    });
     at = end;
   }
   return records;
@@ -165,7 +168,7 @@
     },
     forgetHistory: () => {
       topics.forEach((topic) => {
-        topic.first = topic.records.length;
+        Object.assign(topic, { first: topic.records.length });
       });
     },
     calls: () => calls,
