Answers without a length stay so; replaced and refusing upstreams are not asked again

After a loss of power each request spent the retry budget on old instances (421) and on ranks of a group that forms anew (503). Ruled out: that Node hides a reset: traced, the connection ends cleanly, half-open or not. Change: such an answer ends with its connection at the caller, too; 421 takes an instance out; no retry while most upstreams of a service refuse. Tests: packages/gateway/test/serving.test.ts.

--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -91,6 +91,9 @@
     if (fields.load) upstream.noteLoad(fields.load.running, fields.load.waiting);
     if (fields.notRun || status === 421) {
       res.resume();
+      // Another instance has the address: this one is gone, though its entry stands for seconds yet.
+      if (status === 421) deps.directory.noteReplaced(record.instance);
+      else upstream.noteRefusal();
       return settle({ outcome: 'not-run', why: `status-${status}`, wasSent: true });
     }
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -14,6 +14,8 @@
   status: number;
   headers: string[];
   body: Uint8Array;
+  /** Its end is marked by a length or by chunks, and not by the end of its connection alone. */
+  isFramed: boolean;
 }
 
 /** How one attempt ended. */
@@ -64,7 +66,9 @@
 export const readWhole: TakeAnswer = async (attempt, answer) => {
   const body = await attempt.readBody(answer.res, MAX_ANSWER_BYTES);
   if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
-  return { outcome: 'whole', status: answer.status, headers: endToEnd(answer.res), body };
+  const { headers } = answer.res;
+  const isFramed = ['content-length', 'transfer-encoding'].some((name) => name in headers);
+  return { outcome: 'whole', status: answer.status, headers: endToEnd(answer.res), body, isFramed };
 };
 
 const isUpstreamFault = (outcome: RoundOutcome): boolean =>
@@ -144,6 +148,8 @@
     const sends = runs + notRuns - unsent;
     const isSpent = mayRepeat ? runs >= route.maxAttempts : sends >= route.maxAttempts;
     if (isSpent || notRuns > MAX_NOT_RUN) return 'attempts-spent';
+    // A group that forms anew refuses at every rank; the budget is for what can succeed.
+    if (directory.isRefusing(service)) return 'upstreams-refusing';
     if (sends > 0 && !budget.take(service)) return 'retry-budget-spent';
     return undefined;
   };
@@ -153,10 +159,14 @@
     log.event('answered', { id: request.id, route: route.name, status, runs, notRuns, ms: held() });
   };
 
-  const deliver = ({ status, headers, body }: WholeAnswer): void => {
+  const deliver = ({ status, headers, body, isFramed }: WholeAnswer): void => {
+    // An upstream that crashes in the middle of an answer without a length may end its connection
+    // cleanly, and nothing tells the rest is missing. With a length of ours the caller would take
+    // it for whole for certain, so the answer ends as the upstream's did: with its connection.
+    if (!isFramed) res.removeHeader('Transfer-Encoding');
     const length = ['Content-Length', String(body.length)];
-    const sized = hasField(headers, 'content-length') ? headers : [...headers, ...length];
-    beginAnswer(res, status, sized, deps.isStopping());
+    const isSized = !isFramed || hasField(headers, 'content-length');
+    beginAnswer(res, status, isSized ? headers : [...headers, ...length], deps.isStopping());
     res.end(body);
     answered(status);
   };
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -51,6 +51,7 @@
   | 'no-upstream'
   | 'upstreams-full'
   | 'pace-too-slow'
+  | 'upstreams-refusing'
   | 'attempts-spent'
   | 'retry-budget-spent'
   | 'deadline'
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -14,6 +14,10 @@
   usable(service: string): Upstream[];
   /** The least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
+  /** Most of a service's upstreams have just refused to run a request. */
+  isRefusing(service: string): boolean;
+  /** Another instance answered at this one's address. */
+  noteReplaced(instance: string): void;
   byInstance(instance: string): Upstream | undefined;
   all(): Upstream[];
 }
@@ -41,12 +45,17 @@
 /** Load that an upstream seems to have more while it warms up. */
 const WARMUP_COST = 0.5;
 
+/** Share of a service's upstreams that refuse when the others will, too; not told of a few. */
+const MOST_REFUSING = 0.2;
+const FEW_UPSTREAMS = 6;
+
 /** Creates a directory that follows the platform's list. */
 export const createDirectory = (options: DirectoryOptions): Directory => {
   const { decode, dataCentre, logBackAt, clock, random, log } = options;
   const listed = new Map<string, Upstream>();
   const lapsed = new Map<string, { upstream: Upstream; at: number }>();
   const leaving = new Set<string>();
+  const replaced = new Set<string>();
 
   const add = (record: UpstreamRecord): void => {
     const known = listed.get(record.instance) ?? lapsed.get(record.instance)?.upstream;
@@ -72,11 +81,12 @@
     listed.delete(instance);
     if (!upstream) return;
     log.event('upstream-gone', { upstream: instance, service: upstream.record.service });
+    replaced.delete(instance);
     if (!leaving.delete(instance)) lapsed.set(instance, { upstream, at: clock.monotonic() });
   };
 
-  const isReady = (upstream: Upstream, service: string): boolean =>
-    upstream.record.service === service && upstream.record.state === 'ready';
+  const isReady = ({ record }: Upstream, service: string): boolean =>
+    record.service === service && record.state === 'ready' && !replaced.has(record.instance);
 
   const lapsedOf = (service: string): Upstream[] => {
     const now = clock.monotonic();
@@ -125,6 +135,15 @@
       // Never all ejected: with every upstream suspect the least loaded is tried all the same.
       return cheapest(sound.length > 0 ? sound : fresh);
     },
+    isRefusing: (service) => {
+      const all = usable(service);
+      const refusing = all.filter((upstream) => upstream.isRefusing()).length;
+      return all.length >= FEW_UPSTREAMS && refusing > all.length * MOST_REFUSING;
+    },
+    noteReplaced: (instance) => {
+      replaced.add(instance);
+      log.event('upstream-replaced', { upstream: instance });
+    },
     byInstance: (instance) => listed.get(instance),
     all: () => [...listed.values()],
   };
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -21,6 +21,10 @@
   /** Outcome of an attempt, for its health. */
   noteSuccess(): void;
   noteFailure(kind: 'unreachable' | 'failed' | 'refused'): void;
+  /** The upstream refused a request without running it. */
+  noteRefusal(): void;
+  /** It has refused a request a moment ago, and answered none since. */
+  isRefusing(): boolean;
   /** Not to be chosen while others are there. */
   isSuspect(): boolean;
   /** Share of recent attempts that failed, 0 to 1. */
@@ -34,6 +38,8 @@
 /** First time out after which a suspect is tried again, doubled each time, in ms. */
 const SUSPECT_MS = 400;
 const SUSPECT_MAX_MS = 3_200;
+/** A refusal says something about the next request for this long, in ms: a group forms in 600. */
+const REFUSING_MS = 300;
 /** An upstream's word on its load counts this long, in ms: later its queue has changed. */
 const LOAD_WORD_MS = 250;
 
@@ -45,6 +51,7 @@
   let failureShare = 0;
   let suspectUntil = -Infinity;
   let suspectMs = SUSPECT_MS;
+  let refusedAt = -Infinity;
   let word = { at: -Infinity, excess: 0 };
 
   const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
@@ -83,7 +90,12 @@
     noteLoad: (running, waiting) => {
       word = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
     },
+    noteRefusal: () => {
+      refusedAt = clock.monotonic();
+    },
+    isRefusing: () => clock.monotonic() - refusedAt < REFUSING_MS,
     noteSuccess: () => {
+      refusedAt = -Infinity;
       failureShare *= 1 - OUTCOME_WEIGHT;
       if (clock.monotonic() > suspectUntil) suspectMs = SUSPECT_MS;
     },
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -306,3 +306,44 @@
     });
   });
 });
+
+describe('answers and refusals that mislead', () => {
+  // The caller would take a short body for whole. An upstream crashes in the middle of an answer
+  // without a length and its connection ends cleanly; with a length added here nothing would tell.
+  it('does not put a length on an answer that had none', async () => {
+    const unframed: Act = (req, res) => {
+      res.removeHeader('Transfer-Encoding');
+      res.writeHead(200, { ...soundHeaders(req), connection: 'close' }).end('as far as it came');
+    };
+    await withEntry([unframed], { route: unsafe }, async (entry) => {
+      const answer = await entry.ask({}, '/p/x', 'a');
+      expect(answer).to.include({ status: 200, body: 'as far as it came' });
+      expect(answer.headers).to.not.have.any.keys('content-length', 'transfer-encoding');
+      expect(answer.headers.connection).to.equal('close');
+    });
+  });
+
+  // After a loss of power all upstreams are new instances, and their old entries stand for seconds.
+  // Each old one is asked once; without that every request spends the budget on several of them.
+  it('does not ask an instance again whose address another one has', async () => {
+    const other: Act = (_, res) => res.writeHead(421).end();
+    await withEntry([other, answerOk()], { route: { maxAttempts: 3 } }, async (entry, ups) => {
+      for (let n = 0; n < 6; n += 1) expect((await entry.ask()).status).to.equal(200);
+      expect(ups[0]?.seen.length).to.be.at.most(1);
+    });
+  });
+
+  // A group forms anew and every rank refuses. The request is refused after one attempt, with a
+  // time to come back, and the budget is left for what can succeed.
+  it('stops asking when most upstreams of a service refuse', async () => {
+    const acts = Array.from({ length: 6 }, () => refuseUnrun);
+    const route = { ...stream, maxAttempts: 2 };
+    await withEntry(acts, { route }, async (entry, upstreams) => {
+      for (let n = 0; n < 3; n += 1) await entry.ask();
+      const before = runs(upstreams);
+      const answer = await entry.ask();
+      expect(answer.status).to.equal(503);
+      expect(runs(upstreams) - before).to.equal(1);
+    });
+  });
+});
