--- /dev/null
+++ b/packages/rank-groups/test/plan.test.ts
@@ -0,0 +1,125 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createPopularity, imbalance, planChange } from '../src/index.js';
+import type { GroupShape, Placement } from '../src/index.js';
+
+const RANKS = 16;
+const shape: GroupShape = { sets: 2, experts: 64, places: 5, spare: 2, copyMs: 100 };
+
+const inTurn = (): Placement =>
+  Array.from({ length: shape.sets }, () =>
+    Array.from({ length: RANKS }, (_, rank) =>
+      Array.from({ length: shape.experts }, (__, expert) => expert).filter(
+        (expert) => expert % RANKS === rank,
+      ),
+    ),
+  );
+
+/** Shares that fall with the expert's place in an order of its set's own. */
+const skewed = (seed: number): number[][] =>
+  Array.from({ length: shape.sets }, (_, set) => {
+    const weights = Array.from(
+      { length: shape.experts },
+      (__, expert) => 1 / (1 + ((expert * (7 + 2 * set) + seed) % shape.experts)) ** 1.1,
+    );
+    const total = weights.reduce((sum, n) => sum + n, 0);
+    return weights.map((n) => n / total);
+  });
+
+const copiesOf = (before: Placement, after: Placement): number[] =>
+  Array.from({ length: RANKS }, (_, rank) =>
+    after.reduce((sum, ranks, set) => {
+      const had = new Set(before[set]?.[rank]);
+      return sum + (ranks[rank] ?? []).filter((expert) => !had.has(expert)).length;
+    }, 0),
+  );
+
+describe('planning a change of map', () => {
+  // A map that leaves an expert without a rank, or gives a rank more than it can hold, would be
+  // refused by some ranks and the group would wait; whatever is popular, plans keep the rules.
+  it('keeps the rules of maps and copies at most one expert a rank', () => {
+    fc.assert(
+      fc.property(fc.nat(10_000), fc.integer({ min: 1, max: 4 }), (seed, rounds) => {
+        let placement = inTurn();
+        for (let round = 0; round < rounds; round += 1) {
+          const plan = planChange(placement, skewed(seed + round), shape, 'skew');
+          if (!plan) return;
+          expect(Math.max(...copiesOf(placement, plan.placement))).to.be.at.most(1);
+          plan.placement.forEach((ranks) => {
+            const experts = new Set(ranks.flat());
+            expect(experts.size).to.equal(shape.experts);
+            ranks.forEach((held) => {
+              expect(held.length).to.be.at.most(shape.places);
+              expect(new Set(held).size).to.equal(held.length);
+            });
+          });
+          placement = plan.placement;
+        }
+      }),
+      { seed: 9, numRuns: 60 },
+    );
+  });
+
+  it('brings the busiest rank near the mean in a few small changes', () => {
+    const shares = skewed(3);
+    let placement = inTurn();
+    const loads = [imbalance(placement, shares)];
+    for (let change = 0; change < 4; change += 1) {
+      const plan = planChange(placement, shares, shape, 'skew');
+      placement = plan?.placement ?? placement;
+      loads.push(imbalance(placement, shares));
+    }
+    expect(loads.map((load) => load.toFixed(2))).toMatchSnapshot();
+  });
+
+  it('moves fewer experts where the cost of moving counts more', () => {
+    const shares = skewed(3);
+    const copies = (['skew', 'rebalancing-cost'] as const).map((weighs) => {
+      let placement = inTurn();
+      let total = 0;
+      for (let change = 0; change < 6; change += 1) {
+        const plan = planChange(placement, shares, shape, weighs);
+        total += plan?.copies ?? 0;
+        placement = plan?.placement ?? placement;
+      }
+      return total;
+    });
+    expect(copies[1]).to.be.below(copies[0] ?? 0);
+  });
+
+  it('leaves an even group alone', () => {
+    const even = Array.from({ length: shape.sets }, () =>
+      new Array<number>(shape.experts).fill(1 / shape.experts),
+    );
+    expect(planChange(inTurn(), even, shape, 'skew')).to.equal(undefined);
+  });
+});
+
+describe('popularity', () => {
+  const picksOf = (hot: number): number[] =>
+    Array.from({ length: 8 }, (_, expert) => (expert === hot ? 9_000 : 1_000));
+
+  it('knows nothing before enough was picked', () => {
+    const popularity = createPopularity(1, 8);
+    popularity.add(new Array<number>(8).fill(10));
+    expect(popularity.shares()).to.equal(undefined);
+  });
+
+  // The busiest rank would be planned for what was popular before. A shift forgets it at once
+  // instead of over the second that older picks are remembered for.
+  it('forgets what was popular when that has shifted', () => {
+    const popularity = createPopularity(1, 8);
+    for (let n = 0; n < 10; n += 1) popularity.add(picksOf(0));
+    popularity.add(picksOf(5));
+    const [shares] = popularity.shares() ?? [];
+    expect(shares?.[5]).to.be.above(0.5);
+    expect(shares?.[0]).to.be.below(0.1);
+    expect(popularity.sinceShift()).to.equal(0);
+  });
+
+  it('averages pieces that differ by chance', () => {
+    const popularity = createPopularity(1, 8);
+    for (let n = 0; n < 10; n += 1) popularity.add(picksOf(0).map((x) => x + ((n * 37) % 100)));
+    expect(popularity.sinceShift()).to.be.above(5);
+  });
+});
