Slow ranks get fewer experts and requests

Change: plans weigh loads by the reported pace; the agent beside a slow engine tells the entries, which count its load that much higher. Tests: gives a slow rank less work; costs more while its agent says that it is slow.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -195,6 +195,7 @@
     onPeerAhead: () => intentFollower.hurry(),
     onShare,
     onPeerGone: (peer) => directory.all().forEach((upstream) => upstream.forgetPeer(peer)),
+    onPace: directory.notePace,
     recordsAfter: (topic, after) => {
       const held = mirrored.get(topic);
       if (!held || held.mirror.end() < 0) return undefined;
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -36,6 +36,8 @@
   onPeerAhead: () => void;
   onShare: (peer: string, share: LoadShare) => void;
   onPeerGone: (peer: string) => void;
+  /** An agent tells the pace of the engine beside it. */
+  onPace: (host: string, port: number, pace: number) => void;
   /** What this entry's mirror of a topic holds beyond an offset. */
   recordsAfter: (topic: string, after: number) => PeerRecords | undefined;
   clock: Clock;
@@ -70,6 +72,13 @@
   return isSound ? (value as LoadShare) : undefined;
 };
 
+const readPace = (value: unknown): { host: string; port: number; pace: number } | undefined => {
+  if (!isObject(value)) return undefined;
+  const { host, port, pace } = value;
+  const isSound = typeof host === 'string' && typeof port === 'number' && typeof pace === 'number';
+  return isSound ? { host, port, pace } : undefined;
+};
+
 const addressKey = ({ host, port }: ListenAddress): string => `${host}:${port}`;
 
 /** Starts the links of an entry; rejects when its link address is in use. */
@@ -88,9 +97,11 @@
   const onFrame =
     (peer: string): FrameHandler =>
     (frame) => {
-      if (frame.t !== 'note' || frame.method !== 'load.share') return;
-      const share = readShare(frame.args);
+      if (frame.t !== 'note') return;
+      const share = frame.method === 'load.share' ? readShare(frame.args) : undefined;
       if (share) options.onShare(peer, share);
+      const word = frame.method === 'engine.pace' ? readPace(frame.args) : undefined;
+      if (word) options.onPace(word.host, word.port, word.pace);
     };
 
   const onLink = (link: Link): FrameHandler => {
@@ -137,9 +148,10 @@
   options.seeds.forEach(dial);
 
   /** One link to each peer: two nodes that dialled each other have two. */
-  const byPeer = (): Link[] => [
-    ...new Map([...links].map((link) => [link.peer.node, link])).values(),
-  ];
+  const byPeer = (): Link[] => {
+    const entries = [...links].filter(({ peer }) => peer.role === 'entry');
+    return [...new Map(entries.map((link) => [link.peer.node, link])).values()];
+  };
 
   const forget = (keep: ReadonlySet<string>): void => {
     [...clients].forEach(([key, client]) => {
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -16,6 +16,8 @@
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
   /** Most of a service's upstreams have just refused to run a request. */
   isRefusing(service: string): boolean;
+  /** The agent beside the upstream at this address tells its pace. */
+  notePace(host: string, port: number, pace: number): void;
   /** Another instance answered at this one's address. */
   noteReplaced(instance: string): void;
   byInstance(instance: string): Upstream | undefined;
@@ -108,7 +110,7 @@
     const { record } = upstream;
     const away = record.dataCentre === dataCentre ? 0 : ELSEWHERE_COST;
     const warming = record.warmupLeftMs > 0 ? WARMUP_COST : 0;
-    return upstream.load() + away + warming + upstream.failureShare() * FAILURE_COST;
+    return upstream.costOfNext() + away + warming + upstream.failureShare() * FAILURE_COST;
   };
 
   const cheapest = (upstreams: readonly Upstream[]): Upstream | undefined => {
@@ -140,6 +142,11 @@
       const refusing = all.filter((upstream) => upstream.isRefusing()).length;
       return all.length >= FEW_UPSTREAMS && refusing > all.length * MOST_REFUSING;
     },
+    notePace: (host, port, pace) => {
+      [...listed.values()]
+        .filter(({ record }) => record.host === host && record.port === port)
+        .forEach((upstream) => upstream.notePace(pace));
+    },
     noteReplaced: (instance) => {
       replaced.add(instance);
       log.event('upstream-replaced', { upstream: instance });
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -16,6 +16,10 @@
   /** All requests known to be at the upstream, over its slots. */
   load(): number;
   total(): number;
+  /** The agent beside the upstream says that it works this much slower than usual. */
+  notePace(pace: number): void;
+  /** Load that one more request would bring, more where the upstream is slow. */
+  costOfNext(): number;
   /** The upstream's own word on its waiting requests. */
   noteLoad(running: number, waiting: number): void;
   /** Outcome of an attempt, for its health. */
@@ -40,6 +44,8 @@
 const SUSPECT_MAX_MS = 3_200;
 /** A refusal says something about the next request for this long, in ms: a group forms in 600. */
 const REFUSING_MS = 300;
+/** An agent tells a slow pace several times a second; its last word counts this long, in ms. */
+const PACE_WORD_MS = 1_000;
 /** An upstream's word on its load counts this long, in ms: later its queue has changed. */
 const LOAD_WORD_MS = 250;
 
@@ -52,10 +58,16 @@
   let suspectUntil = -Infinity;
   let suspectMs = SUSPECT_MS;
   let refusedAt = -Infinity;
+  let paceWord = { at: -Infinity, pace: 1 };
   let word = { at: -Infinity, excess: 0 };
 
   const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
 
+  const load = (): number => {
+    const excess = clock.monotonic() - word.at < LOAD_WORD_MS ? word.excess : 0;
+    return (total() + excess) / Math.max(1, record.slots);
+  };
+
   const suspect = (): void => {
     const now = clock.monotonic();
     if (now < suspectUntil) return;
@@ -83,9 +95,13 @@
     },
     forgetPeer: (peer) => peers.delete(peer),
     total,
-    load: () => {
-      const excess = clock.monotonic() - word.at < LOAD_WORD_MS ? word.excess : 0;
-      return (total() + excess) / Math.max(1, record.slots);
+    load,
+    notePace: (pace) => {
+      paceWord = { at: clock.monotonic(), pace };
+    },
+    costOfNext: () => {
+      const pace = clock.monotonic() - paceWord.at < PACE_WORD_MS ? paceWord.pace : 1;
+      return (load() + 1 / Math.max(1, record.slots)) * pace;
     },
     noteLoad: (running, waiting) => {
       word = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -111,6 +111,18 @@
     expect(upstream.isSuspect()).to.equal(true);
   });
 
+  // A slow rank holds up its whole group, so it gets fewer requests while its agent says that it is
+  // slow, and as many as the others when that has not been said for a second.
+  it('costs more while its agent says that it is slow', async () => {
+    const clock = createManualClock();
+    const upstream = createUpstream(record, clock);
+    const usual = upstream.costOfNext();
+    upstream.notePace(4);
+    expect(upstream.costOfNext()).to.equal(4 * usual);
+    await clock.advance(1_001);
+    expect(upstream.costOfNext()).to.equal(usual);
+  });
+
   it('is suspect after some failures and not after one', () => {
     const upstream = createUpstream(record, createManualClock());
     upstream.noteFailure('failed');
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -140,7 +140,8 @@
     const version = nextVersion(highest, random);
     highest = version;
     const { before, after, copies, mostCopies } = plan;
-    log.event('map-planned', { epoch, version, before, after, copies });
+    const slowest = Math.max(...[...news.values()].map(({ report }) => report.pace));
+    log.event('map-planned', { epoch, version, before, after, copies, slowest });
     const copyMs = mostCopies * shape.copyMs;
     const outcome = await switchMap({ epoch, version, placement: plan.placement, current, copyMs });
     metrics.count('rank_map_changes', { outcome });
@@ -173,7 +174,8 @@
     const isUnderWay = reports.some(({ map }) => map !== placedVersion);
     const shares = popularity.shares();
     if (isIdle || isUnderWay || !shares) return;
-    const plan = planChange(placement, shares, shape, options.weighs);
+    const paces = reports.map(({ pace }) => pace);
+    const plan = planChange(placement, shares, shape, options.weighs, paces);
     if (plan) await change(plan, epoch, placement);
   };
 
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -36,6 +36,7 @@
     prepared: optionalNumber(value.prepared),
     armed: readArmed(value.armed),
     held: optionalNumber(value.held),
+    pace: optionalNumber(value.pace) ?? 1,
   };
 };
 
--- a/packages/rank-groups/src/plan/edits.ts
+++ b/packages/rank-groups/src/plan/edits.ts
@@ -46,9 +46,11 @@
 ): void => {
   const before = set.hosts(expert);
   const after = before.length - (lose === undefined ? 0 : 1) + (gain === undefined ? 0 : 1);
-  const [was, is] = [set.part(expert, before.length), set.part(expert, after)];
-  before.forEach((rank) => shift(deltas, rank, rank === lose ? -was : is - was));
-  if (gain !== undefined) shift(deltas, gain, is);
+  before.forEach((rank) => {
+    const kept = rank === lose ? 0 : set.part(rank, expert, after);
+    shift(deltas, rank, kept - set.part(rank, expert, before.length));
+  });
+  if (gain !== undefined) shift(deltas, gain, set.part(gain, expert, after));
 };
 
 const relief = (set: SetPlacement, deltas: Deltas): number => {
--- a/packages/rank-groups/src/plan/plan.ts
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -57,10 +57,11 @@
   shares: readonly (readonly number[])[],
   shape: GroupShape,
   weighs: Weighs,
+  paces: readonly number[] = [],
 ): MapPlan | undefined => {
   const price = PRICES[weighs];
   const rankCount = current[0]?.length ?? 0;
-  const sets = current.map((ranks, at) => createSetPlacement(ranks, shares[at] ?? []));
+  const sets = current.map((ranks, at) => createSetPlacement(ranks, shares[at] ?? [], paces));
   const before = mean(sets.map((set) => set.highest()));
   const limits: EditLimits = {
     places: shape.places,
--- a/packages/rank-groups/src/plan/set-placement.ts
+++ b/packages/rank-groups/src/plan/set-placement.ts
@@ -7,8 +7,8 @@
   /** Ranks that hold an expert. */
   hosts(expert: number): readonly number[];
   held(rank: number): readonly number[];
-  /** Load that an expert puts on each of its hosts, with this many hosts. */
-  part(expert: number, hosts: number): number;
+  /** Load that an expert puts on a rank, with this many hosts; more where the rank is slow. */
+  part(rank: number, expert: number, hosts: number): number;
   /** Whether a rank had the expert before planning began: taking it back costs no copy. */
   hadBefore(rank: number, expert: number): boolean;
   /** Experts that are new to a rank. */
@@ -19,10 +19,11 @@
   snapshot(): number[][];
 }
 
-/** Creates the placement; `shares` is each expert's share of the picks. */
+/** Creates the placement; `shares` is each expert's share of the picks, `paces` each rank's slowness. */
 export const createSetPlacement = (
   ranks: readonly (readonly number[])[],
   shares: readonly number[],
+  paces: readonly number[] = [],
 ): SetPlacement => {
   const before = ranks.map((experts) => new Set(experts));
   const held = ranks.map((experts) => [...experts]);
@@ -31,13 +32,13 @@
   );
   const loads = new Array<number>(ranks.length).fill(0);
 
-  const part = (expert: number, count: number): number =>
-    ((shares[expert] ?? 0) * ranks.length) / Math.max(1, count);
+  const part = (rank: number, expert: number, count: number): number =>
+    ((shares[expert] ?? 0) * ranks.length * (paces[rank] ?? 1)) / Math.max(1, count);
 
   const shift = (expert: number, by: 1 | -1): void => {
     const on = hosts[expert] ?? [];
     on.forEach((rank) => {
-      loads[rank] = (loads[rank] ?? 0) + by * part(expert, on.length);
+      loads[rank] = (loads[rank] ?? 0) + by * part(rank, expert, on.length);
     });
   };
   shares.forEach((_, expert) => shift(expert, 1));
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -9,6 +9,7 @@
 import type { Coordinator } from './coordinator.js';
 import { createEngineFinder } from './engine-finder.js';
 import type { EngineFinderOptions } from './engine-finder.js';
+import { createPaceTeller } from './links/pace-teller.js';
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { readOutcome, readPlacement, readReport } from './links/shapes.js';
@@ -69,8 +70,19 @@
   };
 
   let links: RankLinks | undefined;
+  const pace = createPaceTeller({
+    self,
+    region: options.region,
+    engine: { host: engineHost, port: enginePort },
+    nodes: () => [...nodes.values()],
+    clock,
+    random,
+    metrics,
+    log,
+  });
   const onNews = (news: MemberNews): void => {
     takePlace(news.report);
+    pace.note(news.report.pace);
     coordinator?.onNews(news);
     if (links && !links.isLowest()) links.tell(news);
   };
@@ -176,6 +188,7 @@
       member.close();
       stopPublishing();
       follower.close();
+      await pace.close();
       await linked.close();
       log.flush();
     },
--- a/packages/rank-groups/src/types.ts
+++ b/packages/rank-groups/src/types.ts
@@ -32,6 +32,8 @@
   /** The one version whose experts are all copied and that may be armed. */
   prepared: number | undefined;
   armed: { version: number; step: number } | undefined;
+  /** Time of its own work over the usual; above 1 the rank is slow. */
+  pace: number;
   /** The group does not begin this pass until this rank is told to go on. */
   held: number | undefined;
 }
--- a/packages/rank-groups/test/fakes/fake-ranks.ts
+++ b/packages/rank-groups/test/fakes/fake-ranks.ts
@@ -89,7 +89,8 @@
   const report = (at: number): RankReport => {
     const rank = ranks[at] ?? fresh();
     const { map, prepared, armed, held } = rank;
-    return { group: 'g', epoch, rank: at, size, isOpen: true, step, map, prepared, armed, held };
+    const place = { group: 'g', epoch, rank: at, size, isOpen: true, pace: 1 };
+    return { ...place, step, map, prepared, armed, held };
   };
 
   const order = async (at: number, given: RankOrder): Promise<OrderOutcome> => {
--- a/packages/rank-groups/test/plan.test.ts
+++ b/packages/rank-groups/test/plan.test.ts
@@ -87,6 +87,26 @@
     expect(copies[1]).to.be.below(copies[0] ?? 0);
   });
 
+  // All ranks wait for the slowest in every pass. One that works at little more than half the usual
+  // speed ends up with fewer picks than the others.
+  it('gives a slow rank less work', () => {
+    const shares = skewed(3);
+    const paces = Array.from({ length: RANKS }, (_, rank) => (rank === 5 ? 1.8 : 1));
+    let placement = inTurn();
+    for (let change = 0; change < 6; change += 1) {
+      placement = planChange(placement, shares, shape, 'skew', paces)?.placement ?? placement;
+    }
+    const picksOf = (rank: number): number =>
+      placement.reduce((sum, ranks, set) => {
+        const hosts = (expert: number) => ranks.filter((held) => held.includes(expert)).length;
+        const parts = (ranks[rank] ?? []).map((e) => (shares[set]?.[e] ?? 0) / hosts(e));
+        return sum + parts.reduce((a, b) => a + b, 0);
+      }, 0);
+    const usual = Array.from({ length: RANKS }, (_, rank) => picksOf(rank));
+    const mean = usual.reduce((a, b) => a + b, 0) / RANKS;
+    expect(picksOf(5)).to.be.below(0.8 * mean);
+  });
+
   it('leaves an even group alone', () => {
     const even = Array.from({ length: shape.sets }, () =>
       new Array<number>(shape.experts).fill(1 / shape.experts),
