Callers that meet a forming group are told to come after it has formed

Change: 0.9 to 2.2 s where a group forms or an entry has just started. Test: stops asking when most upstreams of a service refuse (the time to come back).

--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -11,19 +11,28 @@
   retryAfterMs?: number;
 }
 
-/** Pauses before a caller comes back: soon after a moment's trouble, later when all is full. */
-const SOON_MS = 250;
-const SPREAD_MS = 700;
+/** Pauses before a caller comes back to a service that is full: others end within a second, in ms. */
+const FULL_PAUSE = { leastMs: 250, spreadMs: 700 };
+/**
+ * Pauses where a group forms anew (600 ms) or this entry has just started, in ms. Callers come back
+ * once; told to come after half a second, most of them met the same refusal again.
+ */
+const FORMING_PAUSE = { leastMs: 900, spreadMs: 1_300 };
+const FORMING_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'upstreams-refusing',
+  'no-upstream',
+  'no-intent',
+  'intent-outdated',
+]);
 
 const MS_PER_SECOND = 1_000;
 
 /** A refusal of a request that has not run and won't: the caller may come back. */
-export const notRun = (reason: RefusalReason, random: () => number): Refusal => ({
-  reason,
-  status: 503,
+export const notRun = (reason: RefusalReason, random: () => number): Refusal => {
+  const { leastMs, spreadMs } = FORMING_REASONS.has(reason) ? FORMING_PAUSE : FULL_PAUSE;
   // Spread over the interval, so that those refused together do not come back together.
-  retryAfterMs: SOON_MS + random() * SPREAD_MS,
-});
+  return { reason, status: 503, retryAfterMs: leastMs + random() * spreadMs };
+};
 
 /** A refusal of a request that may have run: nothing is promised. */
 export const mayHaveRun = (reason: RefusalReason): Refusal => ({
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -344,6 +344,8 @@
       const answer = await entry.ask();
       expect(answer.status).to.equal(503);
       expect(runs(upstreams) - before).to.equal(1);
+      // A group takes 600 ms to form; a caller that comes back once must not come before.
+      expect(Number(answer.headers['retry-after'])).to.be.above(0.6);
     });
   });
 });
