Unused fields go; connections of an upstream are bounded over all entries

Cause: reading the change as a newcomer: fields that nothing reads, and max_connections decoded and not kept. Test: keeps to the connections that an upstream accepts from all entries.

--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -8,9 +8,10 @@
 /** What decides on one request. */
 export interface AdmissionRequest {
   service: string;
-  /** Longest pause and time to the first event that are on time, in ms; undefined for no stream. */
+  /** Longest pause between two events that is on time, in ms; undefined for no stream. */
   targetPauseMs: number | undefined;
-  targetMs: number;
+  /** Connections that one upstream accepts from all entries together. */
+  maxConnections: number;
   /** The caller was refused before: refusing it again costs more than the first time. */
   isReturn: boolean;
 }
@@ -108,7 +109,10 @@
     decide: (request, upstreams) => {
       const full = request.targetPauseMs === undefined ? FULL_PLAIN : FULL_STREAMS;
       const least = Math.min(...upstreams.map((upstream) => upstream.load()));
-      if (least >= full) return { admitted: false, reason: 'upstreams-full' };
+      const isBudgetSpent = upstreams.every(
+        (upstream) => upstream.total() >= request.maxConnections,
+      );
+      if (least >= full || isBudgetSpent) return { admitted: false, reason: 'upstreams-full' };
       return request.targetPauseMs === undefined
         ? { admitted: true }
         : decideStream(request, upstreams);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,6 @@
   retryAllowance: number;
   /** Time from the signal to stop until the process is ended, in milliseconds. */
   graceMs: number;
-  stallMs: number;
   maxConnections: number;
 }
 
@@ -136,7 +135,6 @@
     random,
     metrics,
     log,
-    stallMs: bounds.stallMs,
     isStopping: () => isStopping,
     table: () => table,
     intentAge: () => mirrored.get(topics.intent.name)?.follower.age() ?? Infinity,
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -79,9 +79,10 @@
     const upstreams = directory.usable(service);
     if (upstreams.length === 0) return notRun('no-upstream', random);
     const targetPauseMs = route.kind === 'stream' ? (route.targetPauseMs ?? Infinity) : undefined;
-    const { targetMs } = route;
-    const { isReturn } = request;
-    const decision = admission.decide({ service, targetPauseMs, targetMs, isReturn }, upstreams);
+    const { isReturn, table } = request;
+    const maxConnections = table.service(service)?.maxConnections ?? Infinity;
+    const asked = { service, targetPauseMs, maxConnections, isReturn };
+    const decision = admission.decide(asked, upstreams);
     return decision.admitted ? undefined : notRun(decision.reason, random);
   };
 
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -16,8 +16,6 @@
   random: Random;
   metrics: Metrics;
   log: EventLog;
-  /** How long work at a dead rank may stall before its group answers, in milliseconds. */
-  stallMs: number;
   /** The entry is stopping: answers tell callers to come back on another connection. */
   isStopping: () => boolean;
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -34,14 +34,8 @@
   services: readonly ServiceShare[];
 }
 
-/** Shape and speed of the model engines of a service. */
+/** Expert placement of the model engines of a service. */
 export interface EngineShape {
-  /** Requests that one engine runs at once. */
-  slots: number;
-  /** Tokens that one engine's memory holds. */
-  memoryTokens: number;
-  /** Token steps in one pass of a group. */
-  stepsPerPass: number;
   /** Sets of layers that share one placement of experts; 0 for an engine without experts. */
   sets: number;
   /** Experts in each set. */
@@ -115,13 +109,6 @@
   apiKey: string | undefined;
   /** Resume after this event. */
   lastEventId: number | undefined;
-  /** Prompt tokens and most output tokens. */
-  promptTokens: number;
-  outputTokens: number;
-  /** What the caller expects of the output, in tokens. */
-  outputHint: number | undefined;
-  /** Ids of the prompt's parts, in order. */
-  promptParts: readonly string[];
 }
 
 /** What an upstream's answer says apart from its body. */
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -20,7 +20,6 @@
   notePace(host: string, port: number, pace: number): void;
   /** Another instance answered at this one's address. */
   noteReplaced(instance: string): void;
-  byInstance(instance: string): Upstream | undefined;
   all(): Upstream[];
 }
 
@@ -151,7 +150,6 @@
       replaced.add(instance);
       log.event('upstream-replaced', { upstream: instance });
     },
-    byInstance: (instance) => listed.get(instance),
     all: () => [...listed.values()],
   };
 };
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -20,7 +20,7 @@
 const streamRequest: AdmissionRequest = {
   service: 's',
   targetPauseMs: 100,
-  targetMs: 400,
+  maxConnections: 100,
   isReturn: false,
 };
 
@@ -87,6 +87,17 @@
     expect(admission.limit('s')).to.be.above(low);
   });
 
+  // An upstream resets connections beyond its limit, and a request on one of them is lost.
+  it('keeps to the connections that an upstream accepts from all entries', () => {
+    const { upstream, admission } = create();
+    const request = { ...streamRequest, targetPauseMs: undefined, maxConnections: 3 };
+    upstream.notePeer('other', 2);
+    expect(admission.decide(request, [upstream]).admitted).to.equal(true);
+    upstream.begin();
+    const full = admission.decide(request, [upstream]);
+    expect(full).to.deep.equal({ admitted: false, reason: 'upstreams-full' });
+  });
+
   it('counts what other entries have at an upstream', () => {
     const { upstream, admission } = create();
     upstream.notePeer('other', 10);
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -99,7 +99,6 @@
     random,
     metrics,
     log,
-    stallMs: 500,
     isStopping: () => false,
     table: () => (options.withoutIntent ? undefined : table),
     intentAge: () => options.intentAge ?? 0,
--- a/packages/gateway/test/support/test-dialect.ts
+++ b/packages/gateway/test/support/test-dialect.ts
@@ -13,10 +13,6 @@
     deadlineMs: number(headers['x-wait']),
     apiKey: first(headers['x-key']),
     lastEventId: number(headers['x-after']),
-    promptTokens: 0,
-    outputTokens: 0,
-    outputHint: undefined,
-    promptParts: [],
   }),
   writeAttempt: (headers, fields, bodyBytes) => {
     const kept = headers.flatMap((name, at) => {
