An entry that stops lets go of its links and timers; plainer names in rank groups

Change: stop ends both; links are not waited for. MemberNews, insist and the like have plainer names. Before: the test process of the whole path did not end. After: it ends by itself, 2 passed. Behaviour of the programs is the same: they exit after the stop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -223,6 +223,7 @@
 
   let lastShare = '';
   let sharedAt = -Infinity;
+  let stopSharing = (): void => {};
   const shareLoad = (): void => {
     const busy = directory.all().filter((upstream) => upstream.inFlight() > 0);
     const share = Object.fromEntries(
@@ -235,7 +236,7 @@
       lastShare = text;
       sharedAt = now;
     }
-    clock.after(SHARE_MS, shareLoad);
+    stopSharing = clock.after(SHARE_MS, shareLoad);
   };
   shareLoad();
 
@@ -263,6 +264,9 @@
     publisher.close();
     readiness.close();
     metricsDoor.close();
+    stopSharing();
+    // Not waited for: a peer that has stopped reading would use up the rest of the grace.
+    void mesh?.close();
     log.flush();
   };
 
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -100,8 +100,8 @@
       if (frame.t !== 'note') return;
       const share = frame.method === 'load.share' ? readShare(frame.args) : undefined;
       if (share) options.onShare(peer, share);
-      const word = frame.method === 'engine.pace' ? readPace(frame.args) : undefined;
-      if (word) options.onPace(word.host, word.port, word.pace);
+      const report = frame.method === 'engine.pace' ? readPace(frame.args) : undefined;
+      if (report) options.onPace(report.host, report.port, report.pace);
     };
 
   const onLink = (link: Link): FrameHandler => {
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -99,7 +99,7 @@
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
       return settle({ outcome: 'unknown', why: 'answer-of-another-request' });
     }
-    // These statuses promise the caller that nothing ran, which only the upstream's own word proves.
+    // These statuses promise the caller that nothing ran, which only the upstream's own statement proves.
     if (statusesNotRun.has(status)) return settle({ outcome: 'unknown', why: `bare-${status}` });
     if (status < 300 && !fields.hasReceipt) {
       return settle({ outcome: 'unknown', why: 'no-receipt' });
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -96,7 +96,7 @@
   state: 'ready' | 'draining';
   /** How much longer it is slow after its start, in milliseconds. */
   warmupLeftMs: number;
-  /** Grows with each word of the upstream; a smaller one is an old word that came late. */
+  /** Grows with each heartbeat of the upstream; a smaller one is an old heartbeat that came late. */
   sequence: number;
 }
 
@@ -114,7 +114,7 @@
 /** What an upstream's answer says apart from its body. */
 export interface AnswerFields {
   requestId: string | undefined;
-  /** The upstream's own word that it did not run the request and won't. */
+  /** The upstream states that it did not run the request and won't. */
   notRun: boolean;
   /** Bears the upstream's receipt. */
   hasReceipt: boolean;
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -60,7 +60,7 @@
 
   const add = (record: UpstreamRecord): void => {
     const known = listed.get(record.instance) ?? lapsed.get(record.instance)?.upstream;
-    // A word that an upstream sent before it announced its leaving may arrive after it.
+    // A heartbeat that an upstream sent before it announced its leaving may arrive after it.
     if (known && known.record.sequence > record.sequence) return;
     const isLeaving = leaving.has(record.instance) || record.state === 'draining';
     if (isLeaving && !leaving.has(record.instance)) {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -20,7 +20,7 @@
   notePace(pace: number): void;
   /** Load that one more request would bring, more where the upstream is slow. */
   costOfNext(): number;
-  /** The upstream's own word on its waiting requests. */
+  /** Running and waiting requests as the upstream reports them. */
   noteLoad(running: number, waiting: number): void;
   /** Outcome of an attempt, for its health. */
   noteSuccess(): void;
@@ -44,10 +44,10 @@
 const SUSPECT_MAX_MS = 3_200;
 /** A refusal says something about the next request for this long, in ms: a group forms in 600. */
 const REFUSING_MS = 300;
-/** An agent tells a slow pace several times a second; its last word counts this long, in ms. */
-const PACE_WORD_MS = 1_000;
-/** An upstream's word on its load counts this long, in ms: later its queue has changed. */
-const LOAD_WORD_MS = 250;
+/** An agent tells a slow pace several times a second; its last report counts this long, in ms. */
+const PACE_VALID_MS = 1_000;
+/** An upstream's report of its load counts this long, in ms: later its queue has changed. */
+const LOAD_VALID_MS = 250;
 
 /** Creates the view of one upstream. */
 export const createUpstream = (first: UpstreamRecord, clock: Clock): Upstream => {
@@ -58,13 +58,13 @@
   let suspectUntil = -Infinity;
   let suspectMs = SUSPECT_MS;
   let refusedAt = -Infinity;
-  let paceWord = { at: -Infinity, pace: 1 };
-  let word = { at: -Infinity, excess: 0 };
+  let reportedPace = { at: -Infinity, pace: 1 };
+  let reportedLoad = { at: -Infinity, excess: 0 };
 
   const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
 
   const load = (): number => {
-    const excess = clock.monotonic() - word.at < LOAD_WORD_MS ? word.excess : 0;
+    const excess = clock.monotonic() - reportedLoad.at < LOAD_VALID_MS ? reportedLoad.excess : 0;
     return (total() + excess) / Math.max(1, record.slots);
   };
 
@@ -97,14 +97,14 @@
     total,
     load,
     notePace: (pace) => {
-      paceWord = { at: clock.monotonic(), pace };
+      reportedPace = { at: clock.monotonic(), pace };
     },
     costOfNext: () => {
-      const pace = clock.monotonic() - paceWord.at < PACE_WORD_MS ? paceWord.pace : 1;
+      const pace = clock.monotonic() - reportedPace.at < PACE_VALID_MS ? reportedPace.pace : 1;
       return (load() + 1 / Math.max(1, record.slots)) * pace;
     },
     noteLoad: (running, waiting) => {
-      word = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
+      reportedLoad = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
     },
     noteRefusal: () => {
       refusedAt = clock.monotonic();
--- a/packages/rank-groups/src/change/group-port.ts
+++ b/packages/rank-groups/src/change/group-port.ts
@@ -16,7 +16,7 @@
 }
 
 /** How an order that is repeated until it is answered ended. */
-export type InsistOutcome = 'done' | 'refused' | 'gave-up';
+export type RetriedOutcome = 'done' | 'refused' | 'gave-up';
 
 /** Pause between two tries of an order without an answer, in ms. */
 const AGAIN_MS = 15;
@@ -30,13 +30,13 @@
  * harmless because each order is one that the rank either takes once or refuses when its time is
  * over (see `switch-map.ts`). Gives up when the group has formed anew, or at `giveUpAt`.
  */
-export const insist = async (
+export const retryOrder = async (
   port: GroupPort,
   clock: Clock,
   rank: number,
   order: RankOrder,
   giveUpAt = Infinity,
-): Promise<InsistOutcome> => {
+): Promise<RetriedOutcome> => {
   for (;;) {
     const outcome = await port.order(rank, order);
     if (outcome !== 'no-answer') return outcome;
@@ -46,13 +46,13 @@
 };
 
 /** The same order to all ranks at once. */
-export const insistAll = (
+export const retryAtAllRanks = (
   port: GroupPort,
   clock: Clock,
   order: RankOrder,
   giveUpAt = Infinity,
-): Promise<InsistOutcome[]> =>
-  Promise.all(allRanks(port).map((rank) => insist(port, clock, rank, order, giveUpAt)));
+): Promise<RetriedOutcome[]> =>
+  Promise.all(allRanks(port).map((rank) => retryOrder(port, clock, rank, order, giveUpAt)));
 
 /** Fresh reports of all ranks; undefined when one is missing or of another epoch. */
 export const freshReports = async (
--- a/packages/rank-groups/src/change/settle.ts
+++ b/packages/rank-groups/src/change/settle.ts
@@ -3,7 +3,7 @@
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import type { Placement, RankReport } from '../types.js';
 import type { GroupPort } from './group-port.js';
-import { freshReports, insist, insistAll } from './group-port.js';
+import { freshReports, retryOrder, retryAtAllRanks } from './group-port.js';
 import { withdrawPass } from './withdraw.js';
 
 /** How a held pass was settled. */
@@ -64,14 +64,14 @@
   if (again?.held !== held.step || again.epoch !== epoch) return 'nothing-held';
 
   const go = async (): Promise<void> => {
-    await insist(port, clock, held.rank, { op: 'go', epoch, step: held.step });
+    await retryOrder(port, clock, held.rank, { op: 'go', epoch, step: held.step });
   };
   const version = commonVersion(reports, held.step);
   log.event('settling', { epoch, rank: held.rank, step: held.step, version });
 
   if (version !== undefined) {
     const order = { op: 'arm', epoch, version, step: held.step } as const;
-    const outcomes = await insistAll(port, clock, order);
+    const outcomes = await retryAtAllRanks(port, clock, order);
     if (!outcomes.every((outcome) => outcome === 'done')) return 'unreachable';
     await go();
     return 'completed';
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -26,7 +26,7 @@
 import { sleep } from '@plantaindrum/common';
 import type { Placement } from '../types.js';
 import type { GroupPort } from './group-port.js';
-import { insist, insistAll } from './group-port.js';
+import { retryOrder, retryAtAllRanks } from './group-port.js';
 import { withdrawPass } from './withdraw.js';
 
 /** How a change ended. */
@@ -88,7 +88,7 @@
     const { epoch, version, placement } = change;
     const giveUpAt = clock.monotonic() + change.copyMs + PREPARE_SLACK_MS;
     const order = { op: 'prepare', epoch, version, placement } as const;
-    const outcomes = await insistAll(port, clock, order, giveUpAt);
+    const outcomes = await retryAtAllRanks(port, clock, order, giveUpAt);
     if (outcomes.some((outcome) => outcome !== 'done')) return false;
     const ranks = outcomes.map((_, rank) => rank);
     while (!ranks.every((rank) => isPrepared(rank, version))) {
@@ -104,7 +104,7 @@
       const report = await port.report(ownRank);
       if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
       const step = heldStep(epoch, report.step + LEAD_PASSES);
-      const outcome = await insist(port, clock, ownRank, { op: 'hold', epoch, step });
+      const outcome = await retryOrder(port, clock, ownRank, { op: 'hold', epoch, step });
       if (outcome === 'done') return step;
       if (outcome === 'gave-up') return undefined;
     }
@@ -116,7 +116,7 @@
     const { epoch, current } = change;
     while (!isAnew(epoch)) {
       if (await withdrawPass({ epoch, step, current }, options)) {
-        await insist(port, clock, ownRank, { op: 'go', epoch, step });
+        await retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
         return 'aborted';
       }
       await sleep(clock, WITHDRAW_AGAIN_MS);
@@ -126,10 +126,10 @@
 
   const armAndGo = async (change: MapChange, step: number): Promise<SwitchOutcome> => {
     const { epoch, version } = change;
-    const armed = await insistAll(port, clock, { op: 'arm', epoch, version, step });
+    const armed = await retryAtAllRanks(port, clock, { op: 'arm', epoch, version, step });
     if (isAnew(epoch)) return 'group-formed-anew';
     if (armed.every((outcome) => outcome === 'done')) {
-      await insist(port, clock, ownRank, { op: 'go', epoch, step });
+      await retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
       return 'switched';
     }
     const own = await port.report(ownRank);
--- a/packages/rank-groups/src/change/withdraw.ts
+++ b/packages/rank-groups/src/change/withdraw.ts
@@ -3,7 +3,7 @@
 import type { Clock, Random } from '@plantaindrum/common';
 import type { Placement, RankReport } from '../types.js';
 import type { GroupPort } from './group-port.js';
-import { freshReports, insist } from './group-port.js';
+import { freshReports, retryOrder } from './group-port.js';
 import { nextVersion, versionsOf } from './versions.js';
 
 /** What withdrawing needs. */
@@ -36,9 +36,9 @@
   const newer = nextVersion(Math.max(...reports.map(versionsOf)), random);
   const withdraw = async ({ rank, armed }: RankReport): Promise<boolean> => {
     if (armed && armed.step !== step) return true;
-    if (armed) await insist(port, clock, rank, { op: 'disarm', epoch, version: armed.version });
+    if (armed) await retryOrder(port, clock, rank, { op: 'disarm', epoch, version: armed.version });
     const supersede = { op: 'prepare', epoch, version: newer, placement: current } as const;
-    return (await insist(port, clock, rank, supersede)) === 'done';
+    return (await retryOrder(port, clock, rank, supersede)) === 'done';
   };
   const safe = await Promise.all(reports.map(withdraw));
   return safe.every(Boolean);
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -7,7 +7,7 @@
 import { settleHeldPass } from './change/settle.js';
 import { createMapSwitch } from './change/switch-map.js';
 import { nextVersion, versionsOf } from './change/versions.js';
-import type { MemberNews } from './member.js';
+import type { RankUpdate } from './member.js';
 import { planChange } from './plan/plan.js';
 import type { MapPlan } from './plan/plan.js';
 import { createPopularity } from './plan/popularity.js';
@@ -16,8 +16,8 @@
 
 /** The part of an agent that coordinates its group while no lower rank does. */
 export interface Coordinator {
-  /** Takes the news of a rank. */
-  onNews(news: MemberNews): void;
+  /** Takes the update of a rank. */
+  onUpdate(update: RankUpdate): void;
   close(): void;
 }
 
@@ -39,7 +39,7 @@
 /** Between two looks at the group, in ms. */
 const LOOK_MS = 40;
 /** News older than this says nothing about a rank, in ms: six readings. */
-const NEWS_MS = 500;
+const REPORT_VALID_MS = 500;
 /** A pass that has been held this long by nobody at work here is settled, in ms: some ten orders. */
 const HELD_MS = 250;
 /** Pause after a change that did not come about, in ms. */
@@ -49,7 +49,7 @@
 /** A group that has begun no pass for this long is idle and is left alone, in ms. */
 const IDLE_MS = 600;
 
-interface RankNews {
+interface KnownRank {
   report: RankReport;
   at: number;
 }
@@ -57,7 +57,7 @@
 /** Starts to coordinate; runs until `close`. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
   const { port, ownRank, shape, clock, random, metrics, log } = options;
-  const news = new Map<number, RankNews>();
+  const known = new Map<number, KnownRank>();
   const popularity: Popularity = createPopularity(shape.sets, shape.experts);
   let stopped = false;
   let wasLowest = false;
@@ -70,12 +70,12 @@
   let lastStep = { step: -1, at: -Infinity };
 
   const isPrepared = (rank: number, version: number): boolean =>
-    news.get(rank)?.report.prepared === version;
+    known.get(rank)?.report.prepared === version;
 
   const switchMap = createMapSwitch({ port, ownRank, isPrepared, clock, random, log });
 
-  const onNews = ({ report, picks }: MemberNews): void => {
-    news.set(report.rank, { report, at: clock.monotonic() });
+  const onUpdate = ({ report, picks }: RankUpdate): void => {
+    known.set(report.rank, { report, at: clock.monotonic() });
     highest = Math.max(highest, versionsOf(report));
     if (report.step > lastStep.step || report.epoch !== placedEpoch) {
       lastStep = { step: report.step, at: clock.monotonic() };
@@ -85,21 +85,21 @@
 
   /** Ranks whose agents are silent are read from here: their counts are missed, not their state. */
   const readSilent = async (): Promise<void> => {
-    const oldest = clock.monotonic() - NEWS_MS;
-    const silent = allRanks(port).filter((rank) => (news.get(rank)?.at ?? -Infinity) < oldest);
+    const oldest = clock.monotonic() - REPORT_VALID_MS;
+    const silent = allRanks(port).filter((rank) => (known.get(rank)?.at ?? -Infinity) < oldest);
     await Promise.all(
       silent.map(async (rank) => {
         const report = await port.report(rank);
-        if (report) onNews({ report, picks: [] });
+        if (report) onUpdate({ report, picks: [] });
       }),
     );
   };
 
   const openReports = (): RankReport[] | undefined => {
-    const oldest = clock.monotonic() - 2 * NEWS_MS;
+    const oldest = clock.monotonic() - 2 * REPORT_VALID_MS;
     const fresh = allRanks(port).flatMap((rank) => {
-      const known = news.get(rank);
-      return known && known.at > oldest ? [known.report] : [];
+      const entry = known.get(rank);
+      return entry && entry.at > oldest ? [entry.report] : [];
     });
     const isWhole =
       fresh.length === port.size() &&
@@ -109,13 +109,13 @@
 
   const loadPlacement = async (epoch: number): Promise<void> => {
     const all = await Promise.all(allRanks(port).map((rank) => options.placementOf(rank)));
-    const known = all.flatMap((entry) => (entry?.epoch === epoch ? [entry] : []));
-    const [first] = known;
+    const loaded = all.flatMap((entry) => (entry?.epoch === epoch ? [entry] : []));
+    const [first] = loaded;
     const isWhole =
-      known.length === port.size() && known.every((e) => e.version === first?.version);
+      loaded.length === port.size() && loaded.every((e) => e.version === first?.version);
     if (!isWhole || !first) return;
     placement = first.experts.map((_, set) =>
-      known.map((entry) => [...(entry.experts[set] ?? [])]),
+      loaded.map((entry) => [...(entry.experts[set] ?? [])]),
     );
     placedEpoch = epoch;
     placedVersion = first.version;
@@ -140,7 +140,7 @@
     const version = nextVersion(highest, random);
     highest = version;
     const { before, after, copies, mostCopies } = plan;
-    const slowest = Math.max(...[...news.values()].map(({ report }) => report.pace));
+    const slowest = Math.max(...[...known.values()].map(({ report }) => report.pace));
     log.event('map-planned', { epoch, version, before, after, copies, slowest });
     const copyMs = mostCopies * shape.copyMs;
     const outcome = await switchMap({ epoch, version, placement: plan.placement, current, copyMs });
@@ -192,7 +192,7 @@
   void run();
 
   return {
-    onNews,
+    onUpdate,
     close: () => {
       stopped = true;
     },
--- a/packages/rank-groups/src/links/pace-teller.ts
+++ b/packages/rank-groups/src/links/pace-reporter.ts
@@ -6,15 +6,15 @@
 import type { LinkClient } from '@plantaindrum/link';
 import type { NodeRecord } from '@plantaindrum/mirror';
 
-/** The agent's word to the entries. */
-export interface PaceTeller {
+/** The agent's reports to the entries. */
+export interface PaceReporter {
   /** Takes each reading of the engine's pace. */
   note(pace: number): void;
   close(): Promise<void>;
 }
 
-/** Options of `createPaceTeller`. */
-export interface PaceTellerOptions {
+/** Options of `createPaceReporter`. */
+export interface PaceReporterOptions {
   self: NodeRecord;
   region: string;
   /** Address at which entries know the engine. */
@@ -34,7 +34,7 @@
 const LIMITS = { ...defaultLinkLimits, helloTimeoutMs: 800 };
 
 /** Creates the teller; it has links to entries only while there is something to tell. */
-export const createPaceTeller = (options: PaceTellerOptions): PaceTeller => {
+export const createPaceReporter = (options: PaceReporterOptions): PaceReporter => {
   const { self, engine, nodes, clock, random, metrics, log } = options;
   const clients = new Map<string, LinkClient>();
   let slowAt = -Infinity;
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -5,8 +5,8 @@
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions } from '@plantaindrum/link';
 import type { NodeRecord } from '@plantaindrum/mirror';
-import type { MemberNews, RankMember } from '../member.js';
-import { readNews, readOrder } from './shapes.js';
+import type { RankUpdate, RankMember } from '../member.js';
+import { readUpdate, readOrder } from './shapes.js';
 
 /** Links of one agent. */
 export interface RankLinks {
@@ -17,7 +17,7 @@
   /** Whether no agent of a lower rank is linked. */
   isLowest(): boolean;
   /** Tells the lowest linked rank. */
-  tell(news: MemberNews): void;
+  tell(update: RankUpdate): void;
   close(): Promise<void>;
 }
 
@@ -26,7 +26,7 @@
   self: NodeRecord;
   region: string;
   member: () => RankMember | undefined;
-  onNews: (news: MemberNews) => void;
+  onUpdate: (update: RankUpdate) => void;
   clock: Clock;
   random: Random;
   metrics: Metrics;
@@ -58,7 +58,7 @@
 
 /** Opens the agent's link address; rejects when it is in use. */
 export const createRankLinks = async (options: RankLinksOptions): Promise<RankLinks> => {
-  const { self, member, onNews, clock, random, metrics, log } = options;
+  const { self, member, onUpdate, clock, random, metrics, log } = options;
   const links = new Map<string, Link>();
   const dialled = new Map<string, Dialled>();
   let ranks = new Map<string, number>();
@@ -82,9 +82,9 @@
       log.event('rank-lost', { peer: node, rank: ranks.get(node), why });
     });
     return (frame) => {
-      if (frame.t !== 'note' || frame.method !== 'rank.news') return;
-      const news = readNews(frame.args);
-      if (news) onNews(news);
+      if (frame.t !== 'note' || frame.method !== 'rank.update') return;
+      const update = readUpdate(frame.args);
+      if (update) onUpdate(update);
     };
   };
 
@@ -166,8 +166,8 @@
     },
     toRank: (rank) => linkedRanks().find((entry) => entry.rank === rank)?.link,
     isLowest: () => !linkedRanks().some(({ rank }) => rank < ownRank),
-    tell: (news) => {
-      linkedRanks()[0]?.link.send({ t: 'note', method: 'rank.news', args: news });
+    tell: (update) => {
+      linkedRanks()[0]?.link.send({ t: 'note', method: 'rank.update', args: update });
     },
     close: async () => {
       await Promise.all([...dialled.values()].map(({ client }) => client.close()));
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -1,7 +1,7 @@
 /** Checks what agents of a group say to each other before any code relies on its type. */
 
 import { isObject } from '@plantaindrum/mirror';
-import type { MemberNews } from '../member.js';
+import type { RankUpdate } from '../member.js';
 import type { OrderOutcome, RankOrder, RankPlacement, RankReport } from '../types.js';
 
 const isNumber = (value: unknown): value is number =>
@@ -40,8 +40,8 @@
   };
 };
 
-/** A member's news; undefined when it isn't any. */
-export const readNews = (value: unknown): MemberNews | undefined => {
+/** A member's update; undefined when it isn't one. */
+export const readUpdate = (value: unknown): RankUpdate | undefined => {
   if (!isObject(value) || !isNumbers(value.picks)) return undefined;
   const report = readReport(value.report);
   return report && { report, picks: value.picks };
--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -5,9 +5,9 @@
 import type { OrderOutcome, RankEngine, RankOrder, RankPlacement, RankReport } from './types.js';
 
 /** What a member tells the coordinator of its group. */
-export interface MemberNews {
+export interface RankUpdate {
   report: RankReport;
-  /** Picks of each expert since the last news. */
+  /** Picks of each expert since the last update. */
   picks: number[];
 }
 
@@ -25,7 +25,7 @@
 export interface RankMemberOptions {
   engine: RankEngine;
   /** Told of each reading of the engine. */
-  onNews: (news: MemberNews) => void;
+  onUpdate: (update: RankUpdate) => void;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
@@ -48,7 +48,7 @@
 
 /** Starts to read the engine; runs until `close`. */
 export const createRankMember = (options: RankMemberOptions): RankMember => {
-  const { engine, onNews, clock, metrics, log } = options;
+  const { engine, onUpdate, clock, metrics, log } = options;
   let last: RankReport | undefined;
   let counts: readonly number[] | undefined;
   let copying: { version: number; until: number } | undefined;
@@ -83,7 +83,7 @@
     }
     const wasCopying = copying !== undefined;
     noteReport(report);
-    onNews({ report, picks: wasCopying ? [] : await readPicks() });
+    onUpdate({ report, picks: wasCopying ? [] : await readPicks() });
     return true;
   };
 
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -9,12 +9,12 @@
 import type { Coordinator } from './coordinator.js';
 import { createEngineFinder } from './engine-finder.js';
 import type { EngineFinderOptions } from './engine-finder.js';
-import { createPaceTeller } from './links/pace-teller.js';
+import { createPaceReporter } from './links/pace-reporter.js';
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { readOutcome, readPlacement, readReport } from './links/shapes.js';
 import { createRankMember } from './member.js';
-import type { MemberNews, RankMember } from './member.js';
+import type { RankUpdate, RankMember } from './member.js';
 import type { GroupShape, RankEngine, RankReport, Weighs } from './types.js';
 
 /** Options of `createRankAgent`. */
@@ -70,7 +70,7 @@
   };
 
   let links: RankLinks | undefined;
-  const pace = createPaceTeller({
+  const pace = createPaceReporter({
     self,
     region: options.region,
     engine: { host: engineHost, port: enginePort },
@@ -80,18 +80,18 @@
     metrics,
     log,
   });
-  const onNews = (news: MemberNews): void => {
-    takePlace(news.report);
-    pace.note(news.report.pace);
-    coordinator?.onNews(news);
-    if (links && !links.isLowest()) links.tell(news);
+  const onUpdate = (update: RankUpdate): void => {
+    takePlace(update.report);
+    pace.note(update.report.pace);
+    coordinator?.onUpdate(update);
+    if (links && !links.isLowest()) links.tell(update);
   };
-  const member: RankMember = createRankMember({ engine, onNews, clock, metrics, log });
+  const member: RankMember = createRankMember({ engine, onUpdate, clock, metrics, log });
   links = await createRankLinks({
     self,
     region: options.region,
     member: () => member,
-    onNews: (news) => coordinator?.onNews(news),
+    onUpdate: (update) => coordinator?.onUpdate(update),
     clock,
     random,
     metrics,
