--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -120,6 +120,8 @@
     if (!isStreamAnswer(answer)) return readWhole(attempt, answer, sentAt);
     const fault = await pipe(attempt, answer, sentAt);
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
+    // A stream resumed after its last event has none left, and its head has not been passed on yet.
+    if (!res.headersSent) beginAnswer(res, answer.status, endToEnd(answer.res), deps.isStopping());
     return { outcome: 'streamed' };
   });
 };
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -349,3 +349,15 @@
     });
   });
 });
+
+describe('a stream that has nothing left', () => {
+  // The caller comes back for the rest of a stream whose last event it has. The upstream ends at
+  // once without an event; the caller must get the upstream's head with its receipt, not one of ours.
+  it("is ended with the upstream's head", async () => {
+    await withEntry([streamEvents([], 'whole')], { route: stream }, async (entry) => {
+      const answer = await entry.ask({ 'x-after': '9' });
+      expect(answer).to.include({ status: 200, body: '', isWhole: true });
+      expect(answer.headers['x-receipt']).to.equal('r');
+    });
+  });
+});
