One log fake, one open-loop load, one run under load

Three in-memory fakes of the log differed in time, faults and pages; tests of packages/experts, requests and intent use one now (stand-ins/memory-log), with the faults and orders of effect of all three. The two load generators share the loop that begins calls at their times; what they send and check still differs. The drain and recovery experiments share their site, load and clean-up. No test was changed in what it asks: the one for aged-out claims expires the log before the claims are read, as it did by a faked beginning. Experiments themselves not run yet.

--- a/packages/experts/test/fakes/fake-group.ts
+++ b/packages/experts/test/fakes/fake-group.ts
@@ -1,6 +1,7 @@
 import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
 import type { Metrics } from '@plantaindrum/common';
 import type { Log } from '@plantaindrum/service-clients';
+import { createMemoryLog } from '@plantaindrum/stand-ins';
 import { createCoordinator, createGroupMember } from '../../src/index.js';
 import type {
   Coordinator,
@@ -11,7 +12,6 @@
 } from '../../src/index.js';
 import { createFakeEngines } from './fake-engines.js';
 import type { FakeEnginesOptions } from './fake-engines.js';
-import { createFakeLog } from './fake-log.js';
 import { createFakeNetwork } from './fake-network.js';
 import { createFakeProcess } from './fake-process.js';
 import type { FakeProcess } from './fake-process.js';
@@ -60,7 +60,8 @@
   const random = createSeededRandom(options.seed ?? 1);
   const metrics: Metrics = createMetrics();
   const network = createFakeNetwork(clock);
-  const fakeLog = createFakeLog();
+  const fakeLog = createMemoryLog();
+  const logClient = fakeLog.client();
   const { oracle, engines, start } = createFakeEngines({
     clock,
     ranks: rankCount,
@@ -76,9 +77,9 @@
   let instances = 0;
 
   const gatedLog = (process: FakeProcess): Log => ({
-    append: (...args) => process.gate(fakeLog.log.append(...args)),
-    read: (...args) => process.gate(fakeLog.log.read(...args)),
-    offsets: (...args) => process.gate(fakeLog.log.offsets(...args)),
+    append: (...args) => process.gate(logClient.append(...args)),
+    read: (...args) => process.gate(logClient.read(...args)),
+    offsets: (...args) => process.gate(logClient.offsets(...args)),
   });
 
   /** Starts an agent with nothing in memory; the one before it on this VM must be dead. */
--- a/packages/experts/test/group-claims.test.ts
+++ b/packages/experts/test/group-claims.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
+import { createMemoryLog } from '@plantaindrum/stand-ins';
 import { GROUPS_TOPIC, createGroupClaims } from '../src/index.js';
 import type { GroupClaim } from '../src/index.js';
 import { createFakeGroup } from './fakes/fake-group.js';
 import { expectOneMap } from './fakes/faulty-change.js';
-import { createFakeLog } from './fakes/fake-log.js';
 
 const claim = (id: string, replaces: number): GroupClaim => ({
   kind: 'claim',
@@ -15,10 +15,11 @@
 });
 
 const holderAfter = async (values: unknown[], beginning = 0) => {
-  const { log, faults } = createFakeLog();
-  await log.append(GROUPS_TOPIC, 0, values);
-  faults.beginning = beginning;
-  const claims = createGroupClaims(log);
+  const log = createMemoryLog();
+  const client = log.client();
+  await client.append(GROUPS_TOPIC, 0, values);
+  log.expire(beginning);
+  const claims = createGroupClaims(client);
   await claims.catchUp();
   return { fence: claims.holder('g')?.fence, floor: claims.floor('g') };
 };
@@ -44,10 +45,10 @@
 // The append of a claim takes effect, or does not, and its answer is lost. Were it taken for a
 // failure, the group would have a coordinator in the log that no process feels to be.
 describe('a claim whose answer is lost', () => {
-  for (const fault of ['loseAnswers', 'loseAppends'] as const) {
+  for (const fault of ['lost-answer', 'lost-request'] as const) {
     it(`is looked up and holds once (${fault})`, async () => {
       const group = createFakeGroup();
-      group.fakeLog.faults[fault] = 1;
+      group.fakeLog.faults.appends.push(fault);
       await expectOneMap(group);
       expect(group.fakeLog.records).to.have.length(1);
       expect(group.acting()).to.have.length(1);
@@ -60,12 +61,12 @@
 describe('a group whose log is down', () => {
   it('forms when the log comes back, and steps through the next outage', async () => {
     const group = createFakeGroup();
-    group.fakeLog.faults.isDown = true;
+    group.fakeLog.faults.down = true;
     await group.clock.advance(1_000);
     expect(group.oracle.steps).to.equal(0);
-    group.fakeLog.faults.isDown = false;
+    group.fakeLog.faults.down = false;
     await expectOneMap(group);
-    group.fakeLog.faults.isDown = true;
+    group.fakeLog.faults.down = true;
     await group.until(() => group.oracle.versions.size >= 2);
     expect(group.oracle).to.deep.include({ mixed: [], heldMs: 0 });
   });
--- a/packages/intent/test/submit.test.ts
+++ b/packages/intent/test/submit.test.ts
@@ -77,32 +77,32 @@
   // The log takes the record, and its answer is lost. The writer can't know, looks for the id in
   // what it reads back, and finds it: the operator gets `accepted`, and nothing is appended twice.
   it('looks a lost answer up by its id', async () => {
-    a.faults.loseNextAnswer = true;
+    a.faults.appends.push('lost-answer');
     const outcome = await submitAt(fleet, a, 'id-1', changeClass('live', -1, 800));
     expect(outcome).to.deep.equal({ outcome: 'accepted', version: 0 });
-    expect(fleet.log.appends).to.equal(1);
+    expect(fleet.log.counts().appends).to.equal(1);
   });
 
   it('looks a lost answer up before it appends again, also where reads are slow', async () => {
     a.faults.slowReadMs = 1_000;
-    a.faults.loseNextAnswer = true;
+    a.faults.appends.push('lost-answer');
     const outcome = await submitAt(fleet, a, 'id-1', changeClass('live', -1, 800));
     expect(outcome).to.deep.equal({ outcome: 'accepted', version: 0 });
-    expect(fleet.log.appends).to.equal(1);
+    expect(fleet.log.counts().appends).to.equal(1);
   });
 
   it('appends again when the lost append had no effect', async () => {
-    a.faults.loseNextAppend = true;
+    a.faults.appends.push('lost-request');
     const outcome = await submitAt(fleet, a, 'id-1', changeClass('live', -1, 800));
     expect(outcome).to.deep.equal({ outcome: 'accepted', version: 0 });
-    expect(fleet.log.appends).to.equal(2);
+    expect(fleet.log.counts().appends).to.equal(2);
   });
 
   // The log goes down after it has taken the record, and stays down past the writer's patience.
   // The operator is told `unknown` with the id, asks again after the outage, also at another node,
   // and gets the outcome of the one record.
   it('answers unknown in an outage, and the outcome when asked again by id', async () => {
-    a.faults.loseNextAnswer = true;
+    a.faults.appends.push('lost-answer');
     const change = changeClass('live', -1, 800);
     const pending = submitAt(fleet, a, 'id-1', change);
     fleet.log.faults.down = true;
--- a/packages/intent/test/support/nodes.ts
+++ b/packages/intent/test/support/nodes.ts
@@ -1,7 +1,8 @@
 import { setImmediate } from 'node:timers/promises';
 import { createManualClock, createMetrics, silentLogger } from '@plantaindrum/common';
 import type { ManualClock, Metrics } from '@plantaindrum/common';
-import type { Log } from '@plantaindrum/service-clients';
+import { createMemoryLog } from '@plantaindrum/stand-ins';
+import type { LogFaults, MemoryLog } from '@plantaindrum/stand-ins';
 import { createIntentReader, fetchWhole } from '../../src/index.js';
 import type {
   IntentChange,
@@ -11,8 +12,6 @@
   IntentReaderOptions,
   SubmitOutcome,
 } from '../../src/index.js';
-import { createFakeLog } from './fake-log.js';
-import type { FakeLog, LogFaults } from './fake-log.js';
 
 /** A reader on a fake log, with peers that can be cut off. */
 export interface TestNode {
@@ -29,7 +28,7 @@
 /** A fleet in one process, with time by hand. */
 export interface Fleet {
   clock: ManualClock;
-  log: FakeLog;
+  log: MemoryLog;
   start(name: string, options?: Partial<IntentReaderOptions>): TestNode;
   /** Links two nodes; heartbeats carry offsets every 500 ms. */
   link(a: TestNode, b: TestNode): void;
@@ -43,7 +42,7 @@
 /** Creates a fleet with an empty log. */
 export const createFleet = (): Fleet => {
   const clock = createManualClock(1_000_000);
-  const log = createFakeLog(clock);
+  const log = createMemoryLog({ clock });
   const nodes = new Set<TestNode>();
   let seed = 0;
 
@@ -53,7 +52,7 @@
   };
 
   const start: Fleet['start'] = (name, options = {}) => {
-    const client: Log & { faults: LogFaults } = log.client();
+    const client = log.client();
     const metrics = createMetrics();
     const node = createIntentReader({
       ...{ log: client, clock, random, metrics, logger: silentLogger },
--- a/packages/lab/src/experiments/drain-site.ts
+++ b/packages/lab/src/experiments/drain-site.ts
@@ -127,6 +127,42 @@
     ...options,
   });
 
+/** What one experiment does under load. */
+export interface LoadedRun<T> {
+  /** Tells this run's calls apart from those of others. */
+  what: string;
+  seed: number;
+  quick: boolean;
+  /** How long the load goes on after the act begins, in milliseconds. */
+  afterMs: number;
+  act: (site: Site, load: Load) => Promise<T>;
+}
+
+/** Load before the act, in milliseconds: long streams are open by then. */
+const BEFORE_MS = 3_000;
+
+/** Starts the site and its load, acts, and waits for the last call; closes the site in any case. */
+export const runUnderLoad = async <T>(
+  run: LoadedRun<T>,
+): Promise<{ acted: T; calls: LoadCall[] }> => {
+  const site = await startTwoDataCentres();
+  const probed = probeEntries(site.entries);
+  try {
+    const load = startMixedLoad(probed.urls, {
+      seed: run.seed,
+      durationMs: BEFORE_MS + run.afterMs,
+      run: run.what,
+      scale: run.quick ? 1 : 2,
+    });
+    await delay(BEFORE_MS);
+    const acted = await run.act(site, load);
+    return { acted, calls: await load.finished };
+  } finally {
+    probed.stop();
+    await site.close();
+  }
+};
+
 /** Counts of calls by what became of them; other ends than answers by reason and class. */
 export const countOutcomes = (calls: LoadCall[]): Record<string, number> => {
   const counts: Record<string, number> = {};
--- a/packages/lab/src/experiments/drain.ts
+++ b/packages/lab/src/experiments/drain.ts
@@ -1,15 +1,12 @@
 /** A planned stop under load: what is cut, and how long it takes until nothing is in flight. */
 
-import { setTimeout as delay } from 'node:timers/promises';
 import type { LoadCall } from '../harness/load.js';
 import type { Site } from '../harness/site-types.js';
 import {
   countOutcomes,
   LONGEST_DRAIN_MS,
-  probeEntries,
+  runUnderLoad,
   setDataCentre,
-  startMixedLoad,
-  startTwoDataCentres,
   STOPPED,
   untilQuiet,
 } from './drain-site.js';
@@ -26,7 +23,6 @@
   exitCode: number | null | undefined;
 }
 
-const BEFORE_MS = 3_000;
 const AFTER_MS = 5_000;
 
 const isCut = ({ result }: LoadCall): boolean =>
@@ -59,34 +55,21 @@
   stop: (site: Site) => Promise<Drained>,
   options: ExperimentOptions,
 ): Promise<DrainFigures> => {
-  const site = await startTwoDataCentres();
-  const probed = probeEntries(site.entries);
-  try {
-    const load = startMixedLoad(probed.urls, {
-      seed: options.seed,
-      durationMs: BEFORE_MS + AFTER_MS,
-      run: what,
-      scale: options.quick ? 1 : 2,
-    });
-    await delay(BEFORE_MS);
-    const { drainMs, exitCode } = await stop(site);
-    const calls = await load.finished;
-    const figures = {
-      what,
-      sent: calls.length,
-      outcomes: countOutcomes(calls),
-      cut: calls.filter(isCut).length,
-      drainMs: Math.round(drainMs),
-      exitCode,
-    };
-    options.print(
-      `${what}: ${figures.sent} calls, ${figures.cut} cut, drained after ${figures.drainMs} ms, ${JSON.stringify(figures.outcomes)}`,
-    );
-    return figures;
-  } finally {
-    probed.stop();
-    await site.close();
-  }
+  const { seed, quick } = options;
+  const run = { what, seed, quick, afterMs: AFTER_MS, act: stop };
+  const { acted, calls } = await runUnderLoad(run);
+  const figures = {
+    what,
+    sent: calls.length,
+    outcomes: countOutcomes(calls),
+    cut: calls.filter(isCut).length,
+    drainMs: Math.round(acted.drainMs),
+    exitCode: acted.exitCode,
+  };
+  options.print(
+    `${what}: ${figures.sent} calls, ${figures.cut} cut, drained after ${figures.drainMs} ms, ${JSON.stringify(figures.outcomes)}`,
+  );
+  return figures;
 };
 
 /** Stops a data centre, one upstream's VM and one entry, each under load. */
--- a/packages/lab/src/experiments/recovery.ts
+++ b/packages/lab/src/experiments/recovery.ts
@@ -1,16 +1,9 @@
 /** Death of an upstream's VM under load: when the last request goes there, and what is lost. */
 
 import { setTimeout as delay } from 'node:timers/promises';
-import type { LoadCall } from '../harness/load.js';
+import type { Load, LoadCall } from '../harness/load.js';
 import type { Site } from '../harness/site-types.js';
-import {
-  countOutcomes,
-  dispatchedTo,
-  probeEntries,
-  startMixedLoad,
-  startTwoDataCentres,
-  STOPPED,
-} from './drain-site.js';
+import { countOutcomes, dispatchedTo, runUnderLoad, STOPPED } from './drain-site.js';
 import type { ExperimentOptions } from './table.js';
 
 interface RecoveryFigures {
@@ -29,7 +22,6 @@
 
 /** The upstream whose dispatches are watched. */
 const WATCHED = `lot-writer-${STOPPED}-1`;
-const BEFORE_MS = 3_000;
 const AFTER_MS = 9_000;
 const POLL_MS = 25;
 
@@ -86,28 +78,17 @@
   fail: (site: Site) => Promise<unknown> | void,
   options: ExperimentOptions,
 ): Promise<RecoveryFigures> => {
-  const site = await startTwoDataCentres();
-  const probed = probeEntries(site.entries);
-  try {
-    const load = startMixedLoad(probed.urls, {
-      seed: options.seed,
-      durationMs: BEFORE_MS + AFTER_MS,
-      run: what,
-      scale: options.quick ? 1 : 2,
-    });
-    await delay(BEFORE_MS);
+  const { seed, quick } = options;
+  const act = async (site: Site, load: Load): Promise<Watch> => {
     await fail(site);
-    const { lastMs, dispatched } = await watchDispatches(site, WATCHED, load.finished);
-    const calls = await load.finished;
-    const figures = figuresOf(what, calls, lastMs, dispatched);
-    options.print(
-      `${what}: last dispatch ${figures.lastDispatchMs} ms after the failure (${dispatched} after it), lost ${figures.lost}, ${JSON.stringify(figures.outcomes)}`,
-    );
-    return figures;
-  } finally {
-    probed.stop();
-    await site.close();
-  }
+    return watchDispatches(site, WATCHED, load.finished);
+  };
+  const { acted, calls } = await runUnderLoad({ what, seed, quick, afterMs: AFTER_MS, act });
+  const figures = figuresOf(what, calls, acted.lastMs, acted.dispatched);
+  options.print(
+    `${what}: last dispatch ${figures.lastDispatchMs} ms after the failure (${figures.dispatchedAfter} after it), lost ${figures.lost}, ${JSON.stringify(figures.outcomes)}`,
+  );
+  return figures;
 };
 
 const signalAgent =
--- a/packages/lab/src/harness/load.ts
+++ b/packages/lab/src/harness/load.ts
@@ -1,4 +1,6 @@
 import type { Random } from '@plantaindrum/common';
+import { startOpenLoop } from '@plantaindrum/stand-ins';
+import type { OpenLoop } from '@plantaindrum/stand-ins';
 import type { CallResult, CallSpec } from './caller.js';
 import { call } from './caller.js';
 import type { TrafficKind } from './traffic.js';
@@ -26,17 +28,8 @@
   onDone?: (done: LoadCall) => void;
 }
 
-/** A load under way: calls begin at their times whether or not earlier ones have ended. */
-export interface Load {
-  /** Calls sent and not yet ended. */
-  inFlight(): number;
-  /** Resolves with every call once the last has ended. */
-  readonly finished: Promise<LoadCall[]>;
-  /** Begins no more calls. */
-  stop(): void;
-}
-
-const TICK_MS = 5;
+/** A load under way. */
+export type Load = OpenLoop<LoadCall>;
 
 interface Due {
   kind: TrafficKind;
@@ -60,45 +53,20 @@
 
 /** Starts an open-loop load. */
 export const startLoad = (spec: LoadSpec): Load => {
-  const pending = schedule(spec);
-  const running: Promise<LoadCall>[] = [];
-  const begun = performance.now();
-  let open = 0;
   let n = 0;
 
-  const begin = async ({ kind }: Due): Promise<LoadCall> => {
+  const send = async ({ kind }: Due): Promise<LoadCall> => {
     const organisation = pickOrganisation(kind.organisations, spec.random);
     const urls = spec.urls();
     const made = kind.make({ n, organisation, random: spec.random, run: spec.run });
     const url = urls[n % urls.length] ?? '';
     n += 1;
-    open += 1;
     const callSpec = { ...made, class: kind.class, url, key: exampleKey(organisation) };
     const result = await call(callSpec);
-    open -= 1;
     const done = { class: kind.class, organisation, spec: callSpec, result };
     spec.onDone?.(done);
     return done;
   };
 
-  const finished = new Promise<LoadCall[]>((resolve) => {
-    const timer = setInterval(() => {
-      const elapsed = performance.now() - begun;
-      while (pending[0] && pending[0].atMs <= elapsed) {
-        const due = pending.shift();
-        if (due) running.push(begin(due));
-      }
-      if (pending.length > 0) return;
-      clearInterval(timer);
-      resolve(Promise.all(running));
-    }, TICK_MS);
-  });
-
-  return {
-    inFlight: () => open,
-    finished,
-    stop: () => {
-      pending.length = 0;
-    },
-  };
+  return startOpenLoop(schedule(spec), send);
 };
--- a/packages/rank-groups/test/coordinator.test.ts
+++ b/packages/rank-groups/test/coordinator.test.ts
@@ -7,7 +7,7 @@
 } from '@plantaindrum/common';
 import type { ManualClock } from '@plantaindrum/common';
 import { createCoordinator } from '../src/index.js';
-import type { Coordinator, CoordinatorOptions, GroupShape } from '../src/index.js';
+import type { Coordinator, CoordinatorOptions, GroupShape, OrderOutcome } from '../src/index.js';
 import { createFakeRanks } from './fakes/fake-ranks.js';
 import type { FakeRanks } from './fakes/fake-ranks.js';
 
@@ -88,7 +88,7 @@
   it('goes on at once when the VM that gave the hold freezes', async () => {
     let gaveHold = false;
     const played: Played = start({
-      orderOwnFromAfar: async (order) => {
+      orderOwnFromAfar: async (order): Promise<OrderOutcome> => {
         await played.group.port(() => true).order(0, order);
         gaveHold = true;
         played.frozen.add(RANKS - 1);
--- a/packages/requests/test/claims.test.ts
+++ b/packages/requests/test/claims.test.ts
@@ -2,11 +2,11 @@
 import fc from 'fast-check';
 import { createManualClock, createMetrics } from '@plantaindrum/common';
 import type { ManualClock } from '@plantaindrum/common';
+import type { AppendFault } from '@plantaindrum/stand-ins';
+import { createMemoryLog } from '@plantaindrum/stand-ins';
 import { createClaims } from '../src/claims/claims.js';
 import { createKeyTable } from '../src/claims/key-table.js';
 import type { ClaimRequest, Claims, ClaimVerdict } from '../src/claims/types.js';
-import type { AppendFault } from './fake-log.js';
-import { createFakeLog } from './fake-log.js';
 
 const WINDOW_MS = 10 * 60_000;
 const metrics = createMetrics();
@@ -27,11 +27,11 @@
 
 const worldWith = (step?: (label: string) => Promise<void>) => {
   const clock = createManualClock(1_800_000_000_000);
-  const fake = createFakeLog(step);
+  const fake = createMemoryLog({ ...(step && { step }), pageSize: 3 });
   const agent = (instance: string): Claims =>
     createClaims({
       clock,
-      log: fake.log,
+      log: fake.client(),
       metrics,
       instance,
       windowMs: WINDOW_MS,
@@ -101,7 +101,7 @@
 
   it('refuses at once while the log is down, and runs nothing', async () => {
     const { clock, fake, agent } = worldWith();
-    fake.setDown(true);
+    Object.assign(fake.faults, { down: true });
     const before = clock.monotonic();
     const verdict = await settled(clock, agent('kent').claim(request()));
     expect(verdict).to.deep.equal({ verdict: 'log-down', retryAfterMs: 500 });
@@ -113,7 +113,7 @@
   it('looks up an append whose answer was lost', async () => {
     for (const fault of ['lost-answer', 'lost-request', 'late-effect'] as const) {
       const { clock, fake, agent } = worldWith();
-      fake.faults.push(fault);
+      fake.faults.appends.push(fault);
       expect((await settled(clock, agent('kent').claim(request()))).verdict).to.equal('first');
       expect((await settled(clock, agent('csepel').claim(request()))).verdict).to.equal('held');
     }
@@ -124,13 +124,13 @@
   it('gives back a claim that it could not confirm', async () => {
     let isFirst = true;
     const { clock, fake, agent } = worldWith(async (label) => {
-      if (label === 'append answer' && isFirst) fake.setDown(true);
+      if (label === 'append answer' && isFirst) Object.assign(fake.faults, { down: true });
     });
     const kent = agent('kent');
     expect((await settled(clock, kent.claim(request()))).verdict).to.equal('not-confirmed');
     expect(fake.values()).to.have.length(1);
     isFirst = false;
-    fake.setDown(false);
+    Object.assign(fake.faults, { down: false });
     await settled(clock, kent.flush(20_000));
     expect(fake.values()).to.have.length(2);
     expect((await settled(clock, agent('csepel').claim(request()))).verdict).to.equal('first');
@@ -195,7 +195,14 @@
 
   it('decides alike after a partition was dropped from memory', async () => {
     const { clock, fake } = worldWith();
-    const options = { clock, log: fake.log, metrics, instance: 'kent', partitions: 8, mostKeys: 1 };
+    const options = {
+      clock,
+      log: fake.client(),
+      metrics,
+      instance: 'kent',
+      partitions: 8,
+      mostKeys: 1,
+    };
     const kent = createClaims(options);
     const keys = Array.from({ length: 20 }, (_, n) => `export-${n}`);
     const verdicts: string[] = [];
@@ -208,7 +215,14 @@
 
   it('sends the claims of one moment in one append', async () => {
     const { clock, fake } = worldWith();
-    const options = { clock, log: fake.log, metrics, instance: 'kent', partitions: 1, lingerMs: 5 };
+    const options = {
+      clock,
+      log: fake.client(),
+      metrics,
+      instance: 'kent',
+      partitions: 1,
+      lingerMs: 5,
+    };
     const kent = createClaims(options);
     const keys = Array.from({ length: 50 }, (_, n) => `export-${n}`);
     await settled(clock, Promise.all(keys.map((key) => kent.claim(request({ key })))));
@@ -238,7 +252,7 @@
     const moves = fc.array(move, { minLength: 2, maxLength: 7 });
     const property = fc.asyncProperty(fc.scheduler(), faults, moves, async (s, injected, list) => {
       const { clock, fake, agent } = worldWith((label) => s.schedule(Promise.resolve(), label));
-      fake.faults.push(...injected);
+      fake.faults.appends.push(...injected);
       const agents = new Map(['a1', 'a2', 'b1'].map((name) => [name, agent(name)]));
       const runs = new Map<string, number>();
       let open = list.length;
--- a/packages/stand-ins/src/load/load.ts
+++ b/packages/stand-ins/src/load/load.ts
@@ -1,8 +1,9 @@
-/** An open-loop load: calls are sent at their times, however late earlier answers are. */
+/** A planned load: sends its calls, checks the answers and counts what came of them. */
 import type { Clock } from '@plantaindrum/common';
 import { systemClock } from '@plantaindrum/common';
 import { createSignal } from '../signal.js';
 import type { CallOutcome } from './answer-check.js';
+import { startOpenLoop } from './open-loop.js';
 import type { Arrival, LoadStream } from './plan.js';
 import { planArrivals } from './plan.js';
 import type { LoadReport } from './report.js';
@@ -57,60 +58,40 @@
   const sender = createSender(clock, timeoutMs);
   const builder = createReportBuilder();
   const progressed = createSignal();
-  const results: CallResult[] = [];
-  const stopped = createSignal();
-  let inFlight = 0;
-  let stopping = false;
+  let sent = 0;
+  let ended = 0;
 
   const progress = (): LoadProgress => ({
-    sent: results.length + inFlight,
-    inFlight,
+    sent,
+    inFlight: sent - ended,
     outcomes: builder.outcomes(),
   });
 
-  const send = async (arrival: Arrival): Promise<void> => {
-    inFlight += 1;
+  const send = async (arrival: Arrival): Promise<CallResult> => {
+    sent += 1;
     progressed.notify();
     const result = await sender.send(options.pickTarget(arrival), arrival);
-    inFlight -= 1;
-    results.push(result);
+    ended += 1;
     builder.add(result);
     options.onResult?.(result);
     progressed.notify();
+    return result;
   };
 
-  const until = async (waitMs: number): Promise<void> => {
-    let stops: (() => void)[] = [];
-    await new Promise<void>((resolve) => {
-      stops = [clock.after(waitMs, resolve), stopped.listen(resolve)];
-    });
-    stops.forEach((stop) => stop());
-  };
-
-  const run = async (): Promise<CallResult[]> => {
-    const begun = clock.monotonic();
-    const calls: Promise<void>[] = [];
-    for (const arrival of arrivals) {
-      const waitMs = begun + arrival.atMs - clock.monotonic();
-      if (waitMs > 0) await until(waitMs);
-      if (stopping) break;
-      calls.push(send(arrival));
-    }
-    await Promise.all(calls);
+  const loop = startOpenLoop(arrivals, send, clock);
+  const finish = async (): Promise<CallResult[]> => {
+    const results = await loop.finished;
     await sender.close();
     return results;
   };
 
   return {
-    finished: run(),
+    finished: finish(),
     progress,
-    report: () => builder.report(inFlight),
+    report: () => builder.report(sent - ended),
     waitFor: async (holds) => {
       while (!holds(progress())) await progressed.wait();
     },
-    stop: () => {
-      stopping = true;
-      stopped.notify();
-    },
+    stop: loop.stop,
   };
 };
