One entry reads the platform's log for all; entries tell their load as changes

Ruled out: polling more seldom (a change is due within two seconds). Change: the first of the linked entries, by name, reads the log and passes each answer on at once; the others read themselves again when its word is 400 ms overdue, when they have a gap, or when a peer is ahead. Only an answer of the log itself is passed on, so that two entries can't confirm each other.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,8 +14,9 @@
 import type { ListenAddress } from './door.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
-import type { LoadShare, Mesh } from './mesh/mesh.js';
+import { createLoadTeller } from './mesh/load-share.js';
 import { createMesh } from './mesh/mesh.js';
+import type { Mesh } from './mesh/mesh.js';
 import { createReadinessDoor } from './readiness-door.js';
 import { createRetryBudget } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
@@ -68,15 +69,11 @@
 }
 
 /** Waits at the log and pauses between reads, in ms. A change is due within two seconds. */
-const INTENT_READ = { waitMs: 1_000, pauseMs: 50 };
+const INTENT_READ = { waitMs: 600, pauseMs: 50 };
 /** The list changes several times a second; reading it seldom saves calls, and two seconds are allowed. */
 const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500 };
 /** Nodes come and go seldom. */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
-/** Shares of load are sent this often while they change, in ms: about one pass of a group. */
-const SHARE_MS = 60;
-/** An unchanged share is sent again after this long, in ms, for peers that missed it. */
-const SHARE_AGAIN_MS = 1_000;
 /** After the signal to stop the balancer still sends new connections for two of its checks, in ms. */
 const LISTEN_ON_MS = 3_200;
 /** Kept free at the end of the grace, in ms, to end in order. */
@@ -104,7 +101,18 @@
     mirror: KeyedMirror,
     read: { waitMs: number; pauseMs: number },
   ): Follower => {
-    const follower = followTopic({ topic, mirror, askPeers, ...read, clock, metrics, log });
+    const follower = followTopic({
+      topic,
+      mirror,
+      askPeers,
+      // One entry reads the log for all: calls to it are paid for, and links are there anyway.
+      isReadByPeer: () => mesh?.hasEarlierPeer() ?? false,
+      onAnswer: (push) => mesh?.passOn(topic.name, push),
+      ...read,
+      clock,
+      metrics,
+      log,
+    });
     mirrored.set(topic.name, { mirror, follower });
     return follower;
   };
@@ -178,11 +186,18 @@
   const upstreamFollower = follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
   const nodeFollower = follow(topics.nodes, nodeMirror, NODES_READ);
 
-  const onShare = (peer: string, share: LoadShare): void => {
-    directory.all().forEach((upstream) => {
-      upstream.notePeer(peer, share[upstream.record.instance] ?? 0);
-    });
-  };
+  const ownCounts = (): Map<string, number> =>
+    new Map(
+      directory
+        .all()
+        .filter((upstream) => upstream.inFlight() > 0)
+        .map((upstream) => [upstream.record.instance, upstream.inFlight()]),
+    );
+  const loadTeller = createLoadTeller({
+    counts: ownCounts,
+    tell: (share) => mesh?.shareLoad(share),
+    clock,
+  });
 
   mesh = await createMesh({
     self,
@@ -191,7 +206,9 @@
     seeds: options.seeds,
     intentOffset: () => intentMirror.end(),
     onPeerAhead: () => intentFollower.hurry(),
-    onShare,
+    onShare: directory.notePeerLoad,
+    wholeShare: loadTeller.whole,
+    onPush: (topic, push) => mirrored.get(topic)?.follower.takePush(push),
     onPeerGone: (peer) => directory.all().forEach((upstream) => upstream.forgetPeer(peer)),
     onPace: directory.notePace,
     recordsAfter: (topic, after) => {
@@ -221,25 +238,6 @@
     metrics,
   );
 
-  let lastShare = '';
-  let sharedAt = -Infinity;
-  let stopSharing = (): void => {};
-  const shareLoad = (): void => {
-    const busy = directory.all().filter((upstream) => upstream.inFlight() > 0);
-    const share = Object.fromEntries(
-      busy.map((upstream) => [upstream.record.instance, upstream.inFlight()]),
-    );
-    const text = JSON.stringify(share);
-    const now = clock.monotonic();
-    if (text !== lastShare || now - sharedAt > SHARE_AGAIN_MS) {
-      mesh?.shareLoad(share);
-      lastShare = text;
-      sharedAt = now;
-    }
-    stopSharing = clock.after(SHARE_MS, shareLoad);
-  };
-  shareLoad();
-
   const untilIdle = async (by: number): Promise<void> => {
     while (door.open() > 0 && clock.monotonic() < by) {
       await new Promise<void>((resolve) => {
@@ -264,7 +262,7 @@
     publisher.close();
     readiness.close();
     metricsDoor.close();
-    stopSharing();
+    loadTeller.close();
     // Not waited for: a peer that has stopped reading would use up the rest of the grace.
     void mesh?.close();
     log.flush();
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -5,11 +5,10 @@
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
 import { isObject } from '@plantaindrum/mirror';
-import type { KeyedRecord, NodeRecord, PeerRecords } from '@plantaindrum/mirror';
+import type { KeyedRecord, NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
-
-/** Requests of an entry at each upstream, by the upstream's instance. */
-export type LoadShare = Readonly<Record<string, number>>;
+import { readShare } from './load-share.js';
+import type { LoadShare } from './load-share.js';
 
 /** The entries that this one is linked with. */
 export interface Mesh {
@@ -17,7 +16,11 @@
   setNodes(nodes: readonly NodeRecord[]): void;
   /** Linked entries, this one not counted. */
   peers(): number;
+  /** Whether a linked entry comes before this one; the first reads the log for all. */
+  hasEarlierPeer(): boolean;
   shareLoad(share: LoadShare): void;
+  /** Passes on what the log has just answered. */
+  passOn(topic: string, push: PeerPush): void;
   /** Asks a linked entry for records of a topic beyond an offset. */
   askPeers(topic: string, after: number): Promise<PeerRecords | undefined>;
   close(): Promise<void>;
@@ -35,6 +38,9 @@
   /** A peer holds a newer intent. */
   onPeerAhead: () => void;
   onShare: (peer: string, share: LoadShare) => void;
+  /** The whole of this entry's load, for a peer that is newly linked. */
+  wholeShare: () => LoadShare;
+  onPush: (topic: string, push: PeerPush) => void;
   onPeerGone: (peer: string) => void;
   /** An agent tells the pace of the engine beside it. */
   onPace: (host: string, port: number, pace: number) => void;
@@ -58,18 +64,27 @@
   typeof value.offset === 'number' &&
   (value.value === undefined || value.value === null || value.value instanceof Uint8Array);
 
+const readRecordList = (value: unknown): KeyedRecord[] | undefined =>
+  Array.isArray(value) && value.every(isRecord)
+    ? value.map((record) => ({ ...record, value: record.value ?? undefined }))
+    : undefined;
+
 const readRecords = (value: unknown): PeerRecords | undefined => {
   if (!isObject(value)) return undefined;
-  const { records, end, ageMs } = value;
-  if (!Array.isArray(records) || !records.every(isRecord)) return undefined;
-  if (typeof end !== 'number' || typeof ageMs !== 'number') return undefined;
-  return { records: records.map((r) => ({ ...r, value: r.value ?? undefined })), end, ageMs };
+  const { end, ageMs } = value;
+  const records = readRecordList(value.records);
+  if (!records || typeof end !== 'number' || typeof ageMs !== 'number') return undefined;
+  return { records, end, ageMs };
 };
 
-const readShare = (value: unknown): LoadShare | undefined => {
+const readPush = (value: unknown): { topic: string; push: PeerPush } | undefined => {
   if (!isObject(value)) return undefined;
-  const isSound = Object.values(value).every((n) => typeof n === 'number');
-  return isSound ? (value as LoadShare) : undefined;
+  const { topic, after, end, records } = value;
+  if (typeof topic !== 'string' || typeof after !== 'number' || typeof end !== 'number') {
+    return undefined;
+  }
+  const read = readRecordList(records);
+  return read && { topic, push: { after, end, records: read } };
 };
 
 const readPace = (value: unknown): { host: string; port: number; pace: number } | undefined => {
@@ -100,6 +115,8 @@
       if (frame.t !== 'note') return;
       const share = frame.method === 'load.share' ? readShare(frame.args) : undefined;
       if (share) options.onShare(peer, share);
+      const pushed = frame.method === 'mirror.push' ? readPush(frame.args) : undefined;
+      if (pushed) options.onPush(pushed.topic, pushed.push);
       const report = frame.method === 'engine.pace' ? readPace(frame.args) : undefined;
       if (report) options.onPace(report.host, report.port, report.pace);
     };
@@ -108,6 +125,9 @@
     const { node } = link.peer;
     links.add(link);
     log.event('peer-linked', { peer: node, role: link.peer.role });
+    if (link.peer.role === 'entry') {
+      link.send({ t: 'note', method: 'load.share', args: options.wholeShare() });
+    }
     void link.closed.then((why) => {
       links.delete(link);
       log.event('peer-lost', { peer: node, why });
@@ -169,9 +189,14 @@
       forget(new Set([...entries, ...options.seeds].map(addressKey)));
     },
     peers: () => byPeer().length,
+    hasEarlierPeer: () => byPeer().some(({ peer }) => peer.node < self.node),
     shareLoad: (share) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: 'load.share', args: share }));
     },
+    passOn: (topic, push) => {
+      const args = { topic, ...push };
+      byPeer().forEach((link) => link.send({ t: 'note', method: 'mirror.push', args }));
+    },
     askPeers: async (topic, after) => {
       const peers = byPeer();
       const start = Math.floor(random() * peers.length);
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import type { KeyedChange } from '@plantaindrum/mirror';
+import type { LoadShare } from '../mesh/load-share.js';
 import type { UpstreamRecord } from '../types.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
@@ -18,6 +19,8 @@
   isRefusing(service: string): boolean;
   /** The agent beside the upstream at this address tells its pace. */
   notePace(host: string, port: number, pace: number): void;
+  /** Another entry tells its requests at the upstreams. */
+  notePeerLoad(peer: string, share: LoadShare): void;
   /** Another instance answered at this one's address. */
   noteReplaced(instance: string): void;
   all(): Upstream[];
@@ -146,6 +149,12 @@
         .filter(({ record }) => record.host === host && record.port === port)
         .forEach((upstream) => upstream.notePace(pace));
     },
+    notePeerLoad: (peer, { isWhole, counts }) => {
+      listed.forEach((upstream, instance) => {
+        const count = counts[instance] ?? (isWhole ? 0 : undefined);
+        if (count !== undefined) upstream.notePeer(peer, count);
+      });
+    },
     noteReplaced: (instance) => {
       replaced.add(instance);
       log.event('upstream-replaced', { upstream: instance });
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -36,6 +36,14 @@
   ageMs: number;
 }
 
+/** What a peer passes on when the log has just answered it. */
+export interface PeerPush {
+  /** The peer's end before that answer; a mirror that ends earlier has a gap. */
+  after: number;
+  records: readonly KeyedRecord[];
+  end: number;
+}
+
 /** Records that a peer holds beyond an offset; undefined when no peer answered. */
 export type AskPeers = (topic: string, after: number) => Promise<PeerRecords | undefined>;
 
@@ -44,6 +52,10 @@
   topic: KeyedTopic;
   mirror: KeyedMirror;
   askPeers: AskPeers;
+  /** Whether a peer reads the log and passes on what it hears; asked before each read. */
+  isReadByPeer?: () => boolean;
+  /** Told of each answer of the log, to be passed on. */
+  onAnswer?: (push: PeerPush) => void;
   /** How long one read waits at the log, and the pause after each read, in milliseconds. */
   waitMs: number;
   pauseMs: number;
@@ -62,6 +74,8 @@
   logBackAt(): number;
   /** Asks peers now: one of them is known to be ahead. */
   hurry(): void;
+  /** Takes what a peer passes on. */
+  takePush(push: PeerPush): void;
   close(): void;
 }
 
@@ -75,6 +89,13 @@
 const PEER_MS = 250;
 /** Without an answer for this long beyond what a read waits, the log counts as lost, in ms. */
 const LOST_MS = 700;
+/**
+ * A peer that reads the log for others tells them after each read. Without its word for this long
+ * beyond the time between its reads, each reads the log itself again, in ms.
+ */
+const WORD_SLACK_MS = 400;
+/** How often a node that leaves reading to a peer looks whether the peer still does, in ms. */
+const LEFT_MS = 100;
 
 /** Starts to follow a topic; runs until `close`. */
 export const followTopic = (options: FollowOptions): Follower => {
@@ -84,6 +105,7 @@
   let confirmedAt = -Infinity;
   let logAnsweredAt = -Infinity;
   let backAt = -Infinity;
+  let pushedAt = -Infinity;
   let failures = 0;
 
   const since = (at: number): number => clock.monotonic() - at;
@@ -105,6 +127,15 @@
     metrics.count('gateway_log_read_failed', { topic: topic.name, why });
   };
 
+  const takeAnswer = (apply: () => void): void => {
+    const after = mirror.end();
+    apply();
+    noteAnswer();
+    options.onAnswer?.({ after, records: mirror.changesAfter(after), end: mirror.end() });
+  };
+
+  const hasWord = (): boolean => since(pushedAt) < waitMs + pauseMs + WORD_SLACK_MS;
+
   const readAll = async (): Promise<boolean> => {
     const items: KeyedItem[] = [];
     let after: string | undefined;
@@ -121,8 +152,7 @@
       after = read.items.at(-1)?.key;
       if (!read.hasMore || after === undefined) break;
     }
-    mirror.replace(items, end ?? 0);
-    noteAnswer();
+    takeAnswer(() => mirror.replace(items, end ?? 0));
     return true;
   };
 
@@ -136,14 +166,17 @@
       log.event('log-history-gone', { topic: topic.name, from: mirror.end() });
       return readAll();
     }
-    mirror.apply(read.records, read.end);
-    noteAnswer();
+    takeAnswer(() => mirror.apply(read.records, read.end));
     return true;
   };
 
   const followLog = async (): Promise<void> => {
     let isWhole = false;
     while (!stopped) {
+      if (isWhole && options.isReadByPeer?.() && hasWord()) {
+        await pause.wait(LEFT_MS);
+        continue;
+      }
       const done: boolean = isWhole ? await readOn() : await readAll();
       isWhole = isWhole || done;
       if (stopped) return;
@@ -168,7 +201,7 @@
     while (!stopped) {
       await sleep(clock, PEER_MS);
       const isLost = since(logAnsweredAt) > waitMs + pauseMs + LOST_MS;
-      if (!stopped && (isLost || failures > 0)) await askOnce();
+      if (!stopped && (isLost || failures > 0) && !hasWord()) await askOnce();
     }
   };
 
@@ -182,6 +215,17 @@
     hurry: () => {
       void askOnce();
     },
+    takePush: ({ after, records, end }) => {
+      // One that is behind this mirror, as of a store that lags for it, confirms nothing.
+      if (stopped || end < mirror.end()) return;
+      if (after > mirror.end()) {
+        void askOnce();
+        return;
+      }
+      mirror.apply(records, end);
+      pushedAt = clock.monotonic();
+      confirmedAt = pushedAt;
+    },
     close: () => {
       stopped = true;
       pause.end();
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -155,3 +155,76 @@
     follower.close();
   });
 });
+
+describe('leaving the reading to a peer', () => {
+  const startLeft = async (peer?: () => PeerRecords | undefined) => {
+    const clock = createManualClock();
+    const log = createFakeLog();
+    const mirror = createKeyedMirror(() => {});
+    const follower = followTopic({
+      topic: log.topic,
+      mirror,
+      askPeers: async () => peer?.(),
+      isReadByPeer: () => true,
+      waitMs: 0,
+      pauseMs: 100,
+      clock,
+      metrics: createMetrics(),
+      log: silentEventLog,
+    });
+    log.add('k', '1');
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    await clock.advance(250);
+    expect(mirror.end()).to.equal(1);
+    return { clock, log, mirror, follower };
+  };
+
+  it('reads nothing while the peer passes on what it hears', async () => {
+    const { clock, log, mirror, follower } = await startLeft();
+    follower.takePush({ after: 1, records: [], end: 1 });
+    const reads = log.reads();
+    for (let n = 2; n < 12; n += 1) {
+      await clock.advance(200);
+      follower.takePush({ after: n - 1, records: [record('k', n - 1, `${n}`)], end: n });
+    }
+    expect(log.reads() - reads).to.be.at.most(1);
+    expect(mirror.end()).to.equal(11);
+    expect(follower.age()).to.equal(0);
+    follower.close();
+  });
+
+  // The peer freezes or loses the store, and its links stay open for a while. A change of the
+  // operators' would not be heard; each node reads the log itself again.
+  it('reads again when the peer says nothing more', async () => {
+    const { clock, log, mirror, follower } = await startLeft();
+    follower.takePush({ after: 1, records: [], end: 1 });
+    await clock.advance(200);
+    log.add('k', '2');
+    await clock.advance(700);
+    expect(mirror.end()).to.equal(2);
+    follower.close();
+  });
+
+  // A node that was cut off for a moment missed what was passed on. Taking the next piece would
+  // leave a gap for good.
+  it('asks for what it missed', async () => {
+    const missed = { records: [record('k', 4, '5')], end: 5, ageMs: 0 };
+    const { clock, mirror, follower } = await startLeft(() => missed);
+    follower.takePush({ after: 4, records: [record('x', 4, '1')], end: 5 });
+    await clock.advance(10);
+    expect(mirror.items().map(({ key }) => key)).to.deep.equal(['k']);
+    expect(mirror.end()).to.equal(5);
+    follower.close();
+  });
+
+  it('is not confirmed by a peer that is behind', async () => {
+    const { clock, follower } = await startLeft();
+    await clock.advance(60);
+    const age = follower.age();
+    follower.takePush({ after: 0, records: [], end: 0 });
+    expect(follower.age()).to.equal(age);
+    follower.close();
+  });
+});
