--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import type { Mesh } from './mesh/mesh.js';
 import { createReadinessDoor } from './readiness-door.js';
 import { createRetryBudget } from './retry/budget.js';
+import type { RetryLimits } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
 import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
@@ -31,14 +32,11 @@
   metrics: ListenAddress & { path: string };
 }
 
-/** Bounds that the operators declare. */
+/** Bounds that the operators declare; they may change while the entry runs. */
 export interface GatewayBounds {
-  retryRatio: number;
-  retryWindowMs: number;
-  retryAllowance: number;
+  retries: RetryLimits;
   /** Time from the signal to stop until the process is ended, in milliseconds. */
   graceMs: number;
-  maxConnections: number;
 }
 
 /** Options of `createGateway`. */
@@ -48,6 +46,8 @@
   addresses: GatewayAddresses;
   seeds: readonly ListenAddress[];
   bounds: GatewayBounds;
+  /** Callers' connections that are taken at once. */
+  maxConnections: number;
   /** The platform's log: the operators' intent, the list of upstreams, and this system's nodes. */
   topics: { intent: KeyedTopic; upstreams: KeyedTopic; nodes: KeyedTopic };
   publish: PublishNode;
@@ -64,6 +64,7 @@
 
 /** A running entry. */
 export interface Gateway {
+  setBounds(bounds: GatewayBounds): void;
   /** Stops without cutting a request; resolves when nothing is under way or the grace is over. */
   stop(): Promise<void>;
 }
@@ -87,7 +88,8 @@
 
 /** Starts an entry; rejects when one of its addresses is in use. */
 export const createGateway = async (options: GatewayOptions): Promise<Gateway> => {
-  const { self, bounds, topics, clock, random, metrics, log } = options;
+  const { self, topics, clock, random, metrics, log } = options;
+  let { bounds } = options;
   let table: RouteTable | undefined;
   let isStopping = false;
   const mirrored = new Map<string, Mirrored>();
@@ -127,9 +129,7 @@
   });
   const admission = createAdmission(clock, log);
   const budget = createRetryBudget({
-    ratio: bounds.retryRatio,
-    windowMs: bounds.retryWindowMs,
-    allowance: bounds.retryAllowance,
+    limits: () => bounds.retries,
     entries: () => (mesh?.peers() ?? 0) + 1,
     clock,
   });
@@ -151,7 +151,7 @@
   const door = await createDoor({
     listen: options.addresses.callers,
     handle,
-    maxConnections: bounds.maxConnections,
+    maxConnections: options.maxConnections,
     metrics,
     log,
   });
@@ -268,5 +268,10 @@
     log.flush();
   };
 
-  return { stop };
+  return {
+    setBounds: (next) => {
+      bounds = next;
+    },
+    stop,
+  };
 };
--- a/packages/gateway/src/retry/budget.ts
+++ b/packages/gateway/src/retry/budget.ts
@@ -9,12 +9,18 @@
 }
 
 /** What the operators allow over all entries. */
-export interface RetryBudgetOptions {
+export interface RetryLimits {
   /** Further attempts for each request, over the window. */
   ratio: number;
   windowMs: number;
   /** Further attempts in a window whatever the traffic. */
   allowance: number;
+}
+
+/** Options of `createRetryBudget`. */
+export interface RetryBudgetOptions {
+  /** Asked each time: the operators may change them while the entry runs. */
+  limits: () => RetryLimits;
   /** Entries that share the allowance. */
   entries: () => number;
   clock: Clock;
@@ -38,13 +44,13 @@
 
 /** Creates the budget; it needs no message, as each entry keeps to its share. */
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
-  const { ratio, windowMs, allowance, entries, clock } = options;
+  const { limits, entries, clock } = options;
   const services = new Map<string, Spent>();
 
   const spentOn = (service: string): Spent => {
     const spent = services.get(service) ?? { requests: [], attempts: [] };
     services.set(service, spent);
-    const oldest = clock.monotonic() - windowMs;
+    const oldest = clock.monotonic() - limits().windowMs;
     dropBefore(spent.requests, oldest);
     dropBefore(spent.attempts, oldest);
     return spent;
@@ -56,6 +62,7 @@
     },
     take: (service) => {
       const { requests, attempts } = spentOn(service);
+      const { ratio, allowance } = limits();
       const most = USED_SHARE * (ratio * requests.length + allowance / Math.max(1, entries()));
       if (attempts.length + 1 > most) return false;
       attempts.push(clock.monotonic());
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -27,8 +27,9 @@
 describe('retry budget', () => {
   const create = (entries: number) => {
     const clock = createManualClock();
-    const shared = { ratio: 0.2, windowMs: 10_000, allowance: 80, entries: () => entries };
-    return { clock, budget: createRetryBudget({ ...shared, clock }) };
+    const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
+    const options = { limits: () => limits, entries: () => entries, clock };
+    return { clock, limits, budget: createRetryBudget(options) };
   };
   const takeAll = (budget: { take(service: string): boolean }): number => {
     let taken = 0;
@@ -43,6 +44,13 @@
     expect(takeAll(create(4).budget)).to.equal(14);
   });
 
+  it('takes over what the operators change', () => {
+    const { limits, budget } = create(1);
+    expect(takeAll(budget)).to.equal(56);
+    limits.allowance = 100;
+    expect(takeAll(budget)).to.equal(14);
+  });
+
   it('grows with requests and comes back with time', async () => {
     const { clock, budget } = create(4);
     for (let n = 0; n < 100; n += 1) budget.noteRequest('s');
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -89,9 +89,11 @@
     directory,
     admission: createAdmission(clock, log),
     budget: createRetryBudget({
-      ratio: 0,
-      windowMs: 10_000,
-      allowance: options.retryAllowance ?? 100,
+      limits: () => ({
+        ratio: 0,
+        windowMs: 10_000,
+        allowance: options.retryAllowance ?? 100,
+      }),
       entries: () => 1,
       clock,
     }),
