Groups of 72 ranks balance: sums of picks on the way, maps as differences

Cause: at 72 ranks with 1,728 counts each no map was ever changed. Each agent told the coordinator all counts 12 times a second, some 2 MB/s on a link of 0.7 MB/s, so heartbeats were missed; a change would have sent 72 whole maps of 5 KB as well, and all agents, each the lowest for a moment at the start, asked every engine. Ruled out: sampling a few ranks (26 requests a second over nine topics say too little); slower heartbeats (the link would stay full).

--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -19,6 +19,8 @@
 export interface Coordinator {
   /** Takes the update of a rank. */
   onUpdate(update: RankUpdate): void;
+  /** Takes picks that ranks have summed on the way. */
+  onPicks(picks: readonly number[]): void;
   close(): void;
 }
 
@@ -49,9 +51,20 @@
 const FAILED_MS = 200;
 /** Reports that show another map this long after a change show that somebody else made one, in ms. */
 const FOREIGN_MS = 1_000;
+/**
+ * Time for agents to link up with a new coordinator, in ms. All agents of a group that starts are
+ * the lowest for a moment, and each would ask every engine.
+ */
+const LINKING_MS = 1_000;
 /** A group that has begun no pass for this long is idle and is left alone, in ms. */
 const IDLE_MS = 600;
 
+/**
+ * Rest after planning that found nothing, in times of what it took: planning for 72 ranks and 1,728
+ * experts takes 20 ms of a whole core, and every look would plan again.
+ */
+const REST_PER_PLANNING = 8;
+
 interface KnownRank {
   report: RankReport;
   at: number;
@@ -64,10 +77,12 @@
   const popularity: Popularity = createPopularity(shape.sets, shape.experts);
   let stopped = false;
   let wasLowest = false;
+  let leadSince = -Infinity;
   let placement: Placement | undefined;
   let placedEpoch = -1;
   let placedVersion = -1;
   let highest = 0;
+  let planAgainAt = -Infinity;
   let heldSince: number | undefined;
   let switchedAt = -Infinity;
   let lastStep = { step: -1, at: -Infinity };
@@ -98,6 +113,7 @@
   /** Ranks whose agents are silent are read from here: their counts are missed, not their state. */
   const readSilent = async (): Promise<void> => {
     const oldest = clock.monotonic() - REPORT_VALID_MS;
+    if (clock.monotonic() - leadSince < LINKING_MS) return;
     const silent = allRanks(port).filter((rank) => (known.get(rank)?.at ?? -Infinity) < oldest);
     await Promise.all(
       silent.map(async (rank) => {
@@ -173,6 +189,18 @@
     await sleep(clock, FAILED_MS);
   };
 
+  const planNow = (
+    current: Placement,
+    shares: readonly (readonly number[])[],
+    paces: readonly number[],
+  ): MapPlan | undefined => {
+    const began = clock.monotonic();
+    const plan = planChange(current, shares, shape, options.weighs, paces);
+    const now = clock.monotonic();
+    if (!plan) planAgainAt = now + (now - began) * REST_PER_PLANNING;
+    return plan;
+  };
+
   const look = async (): Promise<void> => {
     await readSilent();
     const reports = openReports();
@@ -190,9 +218,9 @@
     // A rank that is armed takes no preparation: the last change waits for its pass.
     const isUnderWay = reports.some(({ map }) => map !== placedVersion);
     const shares = popularity.shares();
-    if (isIdle || isUnderWay || !shares) return;
+    if (isIdle || isUnderWay || !shares || clock.monotonic() < planAgainAt) return;
     const paces = reports.map(({ pace }) => pace);
-    const plan = planChange(placement, shares, shape, options.weighs, paces);
+    const plan = planNow(placement, shares, paces);
     if (plan) await change(plan, epoch, placement);
   };
 
@@ -201,7 +229,10 @@
       await sleep(clock, LOOK_MS);
       const isLowest = options.isLowest();
       if (isLowest !== wasLowest) log.event('coordinating', { isLowest, version: placedVersion });
-      if (isLowest && !wasLowest) placement = undefined;
+      if (isLowest && !wasLowest) {
+        placement = undefined;
+        leadSince = clock.monotonic();
+      }
       wasLowest = isLowest;
       if (isLowest && !stopped) await look();
     }
@@ -210,6 +241,7 @@
 
   return {
     onUpdate,
+    onPicks: popularity.add,
     close: () => {
       stopped = true;
     },
--- a/packages/rank-groups/src/links/pace-reporter.ts
+++ b/packages/rank-groups/src/links/pace-reporter.ts
@@ -5,6 +5,7 @@
 import { createLinkClient, defaultLinkLimits } from '@plantaindrum/link';
 import type { LinkClient } from '@plantaindrum/link';
 import type { NodeRecord } from '@plantaindrum/mirror';
+import { agentIdentity } from './identity.js';
 
 /** The agent's reports to the entries. */
 export interface PaceReporter {
@@ -33,7 +34,7 @@
 const BACKOFF = { firstMs: 50, maxMs: 1_000 };
 const LIMITS = { ...defaultLinkLimits, helloTimeoutMs: 800 };
 
-/** Creates the teller; it has links to entries only while there is something to tell. */
+/** Creates the reporter; it has links to entries only while there is something to tell. */
 export const createPaceReporter = (options: PaceReporterOptions): PaceReporter => {
   const { self, engine, nodes, clock, random, metrics, log } = options;
   const clients = new Map<string, LinkClient>();
@@ -43,13 +44,7 @@
   const open = ({ host, port }: NodeRecord): LinkClient =>
     createLinkClient({
       connect: { host, port },
-      identity: {
-        role: 'agent',
-        node: self.node,
-        instance: self.instance,
-        dataCentre: self.dataCentre,
-        region: options.region,
-      },
+      identity: agentIdentity(self, options.region),
       intentOffset: () => -1,
       limits: LIMITS,
       handlers: {},
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -5,9 +5,11 @@
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions } from '@plantaindrum/link';
 import type { NodeRecord } from '@plantaindrum/mirror';
-import type { RankUpdate, RankMember } from '../member.js';
-import { readOrder, readOrderFor, readUpdate } from './shapes.js';
-import type { OrderOutcome, RankOrder } from '../types.js';
+import type { RankMember } from '../member.js';
+import type { OrderOutcome, RankOrder, RankReport } from '../types.js';
+import { agentIdentity } from './identity.js';
+import { createPlacementBook } from './placement-deltas.js';
+import { readDeltaOrder, readOrder, readOrderFor, readPicks, readReport } from './shapes.js';
 
 /** Links of one agent. */
 export interface RankLinks {
@@ -19,8 +21,10 @@
   toHighest(): Link | undefined;
   /** Whether no agent of a lower rank is linked. */
   isLowest(): boolean;
-  /** Tells the lowest linked rank. */
-  tell(update: RankUpdate): void;
+  /** Link to the lowest rank; undefined when no lower one than this is linked. */
+  toLowest(): Link | undefined;
+  /** Link to the lowest rank of this data centre, on the way to the lowest of all. */
+  toRelay(): Link | undefined;
   close(): Promise<void>;
 }
 
@@ -31,7 +35,8 @@
   member: () => RankMember | undefined;
   /** Gives an order to the engine of another agent's rank, for that agent. */
   orderFor: (rank: number, order: RankOrder) => Promise<OrderOutcome>;
-  onUpdate: (update: RankUpdate) => void;
+  onReport: (report: RankReport) => void;
+  onPicks: (picks: readonly number[]) => void;
   clock: Clock;
   random: Random;
   metrics: Metrics;
@@ -43,6 +48,8 @@
  * dial; a link to every other agent would cost a heartbeat for each pair.
  */
 const KEPT_LINKS = 3;
+/** And to the lowest of its data centre, which sum picks so that few bytes leave it. */
+const KEPT_RELAYS = 2;
 /** A link that has been down for this long makes way for one to the next rank, in ms. */
 const DOWN_MS = 1_000;
 /** Heartbeats: a coordinator that froze is noticed in about a second. */
@@ -63,18 +70,31 @@
 
 /** Opens the agent's link address; rejects when it is in use. */
 export const createRankLinks = async (options: RankLinksOptions): Promise<RankLinks> => {
-  const { self, member, onUpdate, clock, random, metrics, log } = options;
+  const { self, member, clock, random, metrics, log } = options;
   const links = new Map<string, Link>();
   const dialled = new Map<string, Dialled>();
   let ranks = new Map<string, number>();
+  let nearby = new Set<string>();
   let ownRank = Infinity;
+  const book = createPlacementBook();
 
   const handlers = {
     'rank.report': async () => member()?.report(),
     'rank.placement': async () => member()?.placement(),
     'rank.order': async (args: unknown) => {
       const order = readOrder(args);
-      return order ? member()?.order(order) : 'refused';
+      if (!order) return 'refused';
+      if (order.op === 'prepare') book.put(order.epoch, order.version, order.placement);
+      return member()?.order(order);
+    },
+    'rank.prepare-delta': async (args: unknown) => {
+      const asked = readDeltaOrder(args);
+      if (!asked) return 'refused';
+      const { epoch, version, delta } = asked;
+      const placement = book.rebuild(epoch, delta);
+      if (!placement) return 'unknown-base';
+      book.put(epoch, version, placement);
+      return member()?.order({ op: 'prepare', epoch, version, placement });
     },
     'rank.order-for': async (args: unknown) => {
       const asked = readOrderFor(args);
@@ -91,20 +111,16 @@
       log.event('rank-lost', { peer: node, rank: ranks.get(node), why });
     });
     return (frame) => {
-      if (frame.t !== 'note' || frame.method !== 'rank.update') return;
-      const update = readUpdate(frame.args);
-      if (update) onUpdate(update);
+      if (frame.t !== 'note') return;
+      const report = frame.method === 'rank.report' ? readReport(frame.args) : undefined;
+      if (report) options.onReport(report);
+      const picks = frame.method === 'rank.picks' ? readPicks(frame.args) : undefined;
+      if (picks) options.onPicks(picks);
     };
   };
 
   const linkOptions: LinkOptions = {
-    identity: {
-      role: 'agent',
-      node: self.node,
-      instance: self.instance,
-      dataCentre: self.dataCentre,
-      region: options.region,
-    },
+    identity: agentIdentity(self, options.region),
     intentOffset: () => -1,
     limits: LIMITS,
     handlers,
@@ -142,11 +158,11 @@
     return entry.downSince !== undefined && clock.monotonic() - entry.downSince > DOWN_MS;
   };
 
-  const linkedRanks = (): { rank: number; link: Link }[] =>
+  const linkedRanks = (): { node: string; rank: number; link: Link }[] =>
     [...links]
       .flatMap(([node, link]) => {
         const rank = ranks.get(node);
-        return rank === undefined ? [] : [{ rank, link }];
+        return rank === undefined ? [] : [{ node, rank, link }];
       })
       .sort((a, b) => a.rank - b.rank);
 
@@ -161,10 +177,15 @@
         .filter((entry) => entry.rank < rank && entry.record.node !== self.node)
         .sort((a, b) => a.rank - b.rank)
         .map(({ record }) => record);
-      const alive = lower.filter((record) => !isDown(record)).slice(0, KEPT_LINKS);
+      nearby = new Set(
+        lower.filter(({ dataCentre }) => dataCentre === self.dataCentre).map(({ node }) => node),
+      );
+      const up = lower.filter((record) => !isDown(record));
+      const alive = up.slice(0, KEPT_LINKS);
+      const relays = up.filter(({ node }) => nearby.has(node)).slice(0, KEPT_RELAYS);
       // Those that are down are dialled on: one of them that comes back coordinates again.
       const down = lower.filter(isDown).slice(0, KEPT_LINKS);
-      const keep = [...alive, ...down];
+      const keep = [...new Set([...alive, ...relays, ...down])];
       keep.forEach(dial);
       const keys = new Set(keep.map(({ host, port }) => `${host}:${port}`));
       [...dialled].forEach(([key, { client }]) => {
@@ -176,9 +197,11 @@
     toRank: (rank) => linkedRanks().find((entry) => entry.rank === rank)?.link,
     toHighest: () => linkedRanks().at(-1)?.link,
     isLowest: () => !linkedRanks().some(({ rank }) => rank < ownRank),
-    tell: (update) => {
-      linkedRanks()[0]?.link.send({ t: 'note', method: 'rank.update', args: update });
+    toLowest: () => {
+      const [lowest] = linkedRanks();
+      return lowest && lowest.rank < ownRank ? lowest.link : undefined;
     },
+    toRelay: () => linkedRanks().find(({ node, rank }) => nearby.has(node) && rank < ownRank)?.link,
     close: async () => {
       await Promise.all([...dialled.values()].map(({ client }) => client.close()));
       await server.close();
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -1,8 +1,8 @@
 /** Checks what agents of a group say to each other before any code relies on its type. */
 
 import { isObject } from '@plantaindrum/mirror';
-import type { RankUpdate } from '../member.js';
 import type { OrderOutcome, RankOrder, RankPlacement, RankReport } from '../types.js';
+import type { PlacementDelta, RankChange } from './placement-deltas.js';
 
 const isNumber = (value: unknown): value is number =>
   typeof value === 'number' && Number.isFinite(value);
@@ -40,12 +40,9 @@
   };
 };
 
-/** A member's update; undefined when it isn't one. */
-export const readUpdate = (value: unknown): RankUpdate | undefined => {
-  if (!isObject(value) || !isNumbers(value.picks)) return undefined;
-  const report = readReport(value.report);
-  return report && { report, picks: value.picks };
-};
+/** Picks of each expert; undefined when they aren't that. */
+export const readPicks = (value: unknown): number[] | undefined =>
+  isNumbers(value) ? value : undefined;
 
 /** What a rank holds; undefined when it isn't that. */
 export const readPlacement = (value: unknown): RankPlacement | undefined => {
@@ -76,6 +73,29 @@
   return undefined;
 };
 
+const isChange = (value: unknown): value is RankChange =>
+  Array.isArray(value) &&
+  value.length === 3 &&
+  isNumber(value[0]) &&
+  isNumber(value[1]) &&
+  isNumbers(value[2]);
+
+/** A preparation whose map is told as a difference. */
+export interface DeltaOrder {
+  epoch: number;
+  version: number;
+  delta: PlacementDelta;
+}
+
+/** A preparation by difference; undefined when it isn't one. */
+export const readDeltaOrder = (value: unknown): DeltaOrder | undefined => {
+  if (!isObject(value)) return undefined;
+  const { epoch, version, base, changes } = value;
+  if (!isNumber(epoch) || !isNumber(version) || !isNumber(base)) return undefined;
+  if (!Array.isArray(changes) || !changes.every(isChange)) return undefined;
+  return { epoch, version, delta: { base, changes } };
+};
+
 /** An order that one agent asks another to give to its own rank; undefined when it isn't that. */
 export const readOrderFor = (value: unknown): { rank: number; order: RankOrder } | undefined => {
   if (!isObject(value) || !isNumber(value.rank)) return undefined;
--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -26,6 +26,8 @@
   engine: RankEngine;
   /** Told of each reading of the engine. */
   onUpdate: (update: RankUpdate) => void;
+  /** How long apart counts are read at least, in ms, in a group of this many ranks. */
+  countsEveryMs: (ranks: number) => number;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
@@ -51,6 +53,7 @@
   const { engine, onUpdate, clock, metrics, log } = options;
   let last: RankReport | undefined;
   let counts: readonly number[] | undefined;
+  let countedAt = -Infinity;
   let copying: { version: number; until: number } | undefined;
   let stopped = false;
 
@@ -81,9 +84,13 @@
       metrics.count('rank_engine_silent');
       return false;
     }
-    const wasCopying = copying !== undefined;
+    const now = clock.monotonic();
+    // Timers fire late, never early: a reading that is due within half a turn is due.
+    const isDue = now - countedAt > options.countsEveryMs(report.size) - READ_MS / 2;
+    const readsCounts = isDue && copying === undefined;
+    if (readsCounts) countedAt = now;
     noteReport(report);
-    onUpdate({ report, picks: wasCopying ? [] : await readPicks() });
+    onUpdate({ report, picks: readsCounts ? await readPicks() : [] });
     return true;
   };
 
--- a/packages/rank-groups/src/plan/plan.ts
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -17,6 +17,15 @@
   mostCopies: number;
 }
 
+/** What a plan has come to after some edits. */
+interface Mark {
+  after: number;
+  copies: number;
+  mostCopies: number;
+  /** Gain less the price of the copies. */
+  worth: number;
+}
+
 /** What one word of the operator stands for. */
 interface Price {
   /** Gain in the busiest rank's load, over the mean, that is worth a change. */
@@ -71,18 +80,17 @@
 
   const copiesByRank = (): number[] =>
     Array.from({ length: rankCount }, (_, rank) => addedBy(sets, rank));
-  const mark = (): MapPlan => {
+  const mark = (): Mark => {
     const byRank = copiesByRank();
     const copies = byRank.reduce((sum, n) => sum + n, 0);
     const after = mean(sets.map((set) => set.highest()));
-    const placement = sets.map((set) => set.snapshot());
-    return { placement, before, after, copies, mostCopies: Math.max(...byRank) };
+    const worth = before - after - (price.gainPerCopy * copies) / Math.max(1, rankCount);
+    return { after, copies, mostCopies: Math.max(...byRank), worth };
   };
-  const worth = ({ after, copies }: MapPlan): number =>
-    before - after - (price.gainPerCopy * copies) / Math.max(1, rankCount);
+  const snapshot = (): Placement => sets.map((set) => set.snapshot());
 
   // The last edits of a plan bring least; the plan ends where one costs more than it brings.
-  let best: MapPlan | undefined;
+  let best: (Mark & { placement: Placement }) | undefined;
   const done = new Set<SetPlacement>();
   for (let edits = 0; edits < EDITS_PER_RANK * rankCount; edits += 1) {
     const open = sets.filter((set) => !done.has(set) && set.highest() > EVEN_ENOUGH);
@@ -91,9 +99,11 @@
     const edit = bestEdit(worst, limits);
     if (edit) {
       applyEdit(worst, edit);
-      const plan = mark();
-      if (worth(plan) > (best ? worth(best) : 0)) best = plan;
+      const reached = mark();
+      if (reached.worth > (best?.worth ?? 0)) best = { ...reached, placement: snapshot() };
     } else done.add(worst);
   }
-  return best && best.before - best.after >= price.leastGain ? best : undefined;
+  if (!best || before - best.after < price.leastGain) return undefined;
+  const { placement, after, copies, mostCopies } = best;
+  return { placement, before, after, copies, mostCopies };
 };
--- a/packages/rank-groups/src/plan/set-placement.ts
+++ b/packages/rank-groups/src/plan/set-placement.ts
@@ -31,38 +31,49 @@
     ranks.flatMap((experts, rank) => (experts.includes(expert) ? [rank] : [])),
   );
   const loads = new Array<number>(ranks.length).fill(0);
+  const added = new Array<number>(ranks.length).fill(0);
+  // Asked for much more often than loads change.
+  let highest: number | undefined;
 
   const part = (rank: number, expert: number, count: number): number =>
     ((shares[expert] ?? 0) * ranks.length * (paces[rank] ?? 1)) / Math.max(1, count);
 
   const shift = (expert: number, by: 1 | -1): void => {
     const on = hosts[expert] ?? [];
+    highest = undefined;
     on.forEach((rank) => {
       loads[rank] = (loads[rank] ?? 0) + by * part(rank, expert, on.length);
     });
   };
   shares.forEach((_, expert) => shift(expert, 1));
 
+  const isNew = (rank: number, expert: number): boolean => !before[rank]?.has(expert);
+
   return {
     loads,
     hosts: (expert) => hosts[expert] ?? [],
     held: (rank) => held[rank] ?? [],
     part,
-    hadBefore: (rank, expert) => before[rank]?.has(expert) ?? false,
-    added: (rank) => (held[rank] ?? []).filter((expert) => !before[rank]?.has(expert)).length,
+    hadBefore: (rank, expert) => !isNew(rank, expert),
+    added: (rank) => added[rank] ?? 0,
     add: (rank, expert) => {
+      if (isNew(rank, expert)) added[rank] = (added[rank] ?? 0) + 1;
       shift(expert, -1);
       hosts[expert]?.push(rank);
       held[rank]?.push(expert);
       shift(expert, 1);
     },
     remove: (rank, expert) => {
+      if (isNew(rank, expert)) added[rank] = (added[rank] ?? 0) - 1;
       shift(expert, -1);
       hosts[expert] = (hosts[expert] ?? []).filter((other) => other !== rank);
       held[rank] = (held[rank] ?? []).filter((other) => other !== expert);
       shift(expert, 1);
     },
-    highest: () => Math.max(...loads),
+    highest: () => {
+      highest ??= Math.max(...loads);
+      return highest;
+    },
     snapshot: () => held.map((experts) => [...experts]),
   };
 };
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -10,9 +10,11 @@
 import { createEngineFinder } from './engine-finder.js';
 import type { EngineFinderOptions } from './engine-finder.js';
 import { createPaceReporter } from './links/pace-reporter.js';
+import { createSentPlacements } from './links/placement-deltas.js';
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { readOutcome, readPlacement, readReport } from './links/shapes.js';
+import { createRankTeller, picksEveryMs } from './links/teller.js';
 import { createRankMember } from './member.js';
 import type { RankUpdate, RankMember } from './member.js';
 import type {
@@ -24,6 +26,8 @@
   Weighs,
 } from './types.js';
 
+type PrepareOrder = Extract<RankOrder, { op: 'prepare' }>;
+
 /** Options of `createRankAgent`. */
 export interface RankAgentOptions {
   self: NodeRecord;
@@ -53,6 +57,8 @@
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
 /** A call to another agent, in ms: the link and its engine take some ten. */
 const CALL_MS = 110;
+/** A call that carries a whole map, in ms: 72 of 5 KB take half a second on an agent's link. */
+const WHOLE_MAP_MS = 1_000;
 /** How often links follow what is known of the nodes, in ms. */
 const LINKS_MS = 250;
 /** How often the shape is asked for until it is known, in ms. */
@@ -97,19 +103,35 @@
     metrics,
     log,
   });
+  const teller = createRankTeller({
+    coordinator: () => links?.toLowest(),
+    relay: () => links?.toRelay(),
+    clock,
+  });
   const onUpdate = (update: RankUpdate): void => {
     takePlace(update.report);
     pace.note(update.report.pace);
     coordinator?.onUpdate(update);
-    if (links && !links.isLowest()) links.tell(update);
+    if (links && !links.isLowest()) teller.note(update);
   };
-  const member: RankMember = createRankMember({ engine, onUpdate, clock, metrics, log });
+  const member: RankMember = createRankMember({
+    engine,
+    onUpdate,
+    countsEveryMs: picksEveryMs,
+    clock,
+    metrics,
+    log,
+  });
   links = await createRankLinks({
     self,
     region: options.region,
     member: () => member,
     orderFor,
-    onUpdate: (update) => coordinator?.onUpdate(update),
+    onReport: (report) => coordinator?.onUpdate({ report, picks: [] }),
+    onPicks: (picks) => {
+      if (links?.isLowest()) coordinator?.onPicks(picks);
+      else teller.addPicks(picks);
+    },
     clock,
     random,
     metrics,
@@ -146,11 +168,36 @@
   const direct = async (rank: number): Promise<RankEngine | undefined> =>
     place && finder.find(place.name, rank);
 
-  const ask = async (rank: number, method: string, args: unknown): Promise<unknown> => {
-    const reply = await linked.toRank(rank)?.call(method, args, CALL_MS);
+  const ask = async (
+    rank: number,
+    method: string,
+    args: unknown,
+    timeoutMs = CALL_MS,
+  ): Promise<unknown> => {
+    const reply = await linked.toRank(rank)?.call(method, args, timeoutMs);
     return reply?.outcome === 'answered' ? reply.value : undefined;
   };
 
+  // A whole map is some kilobytes, too much for the coordinator's link to send to every rank at each
+  // change of a large group; a rank that has had one before is told what differs.
+  const sent = createSentPlacements();
+  const prepareByDelta = async (rank: number, order: PrepareOrder): Promise<unknown> => {
+    const { epoch, version } = order;
+    const delta = sent.deltaFor(rank, epoch, order.placement);
+    if (!delta) return 'unknown-base';
+    return ask(rank, 'rank.prepare-delta', { epoch, version, ...delta });
+  };
+  const orderByLink = async (rank: number, order: RankOrder): Promise<OrderOutcome> => {
+    if (order.op !== 'prepare') return readOutcome(await ask(rank, 'rank.order', order));
+    const answer = await prepareByDelta(rank, order);
+    const outcome = readOutcome(
+      answer === 'unknown-base' ? await ask(rank, 'rank.order', order, WHOLE_MAP_MS) : answer,
+    );
+    if (outcome === 'done') sent.noteTaken(rank, order.epoch, order.version, order.placement);
+    else sent.forget(rank);
+    return outcome;
+  };
+
   const isOwn = (rank: number): boolean => rank === place?.rank;
 
   const port: GroupPort = {
@@ -163,7 +210,7 @@
     },
     order: async (rank, order) => {
       if (isOwn(rank)) return member.order(order);
-      if (linked.toRank(rank)) return readOutcome(await ask(rank, 'rank.order', order));
+      if (linked.toRank(rank)) return orderByLink(rank, order);
       return (await (await direct(rank))?.order(order)) ?? 'no-answer';
     },
   };
