--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,5 @@
+export * from './admission/admission.js';
 export * from './door.js';
 export * from './gateway.js';
 export * from './types.js';
+export * from './upstreams/upstream.js';
--- /dev/null
+++ b/packages/lab/src/emulator/engine-group.ts
@@ -0,0 +1,312 @@
+/** A group of engines that begins each pass together; its passes take as long as the users say. */
+
+import type { ManualClock, Random } from '@plantaindrum/common';
+import type { OrderOutcome, Placement, RankOrder, RankReport } from '@plantaindrum/rank-groups';
+import type { Content } from './content.js';
+
+/** Times and sizes of one engine, as the users' sheet gives them. */
+export interface EngineTimes {
+  slots: number;
+  stepMs: number;
+  perSeqMs: number;
+  contextMsPerK: number;
+  prefillTokensPerMs: number;
+  /** Prompt tokens that one step reads at the most. */
+  chunk: number;
+  /** Steps of a pass while anything is written; an event holds this many tokens. */
+  stride: number;
+  /** Part of the work that goes to experts. */
+  expertShare: number;
+  /** Experts that a token chooses, over all sets. */
+  picksPerToken: number;
+  /** Passes take this much longer while a rank copies. */
+  copyFactor: number;
+}
+
+/** A request at an engine. */
+export interface EngineRequest {
+  topic: number;
+  promptTokens: number;
+  events: number;
+  /** Told of each event, with its number from 1. */
+  onEvent: (n: number) => void;
+  onEnd: () => void;
+}
+
+/** Options of `createEngineGroup`. */
+export interface EngineGroupOptions {
+  ranks: number;
+  sets: number;
+  experts: number;
+  copyMs: number;
+  times: EngineTimes;
+  content: Content;
+  clock: ManualClock;
+  random: Random;
+}
+
+/** A running group. */
+export interface EngineGroup {
+  submit(rank: number, request: EngineRequest): void;
+  /** Requests running and waiting at a rank. */
+  load(rank: number): number;
+  report(rank: number): RankReport;
+  counts(rank: number): readonly number[];
+  placement(): { version: number; placement: Placement };
+  order(rank: number, order: RankOrder): OrderOutcome;
+  /** A rank's own work takes this much longer. */
+  slow(rank: number, factor: number): void;
+  figures(): GroupFigures;
+  close(): void;
+}
+
+/** What the passes came to. */
+export interface GroupFigures {
+  passes: number;
+  meanPassMs: number;
+  /** Most loaded rank over the mean, weighed by passes. */
+  meanSkew: number;
+  copies: number;
+  mixedPasses: number;
+}
+
+interface Running {
+  request: EngineRequest;
+  /** Prompt tokens that are still to be read. */
+  read: number;
+  /** Events that have been made. */
+  written: number;
+}
+
+interface Rank {
+  running: Running[];
+  waiting: Running[];
+  counts: number[];
+  pace: number;
+  map: number;
+  prepared: { version: number; placement: Placement; readyAt: number } | undefined;
+  highest: number;
+  armed: { version: number; step: number } | undefined;
+  held: number | undefined;
+  placement: Placement;
+}
+
+const EPOCH = 1;
+/** An idle group looks for work this often, in ms. */
+const IDLE_MS = 2;
+
+const sum = (values: readonly number[]): number => values.reduce((total, n) => total + n, 0);
+
+/** Map 0 of a group: experts in turn. */
+export const inTurn = (sets: number, ranks: number, experts: number): Placement =>
+  Array.from({ length: sets }, () =>
+    Array.from({ length: ranks }, (_, rank) =>
+      Array.from({ length: experts }, (__, expert) => expert).filter((e) => e % ranks === rank),
+    ),
+  );
+
+/** Creates a group that is open and has map 0. */
+export const createEngineGroup = (options: EngineGroupOptions): EngineGroup => {
+  const { sets, experts, times, content, clock } = options;
+  const size = sets * experts;
+  const first = inTurn(sets, options.ranks, experts);
+  const ranks = Array.from({ length: options.ranks }, (): Rank => ({
+    ...{ running: [], waiting: [], counts: new Array<number>(size).fill(0), pace: 1, map: 0 },
+    ...{ prepared: undefined, highest: 0, armed: undefined, held: undefined, placement: first },
+  }));
+  let step = 0;
+  let stopTimer = (): void => {};
+  const totals = { passes: 0, ms: 0, skew: 0, copies: 0, mixed: 0 };
+
+  const admit = (rank: Rank): void => {
+    const room = times.slots - rank.running.length;
+    rank.running.push(...rank.waiting.splice(0, Math.max(0, room)));
+  };
+
+  /** Prompt tokens that a rank reads in this pass, and what its own work takes. */
+  const ownWork = (rank: Rank): { read: number; ms: number; writers: number } => {
+    const writers = rank.running.filter(({ read }) => read === 0);
+    const steps = writers.length > 0 ? times.stride : 1;
+    const readers = rank.running.filter(({ read }) => read > 0);
+    const room = writers.length > 0 ? times.chunk * steps : times.chunk;
+    const read = Math.min(room, sum(readers.map((entry) => entry.read)));
+    const context = sum(writers.map(({ request }) => request.promptTokens)) / 1_000;
+    const write = steps * (times.stepMs + times.perSeqMs * writers.length);
+    const ms = write + steps * times.contextMsPerK * context + read / times.prefillTokensPerMs;
+    return { read, ms: ms * rank.pace, writers: writers.length };
+  };
+
+  const pickExperts = (rank: Rank, entry: Running, tokens: number): void => {
+    const { counts } = rank;
+    const shares = content.shares(entry.request.topic);
+    const perSet = (tokens * times.picksPerToken) / sets;
+    shares.forEach((set, at) =>
+      set.forEach((share, expert) => {
+        const index = at * experts + expert;
+        counts[index] = (counts[index] ?? 0) + Math.round(perSet * share);
+      }),
+    );
+  };
+
+  /** Most loaded rank over the mean, averaged over the sets, for the tokens of this pass. */
+  const skewOf = (tokensByTopic: ReadonlyMap<number, number>): number => {
+    const placement = ranks[0]?.placement ?? first;
+    const perSet = placement.map((held, set) => {
+      const demand = new Array<number>(experts).fill(0);
+      tokensByTopic.forEach((tokens, topic) =>
+        (content.shares(topic)[set] ?? []).forEach((share, expert) => {
+          demand[expert] = (demand[expert] ?? 0) + tokens * share;
+        }),
+      );
+      const hosts = new Array<number>(experts).fill(0);
+      held.flat().forEach((expert) => {
+        hosts[expert] = (hosts[expert] ?? 0) + 1;
+      });
+      const loads = held.map((own) =>
+        sum(own.map((expert) => (demand[expert] ?? 0) / Math.max(1, hosts[expert] ?? 1))),
+      );
+      const mean = sum(loads) / loads.length;
+      return mean > 0 ? Math.max(...loads) / mean : 1;
+    });
+    return sum(perSet) / perSet.length;
+  };
+
+  const switchMaps = (): void => {
+    ranks.forEach((rank) => {
+      if (rank.armed?.step !== step || !rank.prepared) return;
+      const { version, placement } = rank.prepared;
+      Object.assign(rank, { map: version, placement, armed: undefined, prepared: undefined });
+    });
+    if (new Set(ranks.map(({ map }) => map)).size > 1) totals.mixed += 1;
+  };
+
+  /** Carries a request on by one pass in which this many prompt tokens may be read for it. */
+  const carryOn = (rank: Rank, entry: Running, readable: number): Running => {
+    const taken = Math.min(readable, entry.read);
+    const read = entry.read - taken;
+    pickExperts(rank, entry, entry.read > 0 ? taken : times.stride);
+    if (read > 0) return { ...entry, read };
+    entry.request.onEvent(entry.written + 1);
+    return { ...entry, read, written: entry.written + 1 };
+  };
+
+  const advance = (rank: Rank, read: number): void => {
+    let left = read;
+    const after = rank.running.map((entry) => {
+      const next = carryOn(rank, entry, left);
+      left -= entry.read - next.read;
+      return next;
+    });
+    const isDone = ({ written, request }: Running): boolean => written >= request.events;
+    Object.assign(rank, { running: after.filter((entry) => !isDone(entry)) });
+    after.filter(isDone).forEach(({ request }) => request.onEnd());
+  };
+
+  const pass = (): void => {
+    ranks.forEach(admit);
+    const isIdle = ranks.every(({ running }) => running.length === 0);
+    if (isIdle || ranks.some(({ held }) => held === step + 1)) {
+      stopTimer = clock.after(IDLE_MS, pass);
+      return;
+    }
+    step += 1;
+    switchMaps();
+    const works = ranks.map(ownWork);
+    const tokensByTopic = new Map<number, number>();
+    ranks.forEach((rank) =>
+      rank.running.forEach(({ request, read }) => {
+        const tokens = read > 0 ? Math.min(read, times.chunk) : times.stride;
+        tokensByTopic.set(request.topic, (tokensByTopic.get(request.topic) ?? 0) + tokens);
+      }),
+    );
+    const skew = skewOf(tokensByTopic);
+    const now = clock.monotonic();
+    const isCopying = ranks.some(({ prepared }) => prepared && prepared.readyAt > now);
+    const own = Math.max(...works.map(({ ms }) => ms)) * (1 - times.expertShare);
+    const mean = sum(works.map(({ ms }) => ms)) / works.length;
+    const shared = mean * times.expertShare * skew;
+    const ms = (own + shared) * (isCopying ? times.copyFactor : 1);
+    totals.passes += 1;
+    totals.ms += ms;
+    totals.skew += skew;
+    stopTimer = clock.after(ms, () => {
+      ranks.forEach((rank, at) => advance(rank, works[at]?.read ?? 0));
+      pass();
+    });
+  };
+  stopTimer = clock.after(IDLE_MS, pass);
+
+  const prepare = (rank: Rank, at: number, version: number, placement: Placement): OrderOutcome => {
+    if (rank.prepared?.version === version || rank.map === version) return 'done';
+    if (rank.armed || version <= rank.highest) return 'refused';
+    const copies = sum(
+      placement.map((held, set) => {
+        const before = new Set(rank.placement[set]?.[at]);
+        return (held[at] ?? []).filter((expert) => !before.has(expert)).length;
+      }),
+    );
+    totals.copies += copies;
+    const readyAt = clock.monotonic() + copies * options.copyMs;
+    Object.assign(rank, { highest: version, prepared: { version, placement, readyAt } });
+    return 'done';
+  };
+
+  const order = (at: number, given: RankOrder): OrderOutcome => {
+    const rank = ranks[at];
+    if (!rank || given.epoch !== EPOCH) return 'refused';
+    if (given.op === 'prepare') return prepare(rank, at, given.version, given.placement);
+    if (given.op === 'disarm') {
+      if (rank.map === given.version) return 'refused';
+      if (rank.armed?.version === given.version) rank.armed = undefined;
+      return 'done';
+    }
+    if (given.op === 'go') {
+      if (rank.held === given.step) rank.held = undefined;
+      return 'done';
+    }
+    if (given.step <= step) return 'refused';
+    if (given.op === 'hold') {
+      if (rank.held !== undefined && rank.held !== given.step) return 'refused';
+      rank.held = given.step;
+      return 'done';
+    }
+    const isReady = rank.prepared && rank.prepared.readyAt <= clock.monotonic();
+    if (!isReady || rank.prepared?.version !== given.version) return 'refused';
+    rank.armed = { version: given.version, step: given.step };
+    return 'done';
+  };
+
+  return {
+    submit: (at, request) => {
+      ranks[at]?.waiting.push({ request, read: request.promptTokens, written: 0 });
+    },
+    load: (at) => (ranks[at]?.running.length ?? 0) + (ranks[at]?.waiting.length ?? 0),
+    report: (at) => {
+      const rank = ranks[at];
+      const isReady = rank?.prepared && rank.prepared.readyAt <= clock.monotonic();
+      return {
+        ...{ group: 'g', epoch: EPOCH, rank: at, size: ranks.length, isOpen: true, step },
+        map: rank?.map ?? 0,
+        prepared: isReady ? rank.prepared?.version : undefined,
+        armed: rank?.armed,
+        held: rank?.held,
+        pace: rank?.pace ?? 1,
+      };
+    },
+    counts: (at) => ranks[at]?.counts ?? [],
+    placement: () => ({ version: ranks[0]?.map ?? 0, placement: ranks[0]?.placement ?? first }),
+    order,
+    slow: (at, factor) => {
+      const rank = ranks[at];
+      if (rank) rank.pace = factor;
+    },
+    figures: () => ({
+      passes: totals.passes,
+      meanPassMs: totals.ms / Math.max(1, totals.passes),
+      meanSkew: totals.skew / Math.max(1, totals.passes),
+      copies: totals.copies,
+      mixedPasses: totals.mixed,
+    }),
+    close: () => stopTimer(),
+  };
+};
--- /dev/null
+++ b/packages/lab/src/emulator/sites.ts
@@ -0,0 +1,53 @@
+/** Days that stand for the users' groups, by the figures of their sheets. */
+
+import type { DaySpec } from './day.js';
+import { followPace } from './policies.js';
+
+const MS = 1_000;
+const BITS_PER_BYTE = 8;
+const COPY_MBPS = 180_000;
+
+const copyMsOf = (expertMb: number): number => (expertMb * BITS_PER_BYTE * MS) / COPY_MBPS;
+
+/** A group of 16 ranks under the traffic of a usual day. */
+export const smallGroupDay: Omit<DaySpec, 'seed'> = {
+  lengthMs: 24_000,
+  ranks: 16,
+  places: 5,
+  spare: 2,
+  copyMs: copyMsOf(2_500),
+  content: { sets: 4, experts: 64, topics: 9, skew: 1.1, common: 0.75 },
+  times: {
+    slots: 8,
+    stepMs: 4.84,
+    perSeqMs: 0.362,
+    contextMsPerK: 0.011,
+    prefillTokensPerMs: 74.8,
+    chunk: 512,
+    stride: 6,
+    expertShare: 0.85,
+    picksPerToken: 40,
+    copyFactor: 1.15,
+  },
+  perSecond: 53,
+  promptTokens: 800,
+  events: 26,
+  shiftEveryMs: 3_700,
+  // Moves 22 of 100 picks to other experts, as the counts of a played day show.
+  shiftShare: 0.45,
+  weighs: 'skew',
+  policy: followPace,
+};
+
+/** A group of 72 ranks with more and smaller experts. */
+export const largeGroupDay: Omit<DaySpec, 'seed'> = {
+  ...smallGroupDay,
+  ranks: 72,
+  places: 3,
+  copyMs: copyMsOf(370),
+  content: { sets: 12, experts: 144, topics: 9, skew: 0.54, common: 0.75 },
+  times: { ...smallGroupDay.times, slots: 7, perSeqMs: 0.435, stride: 7, picksPerToken: 48 },
+  perSecond: 209,
+  events: 23,
+  shiftEveryMs: 2_500,
+};
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -17,6 +17,7 @@
 
 /** Every experiment, each in the module `NAME.ts`, which exports `run`. */
 export const experimentNames = [
+  'admission',
   'balance',
   'claims',
   'drain',
@@ -25,6 +26,7 @@
   'overload',
   'overload-processes',
   'path',
+  'rank-balance',
   'recovery',
   'routing',
   'slopes',
