--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -33,7 +33,7 @@
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import type { OrderOutcome, Placement, RankOrder } from '../types.js';
-import type { GroupPort } from './group-port.js';
+import type { GroupPort, RetriedOutcome } from './group-port.js';
 import { freshReports, retryAtAllRanks, retryOrder } from './group-port.js';
 import { withdrawPass } from './withdraw.js';
 
@@ -93,6 +93,16 @@
 export const createMapSwitch = (options: SwitchOptions) => {
   const { port, ownRank, orderOwnFromAfar, isPrepared, clock, log } = options;
   const heldStep = createHeldSteps();
+  // A helper that didn't get through is passed over once, or its group would never change its map.
+  let asksHelper = true;
+
+  const giveHold = async (epoch: number, step: number): Promise<RetriedOutcome | 'no-answer'> => {
+    const order = { op: 'hold', epoch, step } as const;
+    const fromAfar = asksHelper ? orderOwnFromAfar(order) : undefined;
+    const outcome = await (fromAfar ?? retryOrder(port, clock, ownRank, order));
+    asksHelper = outcome !== 'no-answer';
+    return outcome;
+  };
 
   const isAnew = (epoch: number): boolean => port.epoch() !== epoch;
 
@@ -130,8 +140,7 @@
       const report = await port.report(ownRank);
       if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
       const step = heldStep(epoch, report.step + LEAD_PASSES);
-      const order = { op: 'hold', epoch, step } as const;
-      const outcome = await (orderOwnFromAfar(order) ?? retryOrder(port, clock, ownRank, order));
+      const outcome = await giveHold(epoch, step);
       if (outcome === 'done') return step;
       if (outcome === 'no-answer') await release(epoch, step, 'hold-unanswered');
       if (outcome !== 'refused') return undefined;
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -33,8 +33,8 @@
   self: NodeRecord;
   region: string;
   member: () => RankMember | undefined;
-  /** Gives an order to the engine of another agent's rank, for that agent. */
-  orderFor: (rank: number, order: RankOrder) => Promise<OrderOutcome>;
+  /** Gives an order to the engine beside another agent, for that agent. */
+  orderFor: (node: string, order: RankOrder) => Promise<OrderOutcome>;
   onReport: (report: RankReport) => void;
   onPicks: (picks: readonly number[]) => void;
   clock: Clock;
@@ -98,7 +98,7 @@
     },
     'rank.order-for': async (args: unknown) => {
       const asked = readOrderFor(args);
-      return asked ? options.orderFor(asked.rank, asked.order) : 'refused';
+      return asked ? options.orderFor(asked.node, asked.order) : 'refused';
     },
   };
 
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -96,9 +96,9 @@
   return { epoch, version, delta: { base, changes } };
 };
 
-/** An order that one agent asks another to give to its own rank; undefined when it isn't that. */
-export const readOrderFor = (value: unknown): { rank: number; order: RankOrder } | undefined => {
-  if (!isObject(value) || !isNumber(value.rank)) return undefined;
+/** An order that an agent asks another to give to its own engine; undefined when it isn't that. */
+export const readOrderFor = (value: unknown): { node: string; order: RankOrder } | undefined => {
+  if (!isObject(value) || typeof value.node !== 'string') return undefined;
   const order = readOrder(value.order);
-  return order && { rank: value.rank, order };
+  return order && { node: value.node, order };
 };
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -82,13 +82,11 @@
     stopPublishing = createPublisher({ record, publish: options.publish, clock, log }).close;
   };
 
-  const orderFor = async (rank: number, order: RankOrder): Promise<OrderOutcome> => {
-    const asking = [...nodes.values()].find(
-      ({ group }) => group?.name === place?.name && group?.rank === rank,
-    );
-    if (!asking?.group) return 'refused';
-    const outcome = await openEngine(asking.group.engineHost, asking.group.enginePort).order(order);
-    log.event('order-for-peer', { rank, op: order.op, epoch: order.epoch, outcome });
+  const orderFor = async (node: string, order: RankOrder): Promise<OrderOutcome> => {
+    const asking = nodes.get(node)?.group;
+    if (!asking) return 'no-answer';
+    const outcome = await openEngine(asking.engineHost, asking.enginePort).order(order);
+    log.event('order-for-peer', { peer: node, op: order.op, epoch: order.epoch, outcome });
     return outcome;
   };
 
@@ -218,7 +216,7 @@
   const orderOwnFromAfar = (order: RankOrder): Promise<OrderOutcome> | undefined =>
     linked
       .toHighest()
-      ?.call('rank.order-for', { rank: place?.rank, order }, CALL_MS)
+      ?.call('rank.order-for', { node: self.node, order }, CALL_MS)
       .then((reply) => readOutcome(reply.outcome === 'answered' ? reply.value : undefined));
 
   const placementOf: Parameters<typeof createCoordinator>[0]['placementOf'] = async (rank) => {
--- a/packages/rank-groups/test/coordinator.test.ts
+++ b/packages/rank-groups/test/coordinator.test.ts
@@ -119,6 +119,15 @@
     played.coordinator.close();
   });
 
+  // The helper can't reach the coordinator's engine: its way there is cut, or it knows an old address.
+  // No change would ever come about again, and streams would grow late with the first shift.
+  it('changes the map although no helper gets through', async () => {
+    const played = start({ orderOwnFromAfar: async (): Promise<OrderOutcome> => 'no-answer' });
+    await played.run(4_000);
+    expect(played.group.report(0).map).to.be.greaterThan(0);
+    played.coordinator.close();
+  });
+
   // An agent died after it had held a pass and before any rank was armed. Its successor has never
   // seen the map in use, which it has to prepare anew to withdraw the change; it reads it first.
   it('lets a pass begin that a dead coordinator held, all prepared and none armed', async () => {
