An entry that ends soon takes nothing more, and ends connections with their answers

An entry got SIGTERM at 11.0 s; a stream's connection outlived its stream, since its answer had begun before the stop and did not say that the connection ends; at 18.67 s the caller used it again, and 40 ms later the process ended with the grace, the request offered and cut. Change: from the moment the entry stops listening (3.2 s after the signal) it answers 503 "stopping", which is true, with a Retry-After of 0.05 to 0.2 s, and ends each connection as its answer ends. Both tests red before. Tests: gateway 62 passed.

--- a/packages/gateway/src/door.ts
+++ b/packages/gateway/src/door.ts
@@ -18,7 +18,7 @@
   limit(limits: CallerLimits): void;
   /** Requests that have no whole answer yet. */
   open(): number;
-  /** Takes no new connection and ends those on which nothing is under way. */
+  /** Takes no new connection, and ends each as soon as nothing is under way on it. */
   stopListening(): void;
   close(): void;
 }
@@ -55,6 +55,7 @@
 export const createDoor = async (options: DoorOptions): Promise<Door> => {
   const { listen, handle, maxConnections, metrics, log } = options;
   let open = 0;
+  let isEnding = false;
   let headerBytes = MAX_HEADER_BYTES;
 
   const isHeaderTooLarge = (req: IncomingMessage): boolean =>
@@ -75,6 +76,11 @@
       res.once('close', () => {
         open -= 1;
       });
+      // An answer that began before the stop did not tell its caller that the connection ends, and
+      // the next request on it would be cut with the process.
+      res.once('finish', () => {
+        if (isEnding) req.socket.end();
+      });
       if (isHeaderTooLarge(req)) {
         metrics.count('gateway_malformed', { status: '431' });
         res.writeHead(431, { Connection: 'close', 'Content-Length': '0' }).end();
@@ -110,6 +116,7 @@
     },
     open: () => open,
     stopListening: () => {
+      isEnding = true;
       server.close();
       server.closeIdleConnections();
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -92,6 +92,7 @@
   let { bounds } = options;
   let table: RouteTable | undefined;
   let isStopping = false;
+  let isClosing = false;
   const mirrored = new Map<string, Mirrored>();
 
   // The followers ask the mesh, and the mesh answers from the mirrors; the mesh comes last.
@@ -144,6 +145,7 @@
     metrics,
     log,
     isStopping: () => isStopping,
+    isClosing: () => isClosing,
     table: () => table,
     intentAge: () => mirrored.get(topics.intent.name)?.follower.age() ?? Infinity,
   });
@@ -255,6 +257,7 @@
     await new Promise<void>((resolve) => {
       clock.after(listenMs, resolve);
     });
+    isClosing = true;
     door.stopListening();
     await untilIdle(endBy);
     log.event('stopped', { cut: door.open() });
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -18,6 +18,8 @@
  * once; told to come after half a second, most of them met the same refusal again.
  */
 const FORMING_PAUSE = { leastMs: 900, spreadMs: 1_300 };
+/** Pause before a caller goes to another entry, in ms: that one is well. */
+const STOPPING_PAUSE = { leastMs: 50, spreadMs: 150 };
 const FORMING_REASONS: ReadonlySet<RefusalReason> = new Set([
   'upstreams-refusing',
   'no-upstream',
@@ -27,9 +29,14 @@
 
 const MS_PER_SECOND = 1_000;
 
+const pauseAfter = (reason: RefusalReason): { leastMs: number; spreadMs: number } => {
+  if (reason === 'stopping') return STOPPING_PAUSE;
+  return FORMING_REASONS.has(reason) ? FORMING_PAUSE : FULL_PAUSE;
+};
+
 /** A refusal of a request that has not run and won't: the caller may come back. */
 export const notRun = (reason: RefusalReason, random: () => number): Refusal => {
-  const { leastMs, spreadMs } = FORMING_REASONS.has(reason) ? FORMING_PAUSE : FULL_PAUSE;
+  const { leastMs, spreadMs } = pauseAfter(reason);
   // Spread over the interval, so that those refused together do not come back together.
   return { reason, status: 503, retryAfterMs: leastMs + random() * spreadMs };
 };
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -16,6 +16,8 @@
   table: () => RouteTable | undefined;
   /** Milliseconds since this entry's intent was last confirmed. */
   intentAge: () => number;
+  /** The entry ends soon: what it took now might be cut with it. */
+  isClosing: () => boolean;
 }
 
 /**
@@ -118,6 +120,11 @@
       const id = fields.requestId;
       refuse(res, refusal, { id, route: route?.name, heldMs, attempts: 0, inputs }, context);
     };
+    if (context.isClosing()) {
+      turnAway(notRun('stopping', random));
+      req.resume();
+      return;
+    }
     const found = identify(req, fields);
     if ('refusal' in found) {
       const table = context.table();
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -40,6 +40,7 @@
 
 /** Why a request that could not be served got its answer. */
 export type RefusalReason =
+  | 'stopping'
   | 'no-intent'
   | 'bad-request'
   | 'unknown-route'
--- a/packages/gateway/test/door.test.ts
+++ b/packages/gateway/test/door.test.ts
@@ -34,7 +34,8 @@
     handled = [];
     const handle = (req: { url?: string | undefined }, res: ServerResponse): void => {
       handled.push(req.url ?? '');
-      res.end('ok');
+      if (req.url === '/slow') setTimeout(() => res.end('ok'), 150);
+      else res.end('ok');
     };
     const listen = { host: '127.0.0.1', port: PORT };
     const metrics = createMetrics();
@@ -93,4 +94,25 @@
     );
     expect(statusOf(await send('GET /after HTTP/1.1\r\nHost: h\r\n\r\n'))).to.equal('200');
   });
+
+  // An entry has stopped listening and ends with its grace. A caller's connection outlived its
+  // stream, and the next request on it would be cut in the middle.
+  it('ends connections as their answers end, once it has stopped listening', async () => {
+    const closed = new Promise<boolean>((resolve) => {
+      const socket = connect(PORT, '127.0.0.1', () => {
+        socket.write('GET /slow HTTP/1.1\r\nHost: h\r\n\r\n');
+      });
+      socket.on('data', () => {});
+      socket.on('end', () => resolve(true));
+      setTimeout(() => {
+        socket.destroy();
+        resolve(false);
+      }, 350);
+    });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    door.stopListening();
+    expect(await closed).to.equal(true);
+  });
 });
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -174,6 +174,17 @@
     });
   });
 
+  // The entry's grace is nearly over. A request taken now would be cut in its middle, and the caller
+  // could not know whether it ran; told that it did not, it goes to another entry at once.
+  it('an entry that ends soon: 503, and nothing reaches an upstream', async () => {
+    await withEntry([answerOk()], { isClosing: true }, async (entry, upstreams) => {
+      const answer = await entry.ask();
+      expect(answer).to.include({ status: 503, body: 'stopping\n' });
+      expect(Number(answer.headers['retry-after'])).to.be.below(0.3);
+      expect(runs(upstreams)).to.equal(0);
+    });
+  });
+
   it('a body over the limit: 413, and nothing reaches an upstream', async () => {
     await withEntry([answerOk()], {}, async (entry, upstreams) => {
       expect((await entry.ask({}, '/p/x', 'b'.repeat(1_001))).status).to.equal(413);
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -37,6 +37,8 @@
   retryAllowance?: number;
   /** No intent has been read yet. */
   withoutIntent?: boolean;
+  /** The entry ends soon and takes nothing more. */
+  isClosing?: boolean;
 }
 
 const baseRoute: Route = {
@@ -102,6 +104,7 @@
     metrics,
     log,
     isStopping: () => false,
+    isClosing: () => options.isClosing ?? false,
     table: () => (options.withoutIntent ? undefined : table),
     intentAge: () => options.intentAge ?? 0,
   });
