--- a/packages/lab/src/emulator/engine-group.ts
+++ b/packages/lab/src/emulator/engine-group.ts
@@ -2,6 +2,7 @@
 
 import type { ManualClock, Random } from '@plantaindrum/common';
 import type { OrderOutcome, Placement, RankOrder, RankReport } from '@plantaindrum/rank-groups';
+import { judgeRankOrder } from '@plantaindrum/stand-ins';
 import type { Content } from './content.js';
 
 /** Times and sizes of one engine, as the users' sheet gives them. */
@@ -236,9 +237,10 @@
   };
   stopTimer = clock.after(IDLE_MS, pass);
 
-  const prepare = (rank: Rank, at: number, version: number, placement: Placement): OrderOutcome => {
-    if (rank.prepared?.version === version || rank.map === version) return 'done';
-    if (rank.armed || version <= rank.highest) return 'refused';
+  const isCopied = ({ prepared }: Rank): boolean =>
+    prepared !== undefined && prepared.readyAt <= clock.monotonic();
+
+  const beginCopying = (rank: Rank, at: number, version: number, placement: Placement): void => {
     const copies = sum(
       placement.map((held, set) => {
         const before = new Set(rank.placement[set]?.[at]);
@@ -247,33 +249,21 @@
     );
     totals.copies += copies;
     const readyAt = clock.monotonic() + copies * options.copyMs;
-    Object.assign(rank, { highest: version, prepared: { version, placement, readyAt } });
-    return 'done';
+    Object.assign(rank, { prepared: { version, placement, readyAt } });
   };
 
   const order = (at: number, given: RankOrder): OrderOutcome => {
     const rank = ranks[at];
-    if (!rank || given.epoch !== EPOCH) return 'refused';
-    if (given.op === 'prepare') return prepare(rank, at, given.version, given.placement);
-    if (given.op === 'disarm') {
-      if (rank.map === given.version) return 'refused';
-      if (rank.armed?.version === given.version) rank.armed = undefined;
-      return 'done';
-    }
-    if (given.op === 'go') {
-      if (rank.held === given.step) rank.held = undefined;
-      return 'done';
-    }
-    if (given.step <= step) return 'refused';
-    if (given.op === 'hold') {
-      if (rank.held !== undefined && rank.held !== given.step) return 'refused';
-      rank.held = given.step;
-      return 'done';
+    if (!rank) return 'refused';
+    const prepared = rank.prepared?.version;
+    const state = { ...rank, epoch: EPOCH, step, prepared, isCopied: isCopied(rank) };
+    const { outcome, change } = judgeRankOrder(state, given);
+    // What is prepared has a map and a time beside its version.
+    Object.assign(rank, change, { prepared: rank.prepared });
+    if (outcome === 'begun' && given.op === 'prepare') {
+      beginCopying(rank, at, given.version, given.placement);
     }
-    const isReady = rank.prepared && rank.prepared.readyAt <= clock.monotonic();
-    if (!isReady || rank.prepared?.version !== given.version) return 'refused';
-    rank.armed = { version: given.version, step: given.step };
-    return 'done';
+    return outcome === 'refused' ? 'refused' : 'done';
   };
 
   return {
@@ -283,11 +273,10 @@
     load: (at) => (ranks[at]?.running.length ?? 0) + (ranks[at]?.waiting.length ?? 0),
     report: (at) => {
       const rank = ranks[at];
-      const isReady = rank?.prepared && rank.prepared.readyAt <= clock.monotonic();
       return {
         ...{ group: 'g', epoch: EPOCH, rank: at, size: ranks.length, isOpen: true, step },
         map: rank?.map ?? 0,
-        prepared: isReady ? rank.prepared?.version : undefined,
+        prepared: rank && isCopied(rank) ? rank.prepared?.version : undefined,
         armed: rank?.armed,
         held: rank?.held,
         pace: rank?.pace ?? 1,
--- a/packages/rank-groups/test/fakes/fake-ranks.ts
+++ b/packages/rank-groups/test/fakes/fake-ranks.ts
@@ -2,6 +2,7 @@
 
 import { sleep } from '@plantaindrum/common';
 import type { ManualClock } from '@plantaindrum/common';
+import { judgeRankOrder } from '@plantaindrum/stand-ins';
 import type {
   GroupPort,
   OrderOutcome,
@@ -64,35 +65,12 @@
   let orders = 0;
   const mixed: number[] = [];
 
-  const prepare = (rank: FakeRank, version: number): OrderOutcome => {
-    if (rank.prepared === version || rank.map === version) return 'done';
-    if (rank.armed || version <= rank.highest) return 'refused';
-    Object.assign(rank, { prepared: version, highest: version });
-    return 'done';
-  };
-
   const apply = (at: number, order: RankOrder): OrderOutcome => {
     const rank = ranks[at];
-    if (!rank || order.epoch !== epoch) return 'refused';
-    if (order.op === 'prepare') return prepare(rank, order.version);
-    if (order.op === 'disarm') {
-      if (rank.map === order.version) return 'refused';
-      if (rank.armed?.version === order.version) rank.armed = undefined;
-      return 'done';
-    }
-    if (order.op === 'go') {
-      if (rank.held === order.step) rank.held = undefined;
-      return 'done';
-    }
-    if (order.step <= step) return 'refused';
-    if (order.op === 'hold') {
-      if (rank.held !== undefined && rank.held !== order.step) return 'refused';
-      rank.held = order.step;
-      return 'done';
-    }
-    if (rank.prepared !== order.version) return 'refused';
-    rank.armed = { version: order.version, step: order.step };
-    return 'done';
+    if (!rank) return 'refused';
+    const { outcome, change } = judgeRankOrder({ ...rank, epoch, step, isCopied: true }, order);
+    Object.assign(rank, change);
+    return outcome === 'refused' ? 'refused' : 'done';
   };
 
   const report = (at: number): RankReport => {
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { judgeRankOrder } from './rank-orders.js';
 
 /** State of the rank that the stand-in plays. */
 export interface RankState {
@@ -84,33 +85,27 @@
   map: number[][][];
 }
 
+const STATUS = { begun: 202, done: 200, refused: 409, unknown: 400 } as const;
+
 const carryOut = (state: RankState, rank: number, order: Order): number => {
-  if (order.epoch !== undefined && order.epoch !== state.epoch) return 409;
-  switch (order.op) {
-    case 'prepare': {
-      if (state.prepared === order.version) return 200;
-      if (state.armed || order.version <= Math.max(state.map, state.prepared ?? 0)) return 409;
-      const preparedExperts = order.map.map((ranks) => ranks[rank] ?? []);
-      Object.assign(state, { prepared: order.version, preparedExperts });
-      return 202;
-    }
-    case 'arm':
-      if (state.prepared !== order.version || order.step <= state.step) return 409;
-      Object.assign(state, { armed: { version: order.version, step: order.step } });
-      return 200;
-    case 'disarm':
-      if (state.armed?.version === order.version) Object.assign(state, { armed: null });
-      return 200;
-    case 'hold':
-      if (order.step <= state.step || (state.held ?? order.step) !== order.step) return 409;
-      Object.assign(state, { held: order.step });
-      return 200;
-    case 'go':
-      if (state.held === order.step) Object.assign(state, { held: null });
-      return 200;
-    default:
-      return 400;
+  const { outcome, change } = judgeRankOrder(
+    {
+      ...state,
+      prepared: state.prepared ?? undefined,
+      isCopied: true,
+      highest: Math.max(state.map, state.prepared ?? 0),
+      armed: state.armed ?? undefined,
+      held: state.held ?? undefined,
+    },
+    order,
+  );
+  if (outcome === 'begun') {
+    const preparedExperts = order.map.map((ranks) => ranks[rank] ?? []);
+    Object.assign(state, { prepared: order.version, preparedExperts });
   }
+  if ('armed' in change) Object.assign(state, { armed: change.armed ?? null });
+  if ('held' in change) Object.assign(state, { held: change.held ?? null });
+  return STATUS[outcome];
 };
 
 const readBody = async (req: IncomingMessage): Promise<string> => {
