The soak no longer speaks the platform's wire; one fixture of the operators' side

packages/lab/src/soak/world.ts named fields of the desired state, of the servers' list and of the settings file, and wrote again what platform/test/whole-path.test.ts had. Both use packages/stand-ins' operator stand-in now.

--- /dev/null
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -0,0 +1,107 @@
+/** What the users' operators, servers and VMs write on their platform, for worlds of tests. */
+
+import type { StoreStandIn } from './store-stand-in.js';
+
+/** Host that the routes of this desired state serve. */
+export const OPERATOR_HOST = 'h.example';
+
+/** Size of the expert group that the routes lead to. */
+export interface OperatorGroup {
+  sets: number;
+  experts: number;
+}
+
+const route = (name: string, kind: string, service: string): Record<string, unknown> => ({
+  ...{ name, hostname: OPERATOR_HOST, path_prefix: `/${name}/`, route_type: kind, service },
+  ...{ timeout_ms: 3_000, target_latency_ms: 200, priority: 1, max_attempts: 2 },
+  ...{ anonymous: false, stream_resume: kind === 'streaming', gap_aim_ms: 120 },
+});
+
+/**
+ * Writes a desired state: routes `/safe/` and `/once/` to the service `book`, and `/gen/` to the
+ * engines of `llm`, for one organisation with these keys.
+ */
+export const putDesiredState = (
+  store: StoreStandIn,
+  version: number,
+  keys: readonly string[],
+  group: OperatorGroup,
+): void =>
+  store.put('keyed.op', 'config', {
+    version,
+    routes: [
+      route('safe', 'safe', 'book'),
+      route('once', 'unsafe', 'book'),
+      route('gen', 'streaming', 'llm'),
+    ],
+    services: [
+      { name: 'book', max_connections: 100 },
+      {
+        ...{ name: 'llm', max_connections: 400 },
+        engine: { slots: 8, ...group, places: 4, spare: 1, expert_mb: 1, link_mbps: 1_000 },
+      },
+    ],
+    limits: {
+      ...{ max_header_bytes: 16_384, max_body_bytes: 100_000 },
+      ...{ header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    },
+    tenants: [{ name: 'dealer', api_keys: keys }],
+  });
+
+/** Lists a server as it lists itself. */
+export const listServer = (
+  store: StoreStandIn,
+  instance: string,
+  service: string,
+  address: string,
+): void =>
+  store.put('keyed.servers', instance, {
+    ...{ service, address, zone: 'a', slots: 8 },
+    ...{ state: 'ready', warmup_left_ms: 0, sequence: 1 },
+  });
+
+/** One VM whose settings file is written. */
+export interface VmSettings {
+  node: string;
+  ip: string;
+  ports: { callers: number; readiness: number; links: number; engine: number };
+  storePort: number;
+  retryAllowance: number;
+}
+
+/** Variable that names the settings file to a program. */
+export const SETTINGS_VARIABLE = 'PLANTAINDRUM_BOOT';
+
+/** The settings file of a VM. */
+export const settingsText = (vm: VmSettings): string => `
+node_name = "${vm.node}"
+ip = "${vm.ip}"
+zone = "a"
+region = "r"
+internal_port_range = [${vm.ports.links},${vm.ports.links + 9}]
+seed_nodes = []
+service = "llm"
+app = "${vm.ip}:${vm.ports.engine}"
+[listen]
+frontend = "${vm.ip}:${vm.ports.callers}"
+readiness = "${vm.ip}:${vm.ports.readiness}"
+[limits]
+max_fds = 1024
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_allowance = ${vm.retryAllowance}
+[platform]
+address = "127.0.0.1:${vm.storePort}"
+`;
+
+/** What a caller sends beside its request. */
+export const callerHeaders = (id: string, key: string, waitMs: number): Record<string, string> => ({
+  ...{ host: OPERATOR_HOST, 'x-request-id': id },
+  ...{ 'x-api-key': key, 'x-deadline-ms': String(waitMs) },
+});
+
+/** Whether an answer bears a server's receipt. */
+export const hasReceipt = (headers: Readonly<Record<string, unknown>>): boolean =>
+  headers['x-server-stamp'] !== undefined;
