--- a/packages/agent/src/core/upstream/engine-body.ts
+++ b/packages/agent/src/core/upstream/engine-body.ts
@@ -1,11 +1,9 @@
+import { isObject } from '@plantaindrum/common';
 import type { Dispatch } from '@plantaindrum/link';
 
 /** Priorities as vLLM documents them: lower goes first. */
 const ENGINE_PRIORITY: Record<Dispatch['priority'], number> = { live: 0, normal: 1, background: 2 };
 
-const isObject = (value: unknown): value is Record<string, unknown> =>
-  typeof value === 'object' && value !== null && !Array.isArray(value);
-
 const parse = (body: Uint8Array): unknown => {
   try {
     return JSON.parse(Buffer.from(body).toString());
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './errors/index.js';
+export * from './event-bytes.js';
 export * from './event-log.js';
 export * from './http-fields.js';
 export * from './logger.js';
@@ -11,3 +12,4 @@
 export * from './schema-text.js';
 export * from './settings.js';
 export * from './settings-file.js';
+export * from './values.js';
--- a/packages/gateway/src/mesh/load-share.ts
+++ b/packages/gateway/src/mesh/load-share.ts
@@ -1,7 +1,7 @@
 /** What entries tell each other of their requests at the upstreams: what changed, seldom the whole. */
 
 import type { Clock } from '@plantaindrum/common';
-import { isObject } from '@plantaindrum/mirror';
+import { isObject } from '@plantaindrum/common';
 
 /** Requests of an entry at upstreams, by the upstream's instance. */
 export interface LoadShare {
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -1,10 +1,9 @@
 /** Links between the entries: shares of load, and what one of them misses of the platform's log. */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
-import { silentLogger } from '@plantaindrum/common';
+import { isObject, silentLogger } from '@plantaindrum/common';
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
-import { isObject } from '@plantaindrum/mirror';
 import type { KeyedRecord, NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
 import { readShare } from './load-share.js';
--- a/packages/link/src/shapes.ts
+++ b/packages/link/src/shapes.ts
@@ -1,5 +1,6 @@
 /** Checks that a decoded value has the shape of a frame before any code relies on its type. */
 
+import { isObject } from '@plantaindrum/common';
 import type { Frame, Hello } from './messages.js';
 
 type Check = (value: unknown) => boolean;
@@ -14,9 +15,6 @@
 const isFinite: Check = (value) => Number.isFinite(value);
 const isAttemptId: Check = (value) => typeof value === 'string' && /^[^:]+:\d+$/.test(value);
 
-const isObject = (value: unknown): value is Record<string, unknown> =>
-  typeof value === 'object' && value !== null && !Array.isArray(value);
-
 const oneOf =
   (...allowed: string[]): Check =>
   (value) =>
--- a/packages/mirror/src/roster.ts
+++ b/packages/mirror/src/roster.ts
@@ -1,6 +1,6 @@
 /** Nodes of this system as they have published themselves in the platform's log. */
 
-import { isObject } from './values.js';
+import { isObject } from '@plantaindrum/common';
 
 /** What a node publishes of itself. */
 export interface NodeRecord {
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -1,6 +1,6 @@
 /** Checks what agents of a group say to each other before any code relies on its type. */
 
-import { isObject } from '@plantaindrum/mirror';
+import { isObject } from '@plantaindrum/common';
 import type { OrderOutcome, RankOrder, RankPlacement, RankReport } from '../types.js';
 import type { PlacementDelta, RankChange } from './placement-deltas.js';
 
