Less state: what nobody read, and what can be derived

pace kept times of first events that nobody asked for; popularity had a reset that nobody called; isLowest is toLowest without a link; the go of a change of map is one function; the emulator takes its normal deviate and its percentiles from where the lab has them.

--- a/packages/gateway/src/admission/pace.ts
+++ b/packages/gateway/src/admission/pace.ts
@@ -4,11 +4,10 @@
 export interface PaceMeter {
   /** An event of a stream came this long after the one before it. */
   notePause(ms: number): void;
-  /** A stream's first event came this long after the request was sent. */
-  noteFirst(ms: number): void;
+  /** A stream's first event came. */
+  noteFirst(): void;
   /** Pause that the given share of recent ones stays below; undefined without recent events. */
   pause(share: number): number | undefined;
-  first(share: number): number | undefined;
   /** Milliseconds since any stream of the service had an event. */
   silence(): number;
 }
@@ -32,7 +31,6 @@
 /** Creates the meter of one service. */
 export const createPaceMeter = (clock: Clock): PaceMeter => {
   let pauses: Sample[] = [];
-  let firsts: Sample[] = [];
   let lastAt = -Infinity;
 
   const recent = (samples: Sample[]): Sample[] => {
@@ -49,17 +47,13 @@
     notePause: (ms) => {
       pauses = add(pauses, ms);
     },
-    noteFirst: (ms) => {
-      firsts = add(firsts, ms);
+    noteFirst: () => {
+      lastAt = clock.monotonic();
     },
     pause: (share) => {
       pauses = recent(pauses);
       return quantile(pauses, share);
     },
-    first: (share) => {
-      firsts = recent(firsts);
-      return quantile(firsts, share);
-    },
     silence: () => clock.monotonic() - lastAt,
   };
 };
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -28,11 +28,7 @@
   | { outcome: 'unknown'; why: string };
 
 /** What one attempt does once its answer's head is there. */
-export type TakeAnswer = (
-  attempt: Attempt,
-  answer: AttemptAnswer,
-  sentAt: number,
-) => Promise<RoundOutcome>;
+export type TakeAnswer = (attempt: Attempt, answer: AttemptAnswer) => Promise<RoundOutcome>;
 
 /** The attempts of one request. */
 export interface Rounds {
@@ -109,7 +105,7 @@
     const stopTimer = clock.after(options.patience(rounds), () => attempt.abort());
     const stopWatch = options.watch(attempt, sentAt);
     const head = await attempt.head;
-    const outcome = head.outcome === 'answered' ? await take(attempt, head, sentAt) : head;
+    const outcome = head.outcome === 'answered' ? await take(attempt, head) : head;
     stopTimer();
     stopWatch();
     attempt.end();
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -59,10 +59,10 @@
     deps,
   );
 
-  const noteTime = (sentAt: number): void => {
+  const noteTime = (): void => {
     const now = clock.monotonic();
     if (lastEventAt === undefined) {
-      pace.noteFirst(now - sentAt);
+      pace.noteFirst();
       metrics.record('gateway_first_event_ms', now - request.arrivedAt);
     } else {
       pace.notePause(now - lastEventAt);
@@ -72,7 +72,7 @@
   };
 
   /** Passes one event on; false when it doesn't follow the last one. */
-  const forward = (event: StreamEvent, answer: AttemptAnswer, sentAt: number): boolean => {
+  const forward = (event: StreamEvent, answer: AttemptAnswer): boolean => {
     const last = rounds.resumeAfter;
     if (event.id !== undefined && last !== undefined) {
       if (event.id <= last) {
@@ -82,7 +82,7 @@
       // Pieces of two runs with a hole between them must not look like one stream.
       if (event.id > last + 1) return false;
     }
-    noteTime(sentAt);
+    noteTime();
     if (event.id !== undefined) rounds.resumeAfter = event.id;
     // Until the first event nothing has been promised, and a failure can still be told as one.
     if (!res.headersSent) beginAnswer(res, answer.status, endToEnd(answer.res), deps.isStopping());
@@ -91,11 +91,7 @@
   };
 
   /** Passes a stream's events on; the fault that ended it, or undefined when it is whole. */
-  const pipe = async (
-    attempt: Attempt,
-    answer: AttemptAnswer,
-    sentAt: number,
-  ): Promise<string | undefined> => {
+  const pipe = async (attempt: Attempt, answer: AttemptAnswer): Promise<string | undefined> => {
     const splitter = createEventSplitter();
     const ended = attempt.bodyEnd(answer.res);
     let fault: string | undefined;
@@ -105,7 +101,7 @@
     };
     answer.res.on('data', (chunk: Buffer) => {
       if (fault !== undefined) return;
-      const isSound = splitter.push(chunk).every((event) => forward(event, answer, sentAt));
+      const isSound = splitter.push(chunk).every((event) => forward(event, answer));
       if (!isSound) breakOff('event-missing');
       else if (isOversized(splitter)) breakOff('event-too-large');
       else if (res.writableLength > MAX_WAITING_BYTES) breakOff('caller-slow');
@@ -116,9 +112,9 @@
     return splitter.pending() > 0 ? 'event-cut' : undefined;
   };
 
-  return rounds.run(async (attempt, answer, sentAt): Promise<RoundOutcome> => {
-    if (!isStreamAnswer(answer)) return readWhole(attempt, answer, sentAt);
-    const fault = await pipe(attempt, answer, sentAt);
+  return rounds.run(async (attempt, answer): Promise<RoundOutcome> => {
+    if (!isStreamAnswer(answer)) return readWhole(attempt, answer);
+    const fault = await pipe(attempt, answer);
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
     // A stream resumed after its last event has none left, and its head has not been passed on yet.
     if (!res.headersSent) beginAnswer(res, answer.status, endToEnd(answer.res), deps.isStopping());
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -12,6 +12,8 @@
 import type { Upstream } from '@plantaindrum/gateway';
 import { createCoordinator } from '@plantaindrum/rank-groups';
 import type { GroupPort, OrderOutcome, RankOrder, Weighs } from '@plantaindrum/rank-groups';
+import { normal } from '../experiments/balance-traces.js';
+import { median, percentile } from '../harness/statistics.js';
 import { createContent } from './content.js';
 import type { ContentShape } from './content.js';
 import { createEngineGroup } from './engine-group.js';
@@ -97,16 +99,10 @@
 const TAIL_MS = 3_000;
 const STEP_MS = 20;
 
-const quantile = (values: readonly number[], share: number): number => {
-  const sorted = [...values].sort((a, b) => a - b);
-  return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0);
-};
-
 /** Log-normal around a mean of 1. */
 const drawSpread = (random: Random): number => {
-  const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
   const sigma = 0.8;
-  return Math.exp(sigma * normal - (sigma * sigma) / 2);
+  return Math.exp(sigma * normal(random) - (sigma * sigma) / 2);
 };
 
 const startCoordinator = (
@@ -284,8 +280,8 @@
   return {
     ...counts,
     worth: earned / Math.max(1, counts.streams),
-    shiftToMapMedianMs: quantile(watch.times, 0.5),
-    shiftToMapP95Ms: quantile(watch.times, 0.95),
+    shiftToMapMedianMs: Math.round(median(watch.times)),
+    shiftToMapP95Ms: Math.round(percentile(watch.times, 0.95)),
     ...group.figures(),
   };
 };
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -104,6 +104,9 @@
     return outcome;
   };
 
+  const letGo = (epoch: number, step: number): Promise<RetriedOutcome> =>
+    retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
+
   const isAnew = (epoch: number): boolean => port.epoch() !== epoch;
 
   const prepareAll = async (change: MapChange): Promise<boolean> => {
@@ -125,7 +128,7 @@
     const own = await port.report(ownRank);
     const isHeld = own?.epoch === epoch && own.held === step;
     log.event('pass-released', { epoch, step, isHeld, why });
-    if (isHeld) await retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
+    if (isHeld) await letGo(epoch, step);
   };
 
   const isEveryRankThere = async ({ epoch, version }: MapChange): Promise<boolean> => {
@@ -153,7 +156,7 @@
     const { epoch, current } = change;
     while (!isAnew(epoch)) {
       if (await withdrawPass({ epoch, step, current }, options)) {
-        await retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
+        await letGo(epoch, step);
         return 'aborted';
       }
       await sleep(clock, WITHDRAW_AGAIN_MS);
@@ -166,7 +169,7 @@
     const armed = await retryAtAllRanks(port, clock, { op: 'arm', epoch, version, step });
     if (isAnew(epoch)) return 'group-formed-anew';
     if (armed.every((outcome) => outcome === 'done')) {
-      await retryOrder(port, clock, ownRank, { op: 'go', epoch, step });
+      await letGo(epoch, step);
       return 'switched';
     }
     const own = await port.report(ownRank);
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -72,7 +72,7 @@
 
 /** Starts to coordinate; runs until `close`. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
-  const { port, ownRank, shape, clock, random, metrics, log } = options;
+  const { port, shape, clock, random, metrics, log } = options;
   const known = new Map<number, KnownRank>();
   const popularity: Popularity = createPopularity(shape.sets, shape.experts);
   let stopped = false;
@@ -90,16 +90,7 @@
   const isPrepared = (rank: number, version: number): boolean =>
     known.get(rank)?.report.prepared === version;
 
-  const { orderOwnFromAfar } = options;
-  const switchMap = createMapSwitch({
-    port,
-    ownRank,
-    orderOwnFromAfar,
-    isPrepared,
-    clock,
-    random,
-    log,
-  });
+  const switchMap = createMapSwitch({ ...options, isPrepared });
 
   const onUpdate = ({ report, picks }: RankUpdate): void => {
     known.set(report.rank, { report, at: clock.monotonic() });
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -166,6 +166,11 @@
       })
       .sort((a, b) => a.rank - b.rank);
 
+  const toLowest = (): Link | undefined => {
+    const [lowest] = linkedRanks();
+    return lowest && lowest.rank < ownRank ? lowest.link : undefined;
+  };
+
   return {
     setNodes: (nodes, group, rank) => {
       ownRank = rank;
@@ -196,11 +201,8 @@
     },
     toRank: (rank) => linkedRanks().find((entry) => entry.rank === rank)?.link,
     toHighest: () => linkedRanks().at(-1)?.link,
-    isLowest: () => !linkedRanks().some(({ rank }) => rank < ownRank),
-    toLowest: () => {
-      const [lowest] = linkedRanks();
-      return lowest && lowest.rank < ownRank ? lowest.link : undefined;
-    },
+    isLowest: () => toLowest() === undefined,
+    toLowest,
     toRelay: () => linkedRanks().find(({ node, rank }) => nearby.has(node) && rank < ownRank)?.link,
     close: async () => {
       await Promise.all([...dialled.values()].map(({ client }) => client.close()));
--- a/packages/rank-groups/src/plan/popularity.ts
+++ b/packages/rank-groups/src/plan/popularity.ts
@@ -8,7 +8,6 @@
   shares(): number[][] | undefined;
   /** Pieces since the last shift that was noticed. */
   sinceShift(): number;
-  reset(): void;
 }
 
 /** Weight that older picks keep with each piece: about a second is remembered at ten a second. */
@@ -66,10 +65,5 @@
     },
     shares: () => (isEnough(estimate, PICKS_FOR_SHARES) ? toShares(estimate) : undefined),
     sinceShift: () => pieces,
-    reset: () => {
-      estimate = new Array<number>(size).fill(0);
-      pending = new Array<number>(size).fill(0);
-      pieces = 0;
-    },
   };
 };
