Upstreams that start again under their instance; entries by another writer

Cause: identity was the instance alone. An upstream that started again under it was ignored for ever, as its sequence began anew, or stayed leaving; its failures, load, pace and successor were kept; an entry in an unknown state marked a sound upstream as leaving.

Ruled out: dropping what is known of an upstream when its entry can't be read. Its own next heartbeat or its removal settles that, and until then it serves.

Change: one type for a start (instance, time of the start); the latest start of each instance is remembered beyond its removal; a later start forgets the earlier one's leaving, failures, sequence, load, pace and successor; a late word of an earlier start, or of one that has left, is left out and counted. The same for an engine's report, counts and pace. Entries must be whole to name an upstream; others are counted, and logged once for each text within a bound. An engine that was found at an address is looked for again in another epoch.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -22,10 +22,13 @@
   gateway_events_repeated: 'Events of resumed streams that the caller had already; left out.',
   gateway_faults: 'Requests that met a fault of this process.',
   gateway_first_event_ms: 'Milliseconds from arrival to the first event of a stream.',
+  gateway_foreign_entries:
+    "Entries of the platform's list that name no upstream, by what is unsound.",
   gateway_intent_unreadable: 'Records of the intent that could not be read.',
   gateway_log_read_failed: "Reads of the platform's log that failed, by topic and reason.",
   gateway_malformed: 'Requests refused before they were read whole, by status.',
   gateway_mirror_from_peer: "Times at which a peer knew more of the platform's log, by topic.",
+  gateway_outdated_entries: "Late entries of the platform's list that were left out.",
   gateway_pause_ms: 'Milliseconds between two events of a stream.',
   gateway_refused: 'Requests that the entry answered in its own name, by reason.',
   gateway_requests: 'Requests whose head was read.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,8 +21,9 @@
 import { createRetryBudget } from './retry/budget.js';
 import type { RetryLimits } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
-import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
+import type { HeaderDialect, Intent } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
+import type { DecodeUpstream } from './upstreams/directory.js';
 
 /** Where an entry listens. */
 export interface GatewayAddresses {
@@ -54,7 +55,7 @@
   /** Key of the intent in its topic. */
   intentKey: string;
   decodeIntent: (value: Uint8Array) => Intent | undefined;
-  decodeUpstream: (key: string, value: Uint8Array) => UpstreamRecord | undefined;
+  decodeUpstream: DecodeUpstream;
   dialect: HeaderDialect;
   clock: Clock;
   random: Random;
@@ -126,6 +127,7 @@
     logBackAt: () => mirrored.get(topics.upstreams.name)?.follower.logBackAt() ?? -Infinity,
     clock,
     random,
+    metrics,
     log,
   });
   const admission = createAdmission(clock, log);
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -6,6 +6,8 @@
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
 import type { KeyedRecord, NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
+import { readEnginePace } from './engine-pace.js';
+import type { EnginePace } from './engine-pace.js';
 import { readShare } from './load-share.js';
 import type { LoadShare } from './load-share.js';
 
@@ -42,7 +44,7 @@
   onPush: (topic: string, push: PeerPush) => void;
   onPeerGone: (peer: string) => void;
   /** An agent tells the pace of the engine beside it. */
-  onPace: (host: string, port: number, pace: number) => void;
+  onPace: (pace: EnginePace) => void;
   /** What this entry's mirror of a topic holds beyond an offset. */
   recordsAfter: (topic: string, after: number) => PeerRecords | undefined;
   clock: Clock;
@@ -86,13 +88,6 @@
   return read && { topic, push: { after, end, records: read } };
 };
 
-const readPace = (value: unknown): { host: string; port: number; pace: number } | undefined => {
-  if (!isObject(value)) return undefined;
-  const { host, port, pace } = value;
-  const isSound = typeof host === 'string' && typeof port === 'number' && typeof pace === 'number';
-  return isSound ? { host, port, pace } : undefined;
-};
-
 const addressKey = ({ host, port }: ListenAddress): string => `${host}:${port}`;
 
 /** Starts the links of an entry; rejects when its link address is in use. */
@@ -116,8 +111,8 @@
       if (share) options.onShare(peer, share);
       const pushed = frame.method === 'mirror.push' ? readPush(frame.args) : undefined;
       if (pushed) options.onPush(pushed.topic, pushed.push);
-      const report = frame.method === 'engine.pace' ? readPace(frame.args) : undefined;
-      if (report) options.onPace(report.host, report.port, report.pace);
+      const pace = frame.method === 'engine.pace' ? readEnginePace(frame.args) : undefined;
+      if (pace) options.onPace(pace);
     };
 
   const onLink = (link: Link): FrameHandler => {
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -92,7 +92,7 @@
     if (fields.notRun || status === 421) {
       res.resume();
       // Another instance has the address: this one is gone, though its entry stands for seconds yet.
-      if (status === 421) deps.directory.noteReplaced(record.instance);
+      if (status === 421) deps.directory.noteReplaced(upstream);
       else upstream.noteRefusal();
       return settle({ outcome: 'not-run', why: `status-${status}`, wasSent: true });
     }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -84,10 +84,18 @@
   organisations: readonly Organisation[] | undefined;
 }
 
-/** What an upstream says of itself in the platform's list. */
-export interface UpstreamRecord {
-  /** New with each start of the upstream. */
+/**
+ * One start of an upstream. It may start again under its instance, and then holds and knows nothing
+ * of before: what is known of an earlier start says nothing about it.
+ */
+export interface UpstreamStart {
   instance: string;
+  /** Unix time of the start, in milliseconds; 0 where the platform doesn't tell. */
+  startedAt: number;
+}
+
+/** What an upstream says of itself in the platform's list. */
+export interface UpstreamRecord extends UpstreamStart {
   service: string;
   host: string;
   port: number;
@@ -100,6 +108,9 @@
   sequence: number;
 }
 
+/** What makes an entry of the platform's list name no upstream: its bytes, or one unsound field. */
+export type UpstreamFault = keyof UpstreamRecord | 'bytes' | 'software';
+
 /** What a caller asks for, apart from method, path and body. */
 export interface CallerFields {
   /** The caller's id of this request; undefined when it sent none. */
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -1,9 +1,12 @@
 /** All upstreams that are listed, and the choice among those of a service. */
 
-import type { Clock, EventLog, Random } from '@plantaindrum/common';
+import type { Clock, EventLog, Metrics, Random, Result } from '@plantaindrum/common';
 import type { KeyedChange } from '@plantaindrum/mirror';
+import type { EnginePace } from '../mesh/engine-pace.js';
 import type { LoadShare } from '../mesh/load-share.js';
-import type { UpstreamRecord } from '../types.js';
+import type { UpstreamFault, UpstreamRecord } from '../types.js';
+import { createForeignEntries } from './foreign-entries.js';
+import { createKnownStarts } from './known-starts.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
 
@@ -18,22 +21,29 @@
   /** Most of a service's upstreams have just refused to run a request. */
   isRefusing(service: string): boolean;
   /** The agent beside the upstream at this address tells its pace. */
-  notePace(host: string, port: number, pace: number): void;
+  notePace(pace: EnginePace): void;
   /** Another entry tells its requests at the upstreams. */
   notePeerLoad(peer: string, share: LoadShare): void;
   /** Another instance answered at this one's address. */
-  noteReplaced(instance: string): void;
+  noteReplaced(upstream: Upstream): void;
   all(): Upstream[];
 }
 
+/** Reads an entry of the platform's list. */
+export type DecodeUpstream = (
+  key: string,
+  value: Uint8Array,
+) => Result<UpstreamRecord, UpstreamFault>;
+
 /** Options of `createDirectory`. */
 export interface DirectoryOptions {
-  decode: (key: string, value: Uint8Array) => UpstreamRecord | undefined;
+  decode: DecodeUpstream;
   dataCentre: string;
   /** When the platform's log came back after an outage (monotonic, ms). */
   logBackAt: () => number;
   clock: Clock;
   random: Random;
+  metrics: Metrics;
   log: EventLog;
 }
 
@@ -59,16 +69,35 @@
 
 /** Creates a directory that follows the platform's list. */
 export const createDirectory = (options: DirectoryOptions): Directory => {
-  const { decode, dataCentre, logBackAt, clock, random, log } = options;
+  const { decode, dataCentre, logBackAt, clock, random, metrics, log } = options;
   const listed = new Map<string, Upstream>();
   const lapsed = new Map<string, { upstream: Upstream; at: number }>();
   const leaving = new Set<string>();
-  const replaced = new Set<string>();
+  const replaced = new WeakSet<Upstream>();
+  const starts = createKnownStarts();
+  const noteForeign = createForeignEntries(metrics, log);
+
+  const forget = (instance: string): void => {
+    listed.delete(instance);
+    lapsed.delete(instance);
+    leaving.delete(instance);
+  };
 
   const add = (record: UpstreamRecord): void => {
-    const known = listed.get(record.instance) ?? lapsed.get(record.instance)?.upstream;
-    // A heartbeat that an upstream sent before it announced its leaving may arrive after it.
-    if (known && known.record.sequence > record.sequence) return;
+    const { instance, startedAt, sequence } = record;
+    const standing = starts.take(record);
+    // A heartbeat that an upstream sent before it announced its leaving may arrive after it, and one
+    // of an earlier start after it has started again: taken for news, a caller's request would go to
+    // an upstream that leaves, or a sound one would be left out for good.
+    if (standing === 'outdated') {
+      metrics.count('gateway_outdated_entries');
+      return;
+    }
+    if (standing === 'later-start') {
+      forget(instance);
+      log.event('upstream-started-again', { upstream: instance, startedAt, sequence });
+    }
+    const known = listed.get(instance) ?? lapsed.get(instance)?.upstream;
     const isLeaving = leaving.has(record.instance) || record.state === 'draining';
     if (isLeaving && !leaving.has(record.instance)) {
       leaving.add(record.instance);
@@ -89,12 +118,14 @@
     listed.delete(instance);
     if (!upstream) return;
     log.event('upstream-gone', { upstream: instance, service: upstream.record.service });
-    replaced.delete(instance);
-    if (!leaving.delete(instance)) lapsed.set(instance, { upstream, at: clock.monotonic() });
+    if (leaving.delete(instance)) starts.noteLeft(instance);
+    else lapsed.set(instance, { upstream, at: clock.monotonic() });
   };
 
-  const isReady = ({ record }: Upstream, service: string): boolean =>
-    record.service === service && record.state === 'ready' && !replaced.has(record.instance);
+  const isReady = (upstream: Upstream, service: string): boolean =>
+    upstream.record.service === service &&
+    upstream.record.state === 'ready' &&
+    !replaced.has(upstream);
 
   const lapsedOf = (service: string): Upstream[] => {
     const now = clock.monotonic();
@@ -132,9 +163,10 @@
         remove(key);
         return;
       }
-      const record = decode(key, value);
-      if (record) add(record);
-      else log.event('upstream-entry-unreadable', { upstream: key });
+      const entry = decode(key, value);
+      if (entry.ok) add(entry.value);
+      // What is known under this key holds: the upstream itself writes there again, or it lapses.
+      else noteForeign(key, value, entry.err);
     },
     usable,
     choose: (service, tried) => {
@@ -148,9 +180,10 @@
       const refusing = all.filter((upstream) => upstream.isRefusing()).length;
       return all.length >= FEW_UPSTREAMS && refusing > all.length * MOST_REFUSING;
     },
-    notePace: (host, port, pace) => {
+    notePace: ({ host, port, startedAt, pace }) => {
       [...listed.values()]
         .filter(({ record }) => record.host === host && record.port === port)
+        .filter(({ record }) => record.startedAt <= startedAt)
         .forEach((upstream) => upstream.notePace(pace));
     },
     notePeerLoad: (peer, { isWhole, counts }) => {
@@ -159,9 +192,9 @@
         if (count !== undefined) upstream.notePeer(peer, count);
       });
     },
-    noteReplaced: (instance) => {
-      replaced.add(instance);
-      log.event('upstream-replaced', { upstream: instance });
+    noteReplaced: (upstream) => {
+      replaced.add(upstream);
+      log.event('upstream-replaced', { upstream: upstream.record.instance });
     },
     all: () => [...listed.values()],
   };
--- /dev/null
+++ b/packages/gateway/test/directory.test.ts
@@ -0,0 +1,138 @@
+import { expect } from 'chai';
+import {
+  createManualClock,
+  createMetrics,
+  createSeededRandom,
+  fail,
+  ok,
+  silentEventLog,
+} from '@plantaindrum/common';
+import type { UpstreamRecord } from '../src/index.js';
+import { createDirectory } from '../src/upstreams/directory.js';
+
+const first: UpstreamRecord = {
+  instance: 'a',
+  startedAt: 1_000,
+  service: 's',
+  host: '10.0.0.1',
+  port: 80,
+  dataCentre: 'd',
+  slots: 4,
+  state: 'ready',
+  warmupLeftMs: 0,
+  sequence: 9,
+};
+const again: UpstreamRecord = { ...first, startedAt: 2_000, sequence: 1 };
+
+const start = () => {
+  const events: unknown[][] = [];
+  const metrics = createMetrics();
+  const clock = createManualClock();
+  const directory = createDirectory({
+    decode: (_, value) => {
+      const text = Buffer.from(value).toString();
+      return text.startsWith('{') ? ok(JSON.parse(text) as UpstreamRecord) : fail('bytes');
+    },
+    dataCentre: 'd',
+    logBackAt: () => -Infinity,
+    clock,
+    random: createSeededRandom(1),
+    metrics,
+    log: { ...silentEventLog, event: (...event) => events.push(event) },
+  });
+  const put = (key: string, value: unknown): void =>
+    directory.apply({
+      key,
+      value: Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)),
+    });
+  const take = (record: UpstreamRecord): void => put(record.instance, record);
+  const chosen = (): UpstreamRecord | undefined => directory.choose('s', new Set())?.record;
+  return { directory, clock, metrics, events, put, take, chosen };
+};
+
+describe('upstreams that start again under their instance', () => {
+  // The upstream crashed and started again at once, under its instance, before its entry lapsed. Its
+  // sequence began anew, so its entries looked like old ones and it got no request ever again.
+  it('are used again although their sequence began anew', () => {
+    const { take, chosen, events } = start();
+    take(first);
+    take(again);
+    expect(chosen()).to.include({ startedAt: 2_000, sequence: 1 });
+    expect(events.map(([name]) => name)).to.include('upstream-started-again');
+  });
+
+  // It announced its leaving, ended, and is back under its instance. It stayed "leaving" for ever.
+  it('are no longer leaving', () => {
+    const { take, chosen } = start();
+    take(first);
+    take({ ...first, state: 'draining', sequence: 10 });
+    expect(chosen()).to.equal(undefined);
+    take(again);
+    expect(chosen()).to.include({ startedAt: 2_000 });
+  });
+
+  // Its earlier start failed requests, was slow, and another instance answered at its address. None
+  // of that says anything about a process that knows nothing of before.
+  it('have no failures, load, pace or successor of the earlier start', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    const before = directory.choose('s', new Set());
+    before?.begin();
+    [1, 2, 3, 4].forEach(() => before?.noteFailure('failed'));
+    directory.notePace({ host: first.host, port: first.port, startedAt: 1_000, pace: 9 });
+    if (before) directory.noteReplaced(before);
+    expect(chosen()).to.equal(undefined);
+    take(again);
+    const now = directory.choose('s', new Set());
+    expect(now?.isSuspect()).to.equal(false);
+    expect(now?.total()).to.equal(0);
+    expect(now?.costOfNext()).to.equal(1 / first.slots);
+    directory.notePace({ host: first.host, port: first.port, startedAt: 1_000, pace: 9 });
+    expect(now?.costOfNext()).to.equal(1 / first.slots);
+  });
+
+  // A heartbeat of the earlier start was under way for long and lands after the later start's. Taken
+  // for news it would mark a sound upstream as leaving.
+  it('are not changed by a late word of the earlier start', () => {
+    const { take, chosen, metrics } = start();
+    take(first);
+    take(again);
+    take({ ...first, state: 'draining', sequence: 12 });
+    expect(chosen()).to.include({ startedAt: 2_000, state: 'ready' });
+    expect(metrics.exposition()).to.contain('gateway_outdated_entries');
+  });
+
+  // The upstream left and its entry is gone; a heartbeat that it sent before lands last and would
+  // bring it back to life for the three intervals until it lapses.
+  it('are not brought back by a late word after they have left', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    take({ ...first, state: 'draining', sequence: 10 });
+    directory.apply({ key: 'a', value: undefined });
+    take(first);
+    expect(chosen()).to.equal(undefined);
+    take(again);
+    expect(chosen()).to.include({ startedAt: 2_000 });
+  });
+});
+
+describe('entries by another writer', () => {
+  // Somebody else writes under the key of a sound upstream and under new ones. The upstream goes on
+  // being used, nothing new is, and the log isn't flooded by an entry that is read again and again.
+  it('name no upstream, change nothing that is known, are logged once and counted', () => {
+    const { put, take, chosen, directory, events, metrics } = start();
+    take(first);
+    [1, 2, 3].forEach(() => put('a', 'nonsense'));
+    put('b', 'nonsense');
+    expect(chosen()).to.include({ instance: 'a' });
+    expect(directory.all()).to.have.length(1);
+    expect(events.filter(([name]) => name === 'upstream-entry-foreign')).to.have.length(2);
+    expect(metrics.exposition()).to.match(/gateway_foreign_entries(_total)?\{fault="bytes"\} 4/);
+  });
+
+  it('are logged no more often than a bound, whatever they hold', () => {
+    const { put, events } = start();
+    for (let n = 0; n < 1_000; n += 1) put('a', `nonsense ${n}`);
+    expect(events).to.have.length(256);
+  });
+});
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -8,6 +8,7 @@
 
 const record: UpstreamRecord = {
   instance: 'i',
+  startedAt: 0,
   service: 's',
   host: 'h',
   port: 1,
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -5,6 +5,7 @@
 import {
   createMetrics,
   createSeededRandom,
+  ok,
   silentEventLog,
   systemClock,
 } from '@plantaindrum/common';
@@ -65,16 +66,17 @@
   const metrics = createMetrics();
   const log = silentEventLog;
   const directory = createDirectory({
-    decode: (key, value) => ({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
+    decode: (key, value) => ok({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
     dataCentre: 'd',
     logBackAt: () => -Infinity,
     clock,
     random,
+    metrics,
     log,
   });
   options.upstreams.forEach(({ port }, at) => {
     const fields = { service: 's', host: '127.0.0.1', port, dataCentre: 'd', slots: 4 };
-    const state = { state: 'ready', warmupLeftMs: 0, sequence: 1 };
+    const state = { state: 'ready', warmupLeftMs: 0, sequence: 1, startedAt: 0 };
     directory.apply({ key: `i${at}`, value: encode({ ...fields, ...state }) });
   });
   const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -194,7 +194,7 @@
     : undefined;
   const upstreams = Array.from({ length: ranks }, (_, rank) => {
     const record = { instance: `r${rank}`, service: 's', host: '', port: 1, dataCentre: 'd' };
-    const state = { state: 'ready', warmupLeftMs: 0, sequence: 1 } as const;
+    const state = { state: 'ready', warmupLeftMs: 0, sequence: 1, startedAt: 0 } as const;
     return createUpstream({ ...record, ...state, slots: times.slots }, clock);
   });
   const policy = spec.policy({ clock, slots: times.slots * ranks });
--- a/packages/lab/src/emulator/engine-group.ts
+++ b/packages/lab/src/emulator/engine-group.ts
@@ -274,7 +274,15 @@
     report: (at) => {
       const rank = ranks[at];
       return {
-        ...{ group: 'g', epoch: EPOCH, rank: at, size: ranks.length, isOpen: true, step },
+        ...{
+          group: 'g',
+          startedAt: 0,
+          epoch: EPOCH,
+          rank: at,
+          size: ranks.length,
+          isOpen: true,
+          step,
+        },
         map: rank?.map ?? 0,
         prepared: rank && isCopied(rank) ? rank.prepared?.version : undefined,
         armed: rank?.armed,
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -93,6 +93,8 @@
   const switchMap = createMapSwitch({ ...options, isPrepared });
 
   const onUpdate = ({ report, picks }: RankUpdate): void => {
+    // A late word of an engine's earlier start: it would show a map and preparations that are gone.
+    if (report.startedAt < (known.get(report.rank)?.report.startedAt ?? 0)) return;
     known.set(report.rank, { report, at: clock.monotonic() });
     highest = Math.max(highest, versionsOf(report));
     if (report.step > lastStep.step || report.epoch !== placedEpoch) {
--- a/packages/rank-groups/src/engine-finder.ts
+++ b/packages/rank-groups/src/engine-finder.ts
@@ -20,8 +20,8 @@
 
 /** Engines by rank. */
 export interface EngineFinder {
-  /** The engine of a rank of this group. */
-  find(group: string, rank: number): Promise<RankEngine | undefined>;
+  /** The engine of a rank of this group, as it was found in this epoch. */
+  find(group: string, epoch: number, rank: number): Promise<RankEngine | undefined>;
   /** Reads the platform's list ahead of the time when it is needed and perhaps can't be read. */
   prepare(): Promise<void>;
 }
@@ -37,7 +37,9 @@
   let searchedAt = -Infinity;
   let searching: Promise<void> | undefined;
 
-  const keyOf = (group: string, rank: number): string => `${group}/${rank}`;
+  // In another epoch an address may be another rank's: an order meant for one would reach the other,
+  // and a rank that was taken for armed would begin the pass with the old map.
+  const keyOf = (group: string, epoch: number, rank: number): string => `${group}/${epoch}/${rank}`;
 
   const prepare = async (): Promise<void> => {
     listed = (await list()) ?? listed;
@@ -45,12 +47,13 @@
 
   const search = async (): Promise<void> => {
     searchedAt = clock.monotonic();
+    found.clear();
     await prepare();
     await Promise.all(
       listed.map(async ({ host, port }) => {
         const engine = open(host, port);
         const report = await engine.report();
-        if (report) found.set(keyOf(report.group, report.rank), engine);
+        if (report) found.set(keyOf(report.group, report.epoch, report.rank), engine);
       }),
     );
     log.event('engines-searched', { listed: listed.length, found: found.size });
@@ -58,11 +61,11 @@
 
   return {
     prepare,
-    find: async (group, rank) => {
+    find: async (group, epoch, rank) => {
       const isDue = clock.monotonic() - searchedAt > SEARCH_MS;
-      if (!found.has(keyOf(group, rank)) && isDue) searching = search();
+      if (!found.has(keyOf(group, epoch, rank)) && isDue) searching = search();
       await searching;
-      return found.get(keyOf(group, rank));
+      return found.get(keyOf(group, epoch, rank));
     },
   };
 };
--- a/packages/rank-groups/src/links/pace-reporter.ts
+++ b/packages/rank-groups/src/links/pace-reporter.ts
@@ -5,12 +5,13 @@
 import { createLinkClient, defaultLinkLimits } from '@plantaindrum/link';
 import type { LinkClient } from '@plantaindrum/link';
 import type { NodeRecord } from '@plantaindrum/mirror';
+import type { RankReport } from '../types.js';
 import { agentIdentity } from './identity.js';
 
 /** The agent's reports to the entries. */
 export interface PaceReporter {
   /** Takes each reading of the engine's pace. */
-  note(pace: number): void;
+  note(report: Pick<RankReport, 'pace' | 'startedAt'>): void;
   close(): Promise<void>;
 }
 
@@ -62,24 +63,25 @@
     await Promise.all(all.map((client) => client.close()));
   };
 
-  const tell = (pace: number): void => {
+  const tell = (pace: number, startedAt: number): void => {
     nodes()
       .filter(({ role }) => role === 'entry')
       .forEach((record) => {
         const key = `${record.host}:${record.port}`;
         const client = clients.get(key) ?? open(record);
         clients.set(key, client);
-        client.link()?.send({ t: 'note', method: 'engine.pace', args: { ...engine, pace } });
+        const args = { ...engine, startedAt, pace };
+        client.link()?.send({ t: 'note', method: 'engine.pace', args });
       });
   };
 
   return {
-    note: (pace) => {
+    note: ({ pace, startedAt }) => {
       const now = clock.monotonic();
       if (pace > SLOW) slowAt = now;
       if (pace > SLOW !== isSlow) log.event('engine-pace', { pace });
       isSlow = pace > SLOW;
-      if (now - slowAt < WELL_MS) tell(pace);
+      if (now - slowAt < WELL_MS) tell(pace, startedAt);
       else if (clients.size > 0) void closeAll();
     },
     close: closeAll,
--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -33,6 +33,7 @@
   if (!isSound) return undefined;
   return {
     ...{ group, epoch, rank, size, isOpen, step, map },
+    startedAt: optionalNumber(value.startedAt) ?? 0,
     prepared: optionalNumber(value.prepared),
     armed: readArmed(value.armed),
     held: optionalNumber(value.held),
--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -2,7 +2,14 @@
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import type { OrderOutcome, RankEngine, RankOrder, RankPlacement, RankReport } from './types.js';
+import type {
+  ExpertCounts,
+  OrderOutcome,
+  RankEngine,
+  RankOrder,
+  RankPlacement,
+  RankReport,
+} from './types.js';
 
 /** What a member tells the coordinator of its group. */
 export interface RankUpdate {
@@ -43,21 +50,26 @@
 const COPYING_MOST_MS = 2_000;
 
 /** Picks since an earlier reading; an engine that started anew counts from nothing. */
-const picksSince = (before: readonly number[] | undefined, now: readonly number[]): number[] => {
-  const isAnew = before === undefined || now.some((n, at) => n < (before[at] ?? 0));
-  return isAnew ? [...now] : now.map((n, at) => n - (before[at] ?? 0));
+const picksSince = (before: ExpertCounts, now: ExpertCounts): number[] => {
+  const isAnew =
+    now.startedAt > before.startedAt || now.counts.some((n, at) => n < (before.counts[at] ?? 0));
+  return isAnew ? [...now.counts] : now.counts.map((n, at) => n - (before.counts[at] ?? 0));
 };
 
 /** Starts to read the engine; runs until `close`. */
 export const createRankMember = (options: RankMemberOptions): RankMember => {
   const { engine, onUpdate, clock, metrics, log } = options;
   let last: RankReport | undefined;
-  let counts: readonly number[] | undefined;
+  let counts: ExpertCounts | undefined;
   let countedAt = -Infinity;
   let copying: { version: number; until: number } | undefined;
   let stopped = false;
 
   const noteReport = (report: RankReport): void => {
+    if (last && last.startedAt < report.startedAt) {
+      log.event('engine-started-again', { rank: report.rank, startedAt: report.startedAt });
+      copying = undefined;
+    }
     if (last?.epoch !== report.epoch || last.isOpen !== report.isOpen) {
       const { group, epoch, rank, isOpen, map } = report;
       log.event('rank-state', { group, epoch, rank, isOpen, map });
@@ -71,11 +83,10 @@
   const readPicks = async (): Promise<number[]> => {
     const reading = await engine.counts();
     if (!reading) return [];
-    const picks = picksSince(counts, reading.counts);
+    const before = counts;
+    counts = reading;
     // The first reading holds all of the engine's past, which says nothing about now.
-    const isFirst = counts === undefined;
-    counts = reading.counts;
-    return isFirst ? [] : picks;
+    return before ? picksSince(before, reading) : [];
   };
 
   const readOnce = async (): Promise<boolean> => {
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -108,7 +108,7 @@
   });
   const onUpdate = (update: RankUpdate): void => {
     takePlace(update.report);
-    pace.note(update.report.pace);
+    pace.note(update.report);
     coordinator?.onUpdate(update);
     if (links && !links.isLowest()) teller.note(update);
   };
@@ -163,8 +163,9 @@
   // A rank whose agent is not linked is reached at its engine's own address: the one that its agent
   // uses belongs to the agent's VM, which may be frozen or gone while the engine runs on.
   const finder = createEngineFinder({ list: options.listEngines, open: openEngine, clock, log });
+  const epochNow = (): number => member.lastReport()?.epoch ?? -1;
   const direct = async (rank: number): Promise<RankEngine | undefined> =>
-    place && finder.find(place.name, rank);
+    place && finder.find(place.name, epochNow(), rank);
 
   const ask = async (
     rank: number,
@@ -200,7 +201,7 @@
 
   const port: GroupPort = {
     size: () => member.lastReport()?.size ?? 0,
-    epoch: () => member.lastReport()?.epoch ?? -1,
+    epoch: epochNow,
     report: async (rank) => {
       if (isOwn(rank)) return member.report();
       if (linked.toRank(rank)) return readReport(await ask(rank, 'rank.report', {}));
--- a/packages/rank-groups/src/types.ts
+++ b/packages/rank-groups/src/types.ts
@@ -20,6 +20,8 @@
 /** One rank as its engine reports it. */
 export interface RankReport {
   group: string;
+  /** Unix time at which the engine started, in milliseconds; 0 where the platform doesn't tell. */
+  startedAt: number;
   /** Grows each time the group forms anew; map, preparations and holds are gone then. */
   epoch: number;
   rank: number;
@@ -40,6 +42,8 @@
 
 /** How often each expert was chosen by a rank's requests since the engine started. */
 export interface ExpertCounts {
+  /** Start of the engine, from which it counts. */
+  startedAt: number;
   epoch: number;
   step: number;
   /** Set by set. */
--- a/packages/rank-groups/test/fakes/fake-ranks.ts
+++ b/packages/rank-groups/test/fakes/fake-ranks.ts
@@ -76,7 +76,7 @@
   const report = (at: number): RankReport => {
     const rank = ranks[at] ?? fresh();
     const { map, prepared, armed, held } = rank;
-    const place = { group: 'g', epoch, rank: at, size, isOpen: true, pace: 1 };
+    const place = { group: 'g', startedAt: 0, epoch, rank: at, size, isOpen: true, pace: 1 };
     return { ...place, step, map, prepared, armed, held };
   };
 
--- a/packages/rank-groups/test/links.test.ts
+++ b/packages/rank-groups/test/links.test.ts
@@ -52,7 +52,17 @@
 
 describe('telling the coordinator', () => {
   const report: RankReport = {
-    ...{ group: 'g', epoch: 1, rank: 3, size: 16, isOpen: true, step: 5, map: 0, pace: 1 },
+    ...{
+      group: 'g',
+      startedAt: 0,
+      epoch: 1,
+      rank: 3,
+      size: 16,
+      isOpen: true,
+      step: 5,
+      map: 0,
+      pace: 1,
+    },
     ...{ prepared: undefined, armed: undefined, held: undefined },
   };
 
--- a/packages/stand-ins/src/users-platform/operator-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -54,10 +54,11 @@
   instance: string,
   service: string,
   address: string,
+  more: Readonly<Record<string, unknown>> = {},
 ): void =>
   store.put('keyed.servers', instance, {
-    ...{ service, address, zone: 'a', slots: 8 },
-    ...{ state: 'ready', warmup_left_ms: 0, sequence: 1 },
+    ...{ service, address, zone: 'a', version: 'v1', slots: 8 },
+    ...{ state: 'ready', warmup_left_ms: 0, sequence: 1, ...more },
   });
 
 /** One VM whose settings file is written. */
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -23,6 +23,8 @@
   ranks: RankState[];
   /** Begins the next pass unless a rank holds it; each rank picks experts by `picks`. */
   pass(): void;
+  /** This rank has started again: the group opens in a new epoch with map 0. */
+  formAnew(rank: number): void;
   /** Passes that began with different maps. */
   mixed(): number;
 }
@@ -40,7 +42,7 @@
 export const createGroup = ({ size, sets, experts, picks }: GroupOptions): GroupStandIn => {
   const inTurn = (rank: number): number[] =>
     Array.from({ length: experts }, (_, expert) => expert).filter((e) => e % size === rank);
-  const ranks = Array.from({ length: size }, (_, rank): RankState => ({
+  const fresh = (rank: number): RankState => ({
     epoch: 1,
     step: 0,
     map: 0,
@@ -50,7 +52,8 @@
     experts: Array.from({ length: sets }, () => inTurn(rank)),
     preparedExperts: [],
     counts: new Array<number>(sets * experts).fill(0),
-  }));
+  });
+  const ranks = Array.from({ length: size }, (_, rank) => fresh(rank));
   let mixed = 0;
 
   const begin = (rank: RankState, step: number): void => {
@@ -73,6 +76,13 @@
       ranks.forEach((rank) => begin(rank, next));
       if (new Set(ranks.map(({ map }) => map)).size > 1) mixed += 1;
     },
+    formAnew: (restarted) => {
+      ranks.forEach((rank, at) => {
+        const epoch = rank.epoch + 1;
+        const counts = at === restarted ? rank.counts.map(() => 0) : rank.counts;
+        Object.assign(rank, fresh(at), { epoch, step: rank.step, counts });
+      });
+    },
     mixed: () => mixed,
   };
 };
@@ -114,10 +124,16 @@
   return Buffer.concat(chunks).toString();
 };
 
+/** Unix time of a server's first start, and how much later it starts again, in ms. */
+const FIRST_BORN_MS = 1_796_000_000_000;
+const RESTART_MS = 1_500;
+
 /** A running server. */
 export interface ServerStandIn {
   /** Ids of the requests that ran. */
   ran: string[];
+  /** The server crashes and starts again under its id: it holds and has counted nothing. */
+  startAgain(): void;
   /** Headers of the last request. */
   lastHeaders(): IncomingMessage['headers'];
   close(): Promise<void>;
@@ -130,6 +146,7 @@
   group?: { group: GroupStandIn; rank: number },
 ): Promise<ServerStandIn> => {
   const ran: string[] = [];
+  let born = FIRST_BORN_MS;
   let lastHeaders: IncomingMessage['headers'] = {};
   const state = group?.group.ranks[group.rank];
 
@@ -141,13 +158,14 @@
   const report = (): unknown => {
     const { epoch, step, map, prepared, armed, held } = state ?? {};
     const place = { name: 'g', epoch, rank: group?.rank, state: 'open' };
-    return { group: place, size: group?.group.size, step, map, prepared, armed, held };
+    const size = group?.group.size;
+    return { born, group: place, size, step, map, prepared, armed, held };
   };
 
   const picked = (isLists: boolean): unknown =>
     isLists
-      ? { epoch: state?.epoch, map: { version: state?.map, experts: state?.experts } }
-      : { step: state?.step, epoch: state?.epoch, counts: state?.counts };
+      ? { born, epoch: state?.epoch, map: { version: state?.map, experts: state?.experts } }
+      : { born, step: state?.step, epoch: state?.epoch, counts: state?.counts };
 
   const run = (req: IncomingMessage, res: ServerResponse): void => {
     const id = String(req.headers['x-request-id']);
@@ -186,6 +204,10 @@
   });
   return {
     ran,
+    startAgain: () => {
+      born += RESTART_MS;
+      group?.group.formAnew(group.rank);
+    },
     lastHeaders: () => lastHeaders,
     close: () =>
       new Promise((resolve) => {
