Popularity from all ranks' counts at once, and shifts told from what is usual

Cause: each rank's counts were a piece of their own, some 150 a second, of which 14 were remembered.

Ruled out: chance of the samples themselves (a piece holds 250,000 picks; the common part of the popularity is the same to 0.002 from piece to piece between shifts).

Change: counts are summed over the time in which all ranks tell theirs once; they are remembered for a second, as long as a stream; a shift is a difference beyond the usual one and four of its deviations.

--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -8,6 +8,7 @@
 import { createMapSwitch } from './change/switch-map.js';
 import type { SwitchOptions as MapSwitchOptions } from './change/switch-map.js';
 import { nextVersion, versionsOf } from './change/versions.js';
+import { picksEveryMs } from './links/teller.js';
 import type { RankUpdate } from './member.js';
 import { planChange } from './plan/plan.js';
 import type { MapPlan } from './plan/plan.js';
@@ -74,7 +75,12 @@
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
   const { port, shape, clock, random, metrics, log } = options;
   const known = new Map<number, KnownRank>();
-  const popularity: Popularity = createPopularity(shape.sets, shape.experts);
+  const popularity: Popularity = createPopularity({
+    sets: shape.sets,
+    experts: shape.experts,
+    pieceMs: () => picksEveryMs(port.size()),
+    clock,
+  });
   let stopped = false;
   let wasLowest = false;
   let leadSince = -Infinity;
--- a/packages/rank-groups/src/plan/popularity.ts
+++ b/packages/rank-groups/src/plan/popularity.ts
@@ -1,8 +1,19 @@
-/** How popular each expert is now, from counts that arrive in small pieces. */
+/**
+ * How popular each expert is now, from counts that arrive in small pieces.
+ *
+ * The pattern: most of a group's picks follow one popularity, which stays the same for seconds and then
+ * shifts at once. The rest follows what the streams in flight are about, which differs from rank to
+ * rank and turns over as streams end. Taken rank by rank, one rank's streams look like a shift, and
+ * the map is changed for them several times a second. So the counts of all ranks are summed to one
+ * piece, pieces are remembered for as long as streams last, and a shift is a difference well above
+ * those that pieces usually show.
+ */
+
+import type { Clock } from '@plantaindrum/common';
 
 /** Estimate of the experts' popularity. */
 export interface Popularity {
-  /** Takes the picks since the last call, set by set. */
+  /** Takes the picks of some rank since its last call, set by set. */
   add(picks: readonly number[]): void;
   /** Share of a set's picks that goes to each expert; undefined before enough is known. */
   shares(): number[][] | undefined;
@@ -10,26 +21,59 @@
   sinceShift(): number;
 }
 
-/** Weight that older picks keep with each piece: about a second is remembered at ten a second. */
-const KEPT = 0.93;
+/** Options of `createPopularity`. */
+export interface PopularityOptions {
+  sets: number;
+  experts: number;
+  /** Time in which every rank tells its picks once, in ms. */
+  pieceMs: () => number;
+  clock: Clock;
+}
+
 /**
- * Share of the picks that must go to other experts than before for a shift. Pieces of an unchanged
- * popularity differ by about 0.05, real shifts by 0.2 and more (counts of a played day).
+ * Time after which a piece counts 1/e, in ms: about as long as a stream lasts. Replayed on counts that
+ * 12 ranks made in two runs of 30 s with 11 shifts each, the busiest rank was at 1.53 and 1.65 of the
+ * mean with 124 and 153 experts copied; with each rank's counts a piece of its own it was at 1.62 and
+ * 1.71 with 286 and 265. Between 500 and 4,000 ms the figures differ by chance only.
  */
-const SHIFT = 0.13;
-/** Picks that a piece needs, for each expert of a set, before it can show a shift. */
-const PICKS_FOR_SHIFT = 150;
-/** Picks that are needed, for each expert of a set, before there is an estimate. */
-const PICKS_FOR_SHARES = 200;
+const MEMORY_MS = 1_000;
+/** Least share of the picks that goes to other experts in a shift. */
+const LEAST_SHIFT = 0.13;
+/** A shift differs by the usual difference and this many times its usual deviation. */
+const DEVIATIONS = 4;
+/** Weight of a new piece in the usual difference: some ten pieces, a second, are remembered. */
+const USUAL_WEIGHT = 0.1;
+/** Picks that a piece needs, for each expert of a set: its own chance is then below 0.04. */
+const PICKS_FOR_PIECE = 150;
 
 const sum = (values: readonly number[]): number => values.reduce((total, n) => total + n, 0);
 
+/** The usual difference between a piece and the estimate, and whether one is beyond it. */
+const createUsualDifference = () => {
+  let usual = LEAST_SHIFT / 2;
+  let deviation = LEAST_SHIFT / 2 / DEVIATIONS;
+  return {
+    /** Whether a difference is beyond the usual; it becomes a little more usual by it. */
+    isBeyond: (difference: number): boolean => {
+      const limit = Math.max(LEAST_SHIFT, usual + DEVIATIONS * deviation);
+      // A shift teaches no more than the limit, or the next one would pass for usual.
+      const taught = Math.min(difference, limit);
+      deviation += (Math.abs(taught - usual) - deviation) * USUAL_WEIGHT;
+      usual += (taught - usual) * USUAL_WEIGHT;
+      return difference > limit;
+    },
+  };
+};
+
 /** Creates the estimate for a group of this many sets and experts. */
-export const createPopularity = (sets: number, experts: number): Popularity => {
+export const createPopularity = (options: PopularityOptions): Popularity => {
+  const { sets, experts, pieceMs, clock } = options;
   const size = sets * experts;
+  const usual = createUsualDifference();
   let estimate = new Array<number>(size).fill(0);
   let pending = new Array<number>(size).fill(0);
   let pieces = 0;
+  let closedAt = clock.monotonic();
 
   const bySet = (values: readonly number[]): number[][] =>
     Array.from({ length: sets }, (_, set) => values.slice(set * experts, (set + 1) * experts));
@@ -49,21 +93,27 @@
     return sum(perSet) / (2 * sets);
   };
 
-  const isEnough = (values: readonly number[], perExpert: number): boolean =>
-    sum(values) >= perExpert * size;
+  const isEnough = (values: readonly number[]): boolean => sum(values) >= PICKS_FOR_PIECE * size;
+
+  const isShift = (piece: readonly number[]): boolean =>
+    isEnough(estimate) && usual.isBeyond(difference(piece, estimate));
+
+  const close = (now: number): void => {
+    const isNew = isShift(pending);
+    const kept = isNew ? 0 : Math.exp(-(now - closedAt) / MEMORY_MS);
+    pieces = isNew ? 0 : pieces + 1;
+    estimate = estimate.map((n, at) => n * kept + (pending[at] ?? 0));
+    pending = new Array<number>(size).fill(0);
+    closedAt = now;
+  };
 
   return {
     add: (picks) => {
-      // Small pieces are joined until they can tell a shift from chance.
       pending = pending.map((n, at) => n + (picks[at] ?? 0));
-      if (!isEnough(pending, PICKS_FOR_SHIFT)) return;
-      const isShift = isEnough(estimate, PICKS_FOR_SHIFT) && difference(pending, estimate) > SHIFT;
-      pieces = isShift ? 0 : pieces + 1;
-      const kept = isShift ? 0 : KEPT;
-      estimate = estimate.map((n, at) => n * kept + (pending[at] ?? 0));
-      pending = new Array<number>(size).fill(0);
+      const now = clock.monotonic();
+      if (now - closedAt >= pieceMs() && isEnough(pending)) close(now);
     },
-    shares: () => (isEnough(estimate, PICKS_FOR_SHARES) ? toShares(estimate) : undefined),
+    shares: () => (isEnough(estimate) ? toShares(estimate) : undefined),
     sinceShift: () => pieces,
   };
 };
--- a/packages/rank-groups/test/plan.test.ts
+++ b/packages/rank-groups/test/plan.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { createManualClock } from '@plantaindrum/common';
 import { createPopularity, imbalance, planChange } from '../src/index.js';
 import type { GroupShape, Placement } from '../src/index.js';
 
@@ -128,30 +129,72 @@
 });
 
 describe('popularity', () => {
-  const picksOf = (hot: number): number[] =>
-    Array.from({ length: 8 }, (_, expert) => (expert === hot ? 9_000 : 1_000));
+  const RANKS_TELLING = 6;
+  const PIECE_MS = 60;
+  const picksOf = (hot: number, scale = 1): number[] =>
+    Array.from({ length: 8 }, (_, expert) => scale * (expert === hot ? 9_000 : 1_000));
+
+  const start = () => {
+    const clock = createManualClock();
+    const options = { sets: 1, experts: 8, pieceMs: () => PIECE_MS, clock };
+    const popularity = createPopularity(options);
+    /** Each rank tells its picks, one after the other, in the time of a piece. */
+    const pieces = async (count: number, of: (rank: number, n: number) => number[]) => {
+      for (let n = 0; n < count; n += 1) {
+        for (let rank = 0; rank < RANKS_TELLING; rank += 1) {
+          await clock.advance(PIECE_MS / RANKS_TELLING);
+          popularity.add(of(rank, n));
+        }
+      }
+    };
+    return { popularity, pieces };
+  };
 
   it('knows nothing before enough was picked', () => {
-    const popularity = createPopularity(1, 8);
+    const { popularity } = start();
     popularity.add(new Array<number>(8).fill(10));
     expect(popularity.shares()).to.equal(undefined);
   });
 
   // The busiest rank would be planned for what was popular before. A shift forgets it at once
-  // instead of over the second that older picks are remembered for.
-  it('forgets what was popular when that has shifted', () => {
-    const popularity = createPopularity(1, 8);
-    for (let n = 0; n < 10; n += 1) popularity.add(picksOf(0));
-    popularity.add(picksOf(5));
+  // instead of over the time that older picks are remembered for.
+  it('forgets what was popular when that has shifted', async () => {
+    const { popularity, pieces } = start();
+    await pieces(10, () => picksOf(0));
+    await pieces(1, () => picksOf(5));
     const [shares] = popularity.shares() ?? [];
     expect(shares?.[5]).to.be.above(0.5);
     expect(shares?.[0]).to.be.below(0.1);
     expect(popularity.sinceShift()).to.equal(0);
   });
 
-  it('averages pieces that differ by chance', () => {
-    const popularity = createPopularity(1, 8);
-    for (let n = 0; n < 10; n += 1) popularity.add(picksOf(0).map((x) => x + ((n * 37) % 100)));
+  it('averages pieces that differ by chance', async () => {
+    const { popularity, pieces } = start();
+    await pieces(10, (_, n) => picksOf(0).map((x) => x + ((n * 37) % 100)));
     expect(popularity.sinceShift()).to.be.above(5);
   });
+
+  // Each rank's streams are about something else, and one of them reads a long prompt now and then.
+  // The map would be changed several times a second for what one rank happened to read.
+  it('does not take one rank for a shift', async () => {
+    const { popularity, pieces } = start();
+    await pieces(30, (rank, n) =>
+      picksOf(0).map(
+        (x, expert) => x + (expert === rank + 1 ? 3_000 : 0) * (n % 5 === rank ? 3 : 1),
+      ),
+    );
+    expect(popularity.sinceShift()).to.be.above(25);
+    const [shares] = popularity.shares() ?? [];
+    expect(shares?.[0]).to.be.within(0.35, 0.5);
+  });
+
+  // Content changes so much from piece to piece that a smaller share can't be told from chance; a
+  // shift is what lies well above the usual.
+  it('learns how much pieces differ usually', async () => {
+    const { popularity, pieces } = start();
+    await pieces(40, (_, n) => picksOf(n % 2, 1));
+    const seen = popularity.sinceShift();
+    await pieces(4, (_, n) => picksOf(n % 2, 1));
+    expect(popularity.sinceShift()).to.be.above(seen);
+  });
 });
