--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -32,7 +32,7 @@
 
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import type { OrderOutcome, Placement, RankOrder } from '../types.js';
+import type { OrderOutcome, Placement, RankOrder, RankReport } from '../types.js';
 import type { GroupPort, RetriedOutcome } from './group-port.js';
 import { freshReports, retryAtAllRanks, retryOrder } from './group-port.js';
 import { withdrawPass } from './withdraw.js';
@@ -66,8 +66,21 @@
   copyMs: number;
 }
 
-/** Passes between the one that runs and the one that is held: orders take a fraction of a pass. */
+/** A pass that was running at some time (monotonic, ms). */
+interface PassMark {
+  step: number;
+  at: number;
+}
+
+/**
+ * Passes between the one that runs and the one that is held. Arming takes some 50 ms, so that the
+ * group isn't kept waiting at short passes. At long ones, as after a shift of popularity, the last of
+ * these passes would be one more with the uneven map, some 110 ms.
+ */
 const LEAD_PASSES = 2;
+const LEAD_OF_LONG_PASSES = 1;
+/** A pass that takes this long is long, in ms: twice the time of arming. */
+const LONG_PASS_MS = 100;
 /** Pause before ranks are asked whether they are still there, in ms; well under the passes ahead. */
 const STILL_THERE_MS = 15;
 /** Tries to hold a pass before it begins. */
@@ -137,12 +150,17 @@
     return reports?.every(({ prepared }) => prepared === version) ?? false;
   };
 
+  const leadAfter = (since: PassMark, report: RankReport): number => {
+    const passMs = (clock.monotonic() - since.at) / Math.max(1, report.step - since.step);
+    return passMs >= LONG_PASS_MS ? LEAD_OF_LONG_PASSES : LEAD_PASSES;
+  };
+
   /** Holds a pass that has not begun; the pass, or undefined when it can't be done. */
-  const holdAhead = async (epoch: number): Promise<number | undefined> => {
+  const holdAhead = async (epoch: number, since: PassMark): Promise<number | undefined> => {
     for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
       const report = await port.report(ownRank);
       if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
-      const step = heldStep(epoch, report.step + LEAD_PASSES);
+      const step = heldStep(epoch, report.step + leadAfter(since, report));
       const outcome = await giveHold(epoch, step);
       if (outcome === 'done') return step;
       if (outcome === 'no-answer') await release(epoch, step, 'hold-unanswered');
@@ -182,11 +200,13 @@
     const startedAt = clock.monotonic();
     const elapsed = (): number => Math.round(clock.monotonic() - startedAt);
     const { epoch, version } = change;
+    const began = port.report(ownRank);
     const isReady = await prepareAll(change);
     if (isAnew(epoch)) return 'group-formed-anew';
     if (!isReady) return 'not-prepared';
     const preparedMs = elapsed();
-    const step = await holdAhead(epoch);
+    const since = { step: (await began)?.step ?? 0, at: startedAt };
+    const step = await holdAhead(epoch, since);
     if (step === undefined) return 'not-held';
     const heldMs = elapsed();
     if (!(await isEveryRankThere(change))) {
