Streams leave a rank that holds up its group

Cause: a pass lasts as long as the slowest rank that has streams. Everybody was late, and refused once the limit on streams had fallen to its floor.

Ruled out: the expert map (taken off by 21.9 s, the pass stayed at 370 ms until the last stream's end).

Change: an upstream is done without when the requests over the time of a pass are most so: one slow rank of twelve at any pace, not where the others' places don't take what is in flight. Its streams go on at other ranks inside the same answer, where they may resume, within their attempts and the retry budget, each move paid for before the attempt is given up. An agent that links up tells its pace at once.

--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -30,6 +30,12 @@
 /** What one attempt does once its answer's head is there. */
 export type TakeAnswer = (attempt: Attempt, answer: AttemptAnswer) => Promise<RoundOutcome>;
 
+/**
+ * Takes a request away from an upstream that holds up others, to be sent to another one; false where
+ * no further attempt may be made or nobody else would be quicker.
+ */
+export type MoveOn = () => boolean;
+
 /** The attempts of one request. */
 export interface Rounds {
   /** Event after which the next attempt resumes. */
@@ -51,7 +57,7 @@
   /** Pause before another attempt, in milliseconds. */
   pauseMs: () => number;
   /** Told of each attempt, for watching it; the result ends the watch. */
-  watch: (attempt: Attempt, sentAt: number) => () => void;
+  watch: (attempt: Attempt, sentAt: number, moveOn: MoveOn) => () => void;
 }
 
 /** Largest answer that is held in memory, in bytes. */
@@ -84,6 +90,7 @@
   let current: Attempt | undefined;
   let isGone = false;
   let isLate = false;
+  let isMoving = false;
   let mayHave = false;
   let runs = 0;
   let notRuns = 0;
@@ -93,6 +100,16 @@
 
   const held = (): number => Math.round(clock.monotonic() - request.arrivedAt);
 
+  const moveOn: MoveOn = () => {
+    const isLast = runs + 1 >= route.maxAttempts;
+    if (!current || !mayRepeat || isMoving || isGone || isLate || isLast) return false;
+    const next = directory.choose(service, tried);
+    if (!next || directory.isHoldingUp(next) || !budget.take(service)) return false;
+    isMoving = true;
+    current.abort();
+    return true;
+  };
+
   const attemptAt = async (
     rounds: Rounds,
     upstream: Upstream,
@@ -103,13 +120,13 @@
     current = attempt;
     const sentAt = clock.monotonic();
     const stopTimer = clock.after(options.patience(rounds), () => attempt.abort());
-    const stopWatch = options.watch(attempt, sentAt);
+    const stopWatch = options.watch(attempt, sentAt, moveOn);
     const head = await attempt.head;
     const outcome = head.outcome === 'answered' ? await take(attempt, head) : head;
     stopTimer();
     stopWatch();
     attempt.end();
-    if (head.outcome === 'answered' && !isGone && !isLate) {
+    if (head.outcome === 'answered' && !isGone && !isLate && !isMoving) {
       if (isUpstreamFault(outcome)) upstream.noteFailure('failed');
       else upstream.noteSuccess();
     }
@@ -147,7 +164,8 @@
     if (isSpent || notRuns > MAX_NOT_RUN) return 'attempts-spent';
     // A group that forms anew refuses at every rank; the budget is for what can succeed.
     if (directory.isRefusing(service)) return 'upstreams-refusing';
-    if (sends > 0 && !budget.take(service)) return 'retry-budget-spent';
+    // A move has been paid for before its attempt was given up.
+    if (sends > 0 && !isMoving && !budget.take(service)) return 'retry-budget-spent';
     return undefined;
   };
 
@@ -214,8 +232,9 @@
         giveUp(reason);
         return;
       }
-      metrics.count('gateway_retries', { reason: outcome.outcome });
-      await sleep(clock, options.pauseMs());
+      metrics.count('gateway_retries', { reason: isMoving ? 'moved' : outcome.outcome });
+      await sleep(clock, isMoving ? 0 : options.pauseMs());
+      isMoving = false;
       if (isGone || isLate) {
         endBetweenAttempts();
         return;
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -5,7 +5,7 @@
 import type { Attempt, AttemptAnswer } from './attempt.js';
 import { beginAnswer, endToEnd } from './deliver.js';
 import { createRounds, readWhole } from './rounds.js';
-import type { RoundOutcome } from './rounds.js';
+import type { MoveOn, RoundOutcome } from './rounds.js';
 import type { CallerRequest, ServingDeps } from './types.js';
 
 /**
@@ -27,15 +27,25 @@
 /** Serves one stream; resolves when it has ended in any way. */
 export const serveStream = (request: CallerRequest, deps: ServingDeps): Promise<void> => {
   const { route, res, service } = request;
-  const { clock, metrics, log, admission } = deps;
+  const { clock, metrics, log, admission, directory } = deps;
   const pace = admission.pace(service);
   let lastEventAt: number | undefined;
 
+  /** Goes on elsewhere when the upstream holds up all streams of its service, this one included. */
+  const leaveIfHoldingUp = ({ upstream }: Attempt, moveOn: MoveOn): boolean => {
+    if (!directory.isHoldingUp(upstream) || !moveOn()) return false;
+    metrics.count('gateway_streams_moved');
+    const { instance } = upstream.record;
+    log.event('stream-moved', { id: request.id, upstream: instance, pace: upstream.pace() });
+    return true;
+  };
+
   /** Ends an attempt whose upstream is silent while the others of its service are not. */
-  const watch = (attempt: Attempt, sentAt: number): (() => void) => {
+  const watch = (attempt: Attempt, sentAt: number, moveOn: MoveOn): (() => void) => {
     let stopTimer = (): void => {};
     const look = (): void => {
       const quiet = clock.monotonic() - Math.max(sentAt, lastEventAt ?? sentAt);
+      if (leaveIfHoldingUp(attempt, moveOn)) return;
       if (quiet > SILENT_MS && pace.silence() < OTHERS_MOVE_MS && route.resumable) {
         log.event('upstream-silent', { id: request.id, quiet, othersMs: pace.silence() });
         attempt.upstream.noteFailure('unreachable');
@@ -45,7 +55,13 @@
       stopTimer = clock.after(WATCH_MS, look);
     };
     stopTimer = clock.after(WATCH_MS, look);
-    return () => stopTimer();
+    const stopListening = directory.onPaceChange(() => {
+      leaveIfHoldingUp(attempt, moveOn);
+    });
+    return () => {
+      stopTimer();
+      stopListening();
+    };
   };
 
   const rounds = createRounds(
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -7,6 +7,7 @@
 import type { UpstreamFault, UpstreamRecord } from '../types.js';
 import { createForeignEntries } from './foreign-entries.js';
 import { createKnownStarts } from './known-starts.js';
+import { usedPace } from './slow-upstreams.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
 
@@ -16,6 +17,12 @@
   apply(change: KeyedChange): void;
   /** Upstreams of a service that may take new work. */
   usable(service: string): Upstream[];
+  /** Those that new work goes to: the usable ones less those that would hold the others up. */
+  preferred(service: string): Upstream[];
+  /** Whether an upstream holds up the others of its service, which can do without it. */
+  isHoldingUp(upstream: Upstream): boolean;
+  /** Told of each change in who holds up others; the result ends that. */
+  onPaceChange(listener: () => void): () => void;
   /** The least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
   /** Most of a service's upstreams have just refused to run a request. */
@@ -76,6 +83,7 @@
   const replaced = new WeakSet<Upstream>();
   const starts = createKnownStarts();
   const noteForeign = createForeignEntries(metrics, log);
+  const paceListeners = new Set<() => void>();
 
   const forget = (instance: string): void => {
     listed.delete(instance);
@@ -143,6 +151,18 @@
     return ready.length > 0 ? ready : lapsedOf(service);
   };
 
+  const preferred = (service: string): Upstream[] => {
+    const all = usable(service);
+    if (all.every((upstream) => upstream.pace() === 1)) return all;
+    const paced = all.map((upstream) => ({
+      pace: upstream.pace(),
+      slots: upstream.record.slots,
+    }));
+    const inFlight = all.reduce((sum, upstream) => sum + upstream.total(), 0);
+    const most = usedPace(paced, inFlight);
+    return all.filter((upstream) => upstream.pace() <= most);
+  };
+
   const cost = (upstream: Upstream): number => {
     const { record } = upstream;
     const away = record.dataCentre === dataCentre ? 0 : ELSEWHERE_COST;
@@ -169,11 +189,20 @@
       else noteForeign(key, value, entry.err);
     },
     usable,
+    preferred,
+    isHoldingUp: (upstream) =>
+      upstream.pace() > 1 && !preferred(upstream.record.service).includes(upstream),
+    onPaceChange: (listener) => {
+      paceListeners.add(listener);
+      return () => paceListeners.delete(listener);
+    },
     choose: (service, tried) => {
-      const fresh = usable(service).filter(({ record }) => !tried.has(record.instance));
-      const sound = fresh.filter((upstream) => !upstream.isSuspect());
+      const isFresh = ({ record }: Upstream): boolean => !tried.has(record.instance);
+      const fresh = usable(service).filter(isFresh);
+      const quick = preferred(service).filter(isFresh);
+      const sound = quick.filter((upstream) => !upstream.isSuspect());
       // Never all ejected: with every upstream suspect the least loaded is tried all the same.
-      return cheapest(sound.length > 0 ? sound : fresh);
+      return cheapest([sound, quick, fresh].find(({ length }) => length > 0) ?? []);
     },
     isRefusing: (service) => {
       const all = usable(service);
@@ -184,7 +213,11 @@
       [...listed.values()]
         .filter(({ record }) => record.host === host && record.port === port)
         .filter(({ record }) => record.startedAt <= startedAt)
-        .forEach((upstream) => upstream.notePace(pace));
+        .forEach((upstream) => {
+          const before = upstream.pace();
+          upstream.notePace(pace);
+          if (upstream.pace() !== before) paceListeners.forEach((listener) => listener());
+        });
     },
     notePeerLoad: (peer, { isWhole, counts }) => {
       listed.forEach((upstream, instance) => {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@plantaindrum/common';
 import type { UpstreamRecord } from '../types.js';
+import { createPaceRecord } from './pace-record.js';
 
 /** One upstream as this entry sees it. */
 export interface Upstream {
@@ -18,6 +19,8 @@
   total(): number;
   /** The agent beside the upstream says that it works this much slower than usual. */
   notePace(pace: number): void;
+  /** Time of its work over the usual; 1 unless its agent has said otherwise lately. */
+  pace(): number;
   /** Load that one more request would bring, more where the upstream is slow. */
   costOfNext(): number;
   /** Running and waiting requests as the upstream reports them. */
@@ -44,8 +47,6 @@
 const SUSPECT_MAX_MS = 3_200;
 /** A refusal says something about the next request for this long, in ms: a group forms in 600. */
 const REFUSING_MS = 300;
-/** An agent tells a slow pace several times a second; its last report counts this long, in ms. */
-const PACE_VALID_MS = 1_000;
 /** An upstream's report of its load counts this long, in ms: later its queue has changed. */
 const LOAD_VALID_MS = 250;
 
@@ -58,7 +59,7 @@
   let suspectUntil = -Infinity;
   let suspectMs = SUSPECT_MS;
   let refusedAt = -Infinity;
-  let reportedPace = { at: -Infinity, pace: 1 };
+  const paceRecord = createPaceRecord(clock);
   let reportedLoad = { at: -Infinity, excess: 0 };
 
   const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
@@ -96,13 +97,9 @@
     forgetPeer: (peer) => peers.delete(peer),
     total,
     load,
-    notePace: (pace) => {
-      reportedPace = { at: clock.monotonic(), pace };
-    },
-    costOfNext: () => {
-      const pace = clock.monotonic() - reportedPace.at < PACE_VALID_MS ? reportedPace.pace : 1;
-      return (load() + 1 / Math.max(1, record.slots)) * pace;
-    },
+    notePace: paceRecord.note,
+    pace: paceRecord.pace,
+    costOfNext: () => (load() + 1 / Math.max(1, record.slots)) * paceRecord.pace(),
     noteLoad: (running, waiting) => {
       reportedLoad = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
     },
--- a/packages/rank-groups/src/links/pace-reporter.ts
+++ b/packages/rank-groups/src/links/pace-reporter.ts
@@ -39,6 +39,7 @@
 export const createPaceReporter = (options: PaceReporterOptions): PaceReporter => {
   const { self, engine, nodes, clock, random, metrics, log } = options;
   const clients = new Map<string, LinkClient>();
+  let last: Pick<RankReport, 'pace' | 'startedAt'> | undefined;
   let slowAt = -Infinity;
   let isSlow = false;
 
@@ -49,7 +50,10 @@
       intentOffset: () => -1,
       limits: LIMITS,
       handlers: {},
-      onLink: () => () => {},
+      onLink: (link) => {
+        if (last) link.send({ t: 'note', method: 'engine.pace', args: { ...engine, ...last } });
+        return () => {};
+      },
       backoff: BACKOFF,
       random,
       clock,
@@ -78,6 +82,7 @@
   return {
     note: ({ pace, startedAt }) => {
       const now = clock.monotonic();
+      last = { pace, startedAt };
       if (pace > SLOW) slowAt = now;
       if (pace > SLOW !== isSlow) log.event('engine-pace', { pace });
       isSlow = pace > SLOW;
