Streams are limited by a model of passes, and only where that helps

Cause: the limit followed the measured pause down to a quarter of the slots whatever made it long. With a slow rank, or right after a group has formed, it refused everybody in flight's successors, told them to come back into the same state (254 refusals in 4 s), and brought no pass back under the target.

Change: the engines state what a pass takes without streams and for each one; the measured pass over the predicted one says what else is the matter. Streams are limited to what brings passes back under the bound, and not at all where a quarter of the slots wouldn't. Places of upstreams that are done without don't count.

--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -4,12 +4,16 @@
 import type { Upstream } from '../upstreams/upstream.js';
 import type { PaceMeter } from './pace.js';
 import { createPaceMeter } from './pace.js';
+import { proportionalPasses, streamsWithin } from './pass-model.js';
+import type { PassState, PassTimes } from './pass-model.js';
 
 /** What decides on one request. */
 export interface AdmissionRequest {
   service: string;
   /** Longest pause between two events that is on time, in ms; undefined for no stream. */
   targetPauseMs: number | undefined;
+  /** What the service's engines state of their passes. */
+  passTimes: PassTimes | undefined;
   /** Connections that one upstream accepts from all entries together. */
   maxConnections: number;
   /** The caller was refused before: refusing it again costs more than the first time. */
@@ -28,29 +32,31 @@
   limit(service: string): number | undefined;
 }
 
-/** Requests at one upstream, over its slots, up to which a stream is sent to it. */
+/**
+ * Requests at one upstream, over its slots, up to which a stream is sent to it. Streams end all the
+ * time: with all places taken one is free again within a tenth of a stream's life, some 0.2 s, well
+ * before a refused caller would be back.
+ */
 const FULL_STREAMS = 1;
 /** The same for requests without a stream: their work is short, and a queue of two turns is soon gone. */
 const FULL_PLAIN = 3;
 /**
- * Pause, as a share of the target, above which the limit is cut. After a shift of popularity pauses
- * are long for a few passes until the map has changed, and refusing meanwhile costs more than it
- * saves: on a played day of high load 0.7 earned 0.50, 0.85 0.58, 1.25 0.70, 1.6 0.71, 3 0.66.
+ * Pause, as a share of the target, above which streams are limited. After a shift of popularity pauses
+ * are long for a few passes until the map has changed, and refusing meanwhile costs more than it saves.
  */
 const AIMED_SHARE = 1.5;
 /** Share of pauses that must be below the aimed one. */
 const JUDGED_SHARE = 0.75;
 /** The limit is judged this often, in ms: about two passes of a group. */
 const JUDGE_MS = 150;
-/** Streams that the limit grows by at a time, as a share of the slots of all upstreams. */
-const GROWTH = 0.03;
-/** The limit shrinks to this share of what is in flight, at the most, in one step. */
-const SHRINK = 0.85;
-/** The limit never goes below this share of all slots: a stall must not shut the service. */
+/** Streams are never limited below this share of all slots: their number isn't the cause then. */
 const LEAST_SHARE = 0.25;
 /** What a returning caller may have beyond the limit, as a share of it. */
 const RETURN_SHARE = 0.12;
 
+/** Streams in flight, and the engines that they are spread over. */
+type Group = Pick<PassState, 'streams' | 'engines'>;
+
 interface StreamLimit {
   value: number;
   judgedAt: number;
@@ -69,26 +75,23 @@
     return known;
   };
 
-  /** Additive growth while streams keep their pauses, a cut in proportion when they don't. */
-  const judge = (request: AdmissionRequest, slots: number, inFlight: number): number => {
+  const judge = (request: AdmissionRequest, slots: number, group: Group): number => {
     const now = clock.monotonic();
-    const limit = limits.get(request.service) ?? { value: slots, judgedAt: now };
+    const most = slots * FULL_STREAMS;
+    const limit = limits.get(request.service) ?? { value: most, judgedAt: now };
     limits.set(request.service, limit);
     if (now - limit.judgedAt < JUDGE_MS || request.targetPauseMs === undefined) return limit.value;
     limit.judgedAt = now;
-    const pause = pace(request.service).pause(JUDGED_SHARE);
-    if (pause === undefined) return limit.value;
-    const aimed = request.targetPauseMs * AIMED_SHARE;
+    const passMs = pace(request.service).pause(JUDGED_SHARE) ?? 0;
+    const boundMs = request.targetPauseMs * AIMED_SHARE;
+    const times = request.passTimes ?? proportionalPasses;
+    const within = streamsWithin({ ...group, times, passMs, boundMs });
+    const isCause = within >= LEAST_SHARE * slots;
     const before = limit.value;
-    if (pause > aimed) {
-      const cut = Math.max(SHRINK, aimed / pause);
-      limit.value = Math.max(LEAST_SHARE * slots, Math.min(before, inFlight) * cut);
-    } else if (inFlight > before * SHRINK) {
-      limit.value = Math.min(slots, before + GROWTH * slots);
-    }
+    limit.value = isCause ? Math.min(most, within) : most;
     if (limit.value < before) {
       const { service } = request;
-      log.event('stream-limit-cut', { service, pause, before, limit: limit.value, inFlight });
+      log.event('stream-limit-cut', { service, passMs, before, limit: limit.value, ...group });
     }
     return limit.value;
   };
@@ -99,7 +102,7 @@
   ): AdmissionDecision => {
     const slots = sum(upstreams.map(({ record }) => record.slots));
     const inFlight = sum(upstreams.map((upstream) => upstream.total()));
-    const limit = judge(request, slots, inFlight);
+    const limit = judge(request, slots, { streams: inFlight, engines: upstreams.length });
     const most = request.isReturn ? limit * (1 + RETURN_SHARE) : limit;
     if (inFlight + 1 > most) return { admitted: false, reason: 'pace-too-slow' };
     return { admitted: true };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/admission.js';
+export * from './admission/pass-model.js';
 export * from './door.js';
 export * from './gateway.js';
 export * from './types.js';
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -78,12 +78,14 @@
 
   const admit = (request: CallerRequest): Refusal | undefined => {
     const { route, service } = request;
-    const upstreams = directory.usable(service);
+    const upstreams = directory.preferred(service);
     if (upstreams.length === 0) return notRun('no-upstream', random);
     const targetPauseMs = route.kind === 'stream' ? (route.targetPauseMs ?? Infinity) : undefined;
     const { isReturn, table } = request;
-    const maxConnections = table.service(service)?.maxConnections ?? Infinity;
-    const asked = { service, targetPauseMs, maxConnections, isReturn };
+    const declared = table.service(service);
+    const maxConnections = declared?.maxConnections ?? Infinity;
+    const passTimes = declared?.engine?.passTimes;
+    const asked = { service, targetPauseMs, passTimes, maxConnections, isReturn };
     const decision = admission.decide(asked, upstreams);
     return decision.admitted ? undefined : notRun(decision.reason, random);
   };
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,5 +1,7 @@
 /** What the gateway knows: the operators' intent, upstreams, and a caller's request. */
 
+import type { PassTimes } from './admission/pass-model.js';
+
 /** What may be repeated: `unsafe` runs at most once, `stream` as its route's `resumable` says. */
 export type RouteKind = 'safe' | 'unsafe' | 'stream';
 
@@ -47,6 +49,8 @@
   /** Size of one expert, in MB, and the rate at which a rank copies experts, in Mbit/s. */
   expertMb: number;
   copyMbps: number;
+  /** Time of a step without a stream and for each stream, in ms; undefined where it isn't stated. */
+  passTimes: PassTimes | undefined;
 }
 
 /** A service that routes lead to. */
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -21,6 +21,7 @@
 const streamRequest: AdmissionRequest = {
   service: 's',
   targetPauseMs: 100,
+  passTimes: undefined,
   maxConnections: 100,
   isReturn: false,
 };
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -9,7 +9,7 @@
 } from '@plantaindrum/common';
 import type { ManualClock, Random } from '@plantaindrum/common';
 import { createUpstream } from '@plantaindrum/gateway';
-import type { Upstream } from '@plantaindrum/gateway';
+import type { PassTimes, Upstream } from '@plantaindrum/gateway';
 import { createCoordinator } from '@plantaindrum/rank-groups';
 import type { GroupPort, OrderOutcome, RankOrder, Weighs } from '@plantaindrum/rank-groups';
 import { normal } from '../experiments/balance-traces.js';
@@ -33,6 +33,8 @@
 export interface AdmissionTools {
   clock: ManualClock;
   slots: number;
+  /** What the engines state of their passes. */
+  passTimes: PassTimes;
 }
 
 /** An admission policy; told of each pause between two events and of each stream's end. */
@@ -197,7 +199,8 @@
     const state = { state: 'ready', warmupLeftMs: 0, sequence: 1, startedAt: 0 } as const;
     return createUpstream({ ...record, ...state, slots: times.slots }, clock);
   });
-  const policy = spec.policy({ clock, slots: times.slots * ranks });
+  const passTimes = { stepMs: times.stepMs, perStreamMs: times.perSeqMs };
+  const policy = spec.policy({ clock, slots: times.slots * ranks, passTimes });
   const watch = createShiftWatch(group, clock);
   const counts = { streams: 0, onTime: 0, late: 0, lateFirst: 0, refused: 0 };
 
--- a/packages/lab/src/emulator/policies.ts
+++ b/packages/lab/src/emulator/policies.ts
@@ -17,11 +17,12 @@
 const nothing = (): void => {};
 
 /** The product's: the limit follows the pauses that streams show. */
-export const followPace = ({ clock }: AdmissionTools): AdmissionPolicy => {
+export const followPace = ({ clock, passTimes }: AdmissionTools): AdmissionPolicy => {
   const admission = createAdmission(clock, silentEventLog);
   return {
     admit: ({ isReturn }, upstreams) => {
-      const asked = { targetPauseMs: TARGET_PAUSE_MS, maxConnections: Infinity, isReturn };
+      const bounds = { targetPauseMs: TARGET_PAUSE_MS, maxConnections: Infinity };
+      const asked = { ...bounds, passTimes, isReturn };
       return admission.decide({ service: SERVICE, ...asked }, upstreams).admitted;
     },
     notePause: (ms) => admission.pace(SERVICE).notePause(ms),
