Callers that won't be back wait while a group forms anew

Cause: after a loss of power the entries are there 0.7 s before the group opens, and with them the callers whose streams were cut.

Ruled out: letting all of them wait.

Change: while the upstreams of a service refuse, callers that have been refused before, or go on with a stream, wait, for 1.2 s at most and for half of the places; one of them asks every 120 ms, and the first answer lets all go on. The others are told when to come back, but one of them asks where nobody has lately. A caller that comes before the first intent waits up to 100 ms for it. The test that asked for one attempt a request while all refuse asks for at most one a request and 12 in all for 12 callers that now wait 1.2 s.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -32,6 +32,7 @@
   gateway_pause_ms: 'Milliseconds between two events of a stream.',
   gateway_refused: 'Requests that the entry answered in its own name, by reason.',
   gateway_requests: 'Requests whose head was read.',
+  gateway_waited_for_group: 'Requests that waited while the group behind a service formed anew.',
   gateway_streams_moved: 'Streams taken from an upstream that held up the others.',
   gateway_retries: 'Further attempts of a request, by the outcome of the last one.',
   // Logs.
--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -89,7 +89,7 @@
     const isCause = within >= LEAST_SHARE * slots;
     const before = limit.value;
     limit.value = isCause ? Math.min(most, within) : most;
-    if (limit.value < before) {
+    if (isCause && limit.value < before) {
       const { service } = request;
       log.event('stream-limit-cut', { service, passMs, before, limit: limit.value, ...group });
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** The entry before upstreams that are reached directly: what it follows, serves and stops. */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import { sleep } from '@plantaindrum/common';
 import { createKeyedMirror, createPublisher, decodeNode, followTopic } from '@plantaindrum/mirror';
 import type {
   Follower,
@@ -10,6 +11,7 @@
   PublishNode,
 } from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
+import { createReopening } from './admission/reopening.js';
 import { createDoor } from './door.js';
 import type { ListenAddress } from './door.js';
 import { createRouteTable } from './intent/route-table.js';
@@ -81,6 +83,8 @@
 /** Kept free at the end of the grace, in ms, to end in order. */
 const GRACE_SLACK_MS = 300;
 const STOP_CHECK_MS = 50;
+/** How often a caller that came before the first intent looks for it, in ms. */
+const INTENT_CHECK_MS = 10;
 
 interface Mirrored {
   mirror: KeyedMirror;
@@ -136,12 +140,19 @@
     entries: () => (mesh?.peers() ?? 0) + 1,
     clock,
   });
+  const reopening = createReopening({ clock, metrics, log });
+
+  const untilIntent = async (waitMs: number): Promise<void> => {
+    const until = clock.monotonic() + waitMs;
+    while (!table && clock.monotonic() < until) await sleep(clock, INTENT_CHECK_MS);
+  };
 
   const handle = createRequestHandler({
     dialect: options.dialect,
     directory,
     admission,
     budget,
+    reopening,
     clock,
     random,
     metrics,
@@ -149,6 +160,7 @@
     isStopping: () => isStopping,
     isClosing: () => isClosing,
     table: () => table,
+    untilIntent,
     intentAge: () => mirrored.get(topics.intent.name)?.follower.age() ?? Infinity,
   });
 
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -42,7 +42,8 @@
 
 const statusesNotRun = new Set([421, 429, 503]);
 
-const urgencyOf = (request: CallerRequest): number =>
+/** Rank of a request among those that wait, 0 first. */
+export const urgencyOf = (request: CallerRequest): number =>
   Math.min(MAX_URGENCY, request.organisation?.priority ?? request.route.priority);
 
 /** Starts an attempt; what is left of the caller's time goes with it. */
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -4,6 +4,7 @@
 import type { Upstream } from '../upstreams/upstream.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt, AttemptAnswer } from './attempt.js';
+import { awaitOpen } from './await-open.js';
 import { onCallerGone } from './caller-gone.js';
 import { beginAnswer, endToEnd, hasField } from './deliver.js';
 import { mayHaveRun, notRun, refuse } from './refuse.js';
@@ -84,7 +85,7 @@
   deps: ServingDeps,
 ): Rounds => {
   const { route, res, service } = request;
-  const { clock, directory, budget, metrics, log } = deps;
+  const { clock, directory, budget, reopening, metrics, log } = deps;
   const { mayRepeat } = options;
   const tried = new Set<string>();
   let current: Attempt | undefined;
@@ -95,7 +96,9 @@
   let runs = 0;
   let notRuns = 0;
   let unsent = 0;
+  let asks = 0;
   let lastWhy = '';
+  let endedAt = request.arrivedAt;
   let failedAnswer: WholeAnswer | undefined;
 
   const held = (): number => Math.round(clock.monotonic() - request.arrivedAt);
@@ -126,6 +129,9 @@
     stopTimer();
     stopWatch();
     attempt.end();
+    endedAt = clock.monotonic();
+    if (head.outcome === 'answered') reopening.noteAnswer(service);
+    else if (directory.isRefusing(service)) reopening.noteRefusing(service);
     if (head.outcome === 'answered' && !isGone && !isLate && !isMoving) {
       if (isUpstreamFault(outcome)) upstream.noteFailure('failed');
       else upstream.noteSuccess();
@@ -146,6 +152,7 @@
   const note = (outcome: RoundOutcome): void => {
     if (outcome.outcome === 'not-run') {
       notRuns += 1;
+      if (reopening.isClosed(service)) asks += 1;
       if (!outcome.wasSent) unsent += 1;
     } else {
       runs += 1;
@@ -161,9 +168,8 @@
     if (mayHave && !mayRepeat) return 'upstream-failed';
     const sends = runs + notRuns - unsent;
     const isSpent = mayRepeat ? runs >= route.maxAttempts : sends >= route.maxAttempts;
-    if (isSpent || notRuns > MAX_NOT_RUN) return 'attempts-spent';
-    // A group that forms anew refuses at every rank; the budget is for what can succeed.
-    if (directory.isRefusing(service)) return 'upstreams-refusing';
+    // Asking whether a group is there again is bounded by time and by the budget.
+    if (isSpent || notRuns - asks > MAX_NOT_RUN) return 'attempts-spent';
     // A move has been paid for before its attempt was given up.
     if (sends > 0 && !isMoving && !budget.take(service)) return 'retry-budget-spent';
     return undefined;
@@ -206,8 +212,21 @@
     else log.event('caller-gone', { id: request.id, runs, notRuns, ms: held() });
   };
 
+  /** Before its first attempt a request has waited already, ahead of its admission. */
+  const isOpen = async (): Promise<boolean> =>
+    runs + notRuns === 0 || awaitOpen(request, res.headersSent ? endedAt : request.arrivedAt, deps);
+
   const runAll = async (rounds: Rounds, take: TakeAnswer): Promise<void> => {
     for (;;) {
+      const mayGoOn = await isOpen();
+      if (isGone || isLate) {
+        endBetweenAttempts();
+        return;
+      }
+      if (!mayGoOn) {
+        giveUp('upstreams-refusing');
+        return;
+      }
       const upstream = directory.choose(service, tried);
       if (!upstream) {
         giveUp('no-upstream');
@@ -235,10 +254,6 @@
       metrics.count('gateway_retries', { reason: isMoving ? 'moved' : outcome.outcome });
       await sleep(clock, isMoving ? 0 : options.pauseMs());
       isMoving = false;
-      if (isGone || isLate) {
-        endBetweenAttempts();
-        return;
-      }
     }
   };
 
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -4,6 +4,7 @@
 import type { RouteTable } from '../intent/route-table.js';
 import { pickService } from '../intent/route-table.js';
 import type { CallerFields, Organisation, Route } from '../types.js';
+import { awaitOpen } from './await-open.js';
 import { readCallerBody } from './read-caller-body.js';
 import { notRun, refuse } from './refuse.js';
 import type { Refusal } from './refuse.js';
@@ -14,6 +15,8 @@
 /** What the door knows beyond single requests. */
 export interface RequestContext extends ServingDeps {
   table: () => RouteTable | undefined;
+  /** Resolves when there is an intent, or after this long in ms. */
+  untilIntent: (waitMs: number) => Promise<void>;
   /** Milliseconds since this entry's intent was last confirmed. */
   intentAge: () => number;
   /** The entry ends soon: what it took now might be cut with it. */
@@ -28,6 +31,12 @@
 /** Time that a caller has less on its second try, at least, in ms; chance makes less of a difference. */
 const RETURN_MS = 60;
 
+/**
+ * An entry reads its first intent within some 30 ms of its start; callers that reach it before wait for
+ * it this long, in ms, well below the tenth of a second that a short answer may take.
+ */
+const FIRST_INTENT_MS = 100;
+
 interface Found {
   table: RouteTable;
   route: Route;
@@ -127,6 +136,7 @@
       req.resume();
       return;
     }
+    if (!context.table()) await context.untilIntent(FIRST_INTENT_MS);
     const found = identify(req, fields);
     if ('refusal' in found) {
       const table = context.table();
@@ -148,7 +158,12 @@
       return;
     }
     budget.noteRequest(request.service);
-    const refusal = admit(request);
+    const mayGoOn = await awaitOpen(request, arrivedAt, context);
+    if (res.destroyed) {
+      log.event('caller-gone', { id: request.id, route: request.route.name });
+      return;
+    }
+    const refusal = mayGoOn ? admit(request) : notRun('upstreams-refusing', random);
     if (refusal) {
       const limit = admission.limit(request.service);
       const pause = admission.pace(request.service).pause(0.75);
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import type { Admission } from '../admission/admission.js';
+import type { Reopening } from '../admission/reopening.js';
 import type { RouteTable } from '../intent/route-table.js';
 import type { RetryBudget } from '../retry/budget.js';
 import type { CallerFields, HeaderDialect, Organisation, Route } from '../types.js';
@@ -12,6 +13,7 @@
   directory: Directory;
   admission: Admission;
   budget: RetryBudget;
+  reopening: Reopening;
   clock: Clock;
   random: Random;
   metrics: Metrics;
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -10,6 +10,7 @@
   systemClock,
 } from '@plantaindrum/common';
 import { createAdmission } from '../../src/admission/admission.js';
+import { createReopening } from '../../src/admission/reopening.js';
 import type { Intent, Route } from '../../src/index.js';
 import { createRouteTable } from '../../src/intent/route-table.js';
 import { createRetryBudget } from '../../src/retry/budget.js';
@@ -107,6 +108,8 @@
     log,
     isStopping: () => false,
     isClosing: () => options.isClosing ?? false,
+    reopening: createReopening({ clock, metrics, log }),
+    untilIntent: async () => {},
     table: () => (options.withoutIntent ? undefined : table),
     intentAge: () => options.intentAge ?? 0,
   });
