One instance at an address: the one that was listed last

Cause: after a loss of power all upstreams are new instances at their old addresses, and their old entries stand for seconds; half of the attempts went to instances that are gone (421), spent the budget and kept the entry from seeing that the group refuses.

Ruled out: trusting an entry for good. One that another writer made up for a sound upstream's address is found out by its first answer, and the sound one serves on.

Change: of several instances at one address the one listed last is used; a whole picture of the list is taken in the order of writing.

--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -74,6 +74,15 @@
 const MOST_REFUSING = 0.2;
 const FEW_UPSTREAMS = 6;
 
+/**
+ * Of several instances at one address the one that was listed last. The others have ended, though
+ * their entries stand for seconds yet, and after a loss of power half of all attempts went to them.
+ * An entry that another writer made up for a sound upstream's address is told by its first answer.
+ */
+const latestAtEachAddress = (upstreams: readonly Upstream[]): Upstream[] => [
+  ...new Map(upstreams.map((u) => [`${u.record.host}:${u.record.port}`, u])).values(),
+];
+
 /** Creates a directory that follows the platform's list. */
 export const createDirectory = (options: DirectoryOptions): Directory => {
   const { decode, dataCentre, logBackAt, clock, random, metrics, log } = options;
@@ -147,7 +156,8 @@
   };
 
   const usable = (service: string): Upstream[] => {
-    const ready = [...listed.values()].filter((upstream) => isReady(upstream, service));
+    const there = [...listed.values()].filter((upstream) => !replaced.has(upstream));
+    const ready = latestAtEachAddress(there).filter((upstream) => isReady(upstream, service));
     return ready.length > 0 ? ready : lapsedOf(service);
   };
 
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -116,6 +116,32 @@
   });
 });
 
+describe('upstreams at one address', () => {
+  const next: UpstreamRecord = { ...first, instance: 'b' };
+
+  // All upstreams lost power and are new instances at their old addresses; the old entries stand for
+  // seconds. Half of all attempts went to instances that are gone, and spent the budget.
+  it('are taken for one, the one that was listed last', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    take(next);
+    take({ ...first, sequence: 10 });
+    expect(chosen()).to.include({ instance: 'b' });
+    expect(directory.usable('s')).to.have.length(1);
+  });
+
+  // Somebody else lists an instance at a sound upstream's address. The first answer tells that it
+  // isn't there, and the sound one serves on.
+  it('serve on when the last one turns out not to be there', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    take(next);
+    const upstream = directory.choose('s', new Set());
+    if (upstream) directory.noteReplaced(upstream);
+    expect(chosen()).to.include({ instance: 'a' });
+  });
+});
+
 describe('entries by another writer', () => {
   // Somebody else writes under the key of a sound upstream and under new ones. The upstream goes on
   // being used, nothing new is, and the log isn't flooded by an entry that is read again and again.
--- a/packages/mirror/src/keyed-mirror.ts
+++ b/packages/mirror/src/keyed-mirror.ts
@@ -78,7 +78,8 @@
       // servers back that have left, and take the newest intent away.
       if (newEnd < end) return;
       const present = new Set(all.map(({ key }) => key));
-      all.forEach(take);
+      // In the order of writing: what was listed last at an address is there now.
+      [...all].sort((a, b) => a.offset - b.offset).forEach(take);
       [...items.values()]
         .filter(({ key, offset }) => !present.has(key) && offset < newEnd)
         .forEach(({ key }) => drop(key, newEnd - 1));
