The emulator pays for a rank's own steps, leaves slow ranks, and plays an ablation

Cause: the emulator shared the time of the steps themselves among ranks, so that a slow rank cost a sixth of what it does, and knew nothing of streams that go on elsewhere. Its engines' constants were those of the sheet, not those that engines state.

Only the lab changes.

--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -1,23 +1,17 @@
 /** One seeded day of a group: callers, admission, engines and the product's coordinator. */
 
-import {
-  createManualClock,
-  createMetrics,
-  createSeededRandom,
-  silentEventLog,
-  sleep,
-} from '@plantaindrum/common';
+import { createManualClock, createSeededRandom } from '@plantaindrum/common';
 import type { ManualClock, Random } from '@plantaindrum/common';
-import { createUpstream } from '@plantaindrum/gateway';
+import { createUpstream, usedPace } from '@plantaindrum/gateway';
 import type { PassTimes, Upstream } from '@plantaindrum/gateway';
-import { createCoordinator } from '@plantaindrum/rank-groups';
-import type { GroupPort, OrderOutcome, RankOrder, Weighs } from '@plantaindrum/rank-groups';
+import type { Weighs } from '@plantaindrum/rank-groups';
 import { normal } from '../experiments/balance-traces.js';
 import { median, percentile } from '../harness/statistics.js';
 import { createContent } from './content.js';
 import type { ContentShape } from './content.js';
+import { startCoordinator } from './coordinate.js';
 import { createEngineGroup } from './engine-group.js';
-import type { EngineGroup, EngineTimes, GroupFigures } from './engine-group.js';
+import type { EngineGroup, EngineRequest, EngineTimes, GroupFigures } from './engine-types.js';
 
 /** A stream as its caller sees it. */
 export interface StreamRequest {
@@ -66,8 +60,10 @@
   policy: (tools: AdmissionTools) => AdmissionPolicy;
   /** Part of the orders that are answered by nobody and carried out late. */
   lateOrders?: number;
-  /** A rank that is slow from this time on. */
-  straggler?: { atMs: number; rank: number; factor: number; forMs: number };
+  /** Ranks that are slow for a while. */
+  stragglers?: readonly { atMs: number; rank: number; factor: number; forMs: number }[];
+  /** Streams stay at a slow rank, and new ones are sent there. */
+  keepsSlowRanks?: boolean;
   /** Times the usual traffic between two moments. */
   burst?: { fromMs: number; toMs: number; factor: number };
 }
@@ -93,10 +89,9 @@
 const LATE_WORTH = 0.5;
 /** A refused caller comes back once, after about this long, in ms. */
 const RETURN_MS = 300;
-/** An order and its answer on the links, in ms. */
-const ORDER_MS = 4;
-const LATE_MS = 3_000;
-const UPDATE_MS = 80;
+/** From a change of pace until the entries know of it, and how often it is told again, in ms. */
+const PACE_TOLD_MS = 130;
+const PACE_AGAIN_MS = 500;
 /** Time that a day goes on after its last arrival, in ms. */
 const TAIL_MS = 3_000;
 const STEP_MS = 20;
@@ -107,61 +102,6 @@
   return Math.exp(sigma * normal(random) - (sigma * sigma) / 2);
 };
 
-const startCoordinator = (
-  spec: DaySpec,
-  group: EngineGroup,
-  clock: ManualClock,
-  random: Random,
-) => {
-  const order = async (rank: number, given: RankOrder): Promise<OrderOutcome> => {
-    if (random() < (spec.lateOrders ?? 0)) {
-      clock.after(random() * LATE_MS, () => group.order(rank, given));
-      await sleep(clock, ORDER_MS);
-      return 'no-answer';
-    }
-    await sleep(clock, ORDER_MS / 2);
-    const outcome = group.order(rank, given);
-    await sleep(clock, ORDER_MS / 2);
-    return outcome;
-  };
-  const port: GroupPort = {
-    size: () => spec.ranks,
-    epoch: () => group.report(0).epoch,
-    report: async (rank) => {
-      await sleep(clock, ORDER_MS / 2);
-      return group.report(rank);
-    },
-    order,
-  };
-  const { sets, experts } = spec.content;
-  const coordinator = createCoordinator({
-    port,
-    ownRank: 0,
-    shape: { sets, experts, places: spec.places, spare: spec.spare, copyMs: spec.copyMs },
-    weighs: spec.weighs ?? 'skew',
-    isLowest: () => true,
-    placementOf: async (rank) => {
-      const { version, placement } = group.placement();
-      return { epoch: 1, version, experts: placement.map((held) => held[rank] ?? []) };
-    },
-    orderOwnFromAfar: (given) => order(0, given),
-    clock,
-    random,
-    metrics: createMetrics(),
-    log: silentEventLog,
-  });
-  const before = Array.from({ length: spec.ranks }, (_, rank) => [...group.counts(rank)]);
-  const update = (rank: number): void => {
-    const counts = [...group.counts(rank)];
-    const picks = counts.map((n, at) => n - (before[rank]?.[at] ?? 0));
-    before[rank] = counts;
-    coordinator.onUpdate({ report: group.report(rank), picks });
-    clock.after(UPDATE_MS, () => update(rank));
-  };
-  for (let rank = 0; rank < spec.ranks; rank += 1) clock.after(rank, () => update(rank));
-  return coordinator;
-};
-
 /** Watches how long the group takes to change its map after a shift. */
 const createShiftWatch = (group: EngineGroup, clock: ManualClock) => {
   const times: number[] = [];
@@ -202,16 +142,35 @@
   const passTimes = { stepMs: times.stepMs, perStreamMs: times.perSeqMs };
   const policy = spec.policy({ clock, slots: times.slots * ranks, passTimes });
   const watch = createShiftWatch(group, clock);
+  /** Rank that each stream is at. */
+  const at = new Map<EngineRequest, number>();
   const counts = { streams: 0, onTime: 0, late: 0, lateFirst: 0, refused: 0 };
 
-  const serve = (request: StreamRequest, arrivedAt: number): void => {
-    const costs = upstreams.map((upstream) => upstream.costOfNext());
+  /** Ranks that new streams go to. */
+  const isUsed = (upstream: Upstream): boolean => {
+    if (spec.keepsSlowRanks) return true;
+    const paced = upstreams.map((each) => ({ pace: each.pace(), slots: each.record.slots }));
+    const inFlight = upstreams.reduce((total, each) => total + each.total(), 0);
+    return upstream.pace() <= usedPace(paced, inFlight);
+  };
+  const place = (request: EngineRequest, written = 0): void => {
+    const costs = upstreams.map((each) => (isUsed(each) ? each.costOfNext() : Infinity));
     const rank = costs.indexOf(Math.min(...costs));
-    const upstream = upstreams[rank];
+    upstreams[rank]?.begin();
+    at.set(request, rank);
+    group.submit(rank, request, written);
+  };
+  const leave = (rank: number): void => {
+    group.withdraw(rank).forEach(({ request, written }) => {
+      upstreams[rank]?.end();
+      place(request, written);
+    });
+  };
+
+  const serve = (request: StreamRequest, arrivedAt: number): void => {
     let lastAt = arrivedAt;
     let isLate = false;
-    upstream?.begin();
-    group.submit(rank, {
+    const asked: EngineRequest = {
       topic: content.drawTopic(),
       promptTokens: request.promptTokens,
       events: request.events,
@@ -224,12 +183,14 @@
         isLate = true;
       },
       onEnd: () => {
-        upstream?.end();
+        upstreams[at.get(asked) ?? -1]?.end();
+        at.delete(asked);
         policy.noteEnd(request);
         if (isLate) counts.late += 1;
         else counts.onTime += 1;
       },
-    });
+    };
+    place(asked);
   };
 
   const arrive = (request: StreamRequest, arrivedAt: number): void => {
@@ -267,11 +228,20 @@
     clock.after(spec.shiftEveryMs, shift);
   };
   clock.after(spec.shiftEveryMs, shift);
-  const { straggler } = spec;
-  if (straggler) {
-    clock.after(straggler.atMs, () => group.slow(straggler.rank, straggler.factor));
-    clock.after(straggler.atMs + straggler.forMs, () => group.slow(straggler.rank, 1));
-  }
+  const tellPace = (rank: number, factor: number): void => {
+    group.slow(rank, factor);
+    clock.after(PACE_TOLD_MS, () => {
+      upstreams[rank]?.notePace(factor);
+      if (factor > 1 && !spec.keepsSlowRanks) leave(rank);
+    });
+  };
+  spec.stragglers?.forEach(({ atMs, rank, factor, forMs }) => {
+    // Told again while it lasts, as agents do: a pace is not believed for ever.
+    for (let told = 0; told < forMs; told += PACE_AGAIN_MS) {
+      clock.after(atMs + told, () => tellPace(rank, factor));
+    }
+    clock.after(atMs + forMs, () => tellPace(rank, 1));
+  });
 
   while (clock.monotonic() < spec.lengthMs + TAIL_MS) {
     await clock.advance(STEP_MS);
--- a/packages/lab/src/emulator/engine-group.ts
+++ b/packages/lab/src/emulator/engine-group.ts
@@ -1,75 +1,10 @@
 /** A group of engines that begins each pass together; its passes take as long as the users say. */
 
-import type { ManualClock, Random } from '@plantaindrum/common';
-import type { OrderOutcome, Placement, RankOrder, RankReport } from '@plantaindrum/rank-groups';
+import type { OrderOutcome, Placement, RankOrder } from '@plantaindrum/rank-groups';
 import { judgeRankOrder } from '@plantaindrum/stand-ins';
-import type { Content } from './content.js';
-
-/** Times and sizes of one engine, as the users' sheet gives them. */
-export interface EngineTimes {
-  slots: number;
-  stepMs: number;
-  perSeqMs: number;
-  contextMsPerK: number;
-  prefillTokensPerMs: number;
-  /** Prompt tokens that one step reads at the most. */
-  chunk: number;
-  /** Steps of a pass while anything is written; an event holds this many tokens. */
-  stride: number;
-  /** Part of the work that goes to experts. */
-  expertShare: number;
-  /** Experts that a token chooses, over all sets. */
-  picksPerToken: number;
-  /** Passes take this much longer while a rank copies. */
-  copyFactor: number;
-}
-
-/** A request at an engine. */
-export interface EngineRequest {
-  topic: number;
-  promptTokens: number;
-  events: number;
-  /** Told of each event, with its number from 1. */
-  onEvent: (n: number) => void;
-  onEnd: () => void;
-}
-
-/** Options of `createEngineGroup`. */
-export interface EngineGroupOptions {
-  ranks: number;
-  sets: number;
-  experts: number;
-  copyMs: number;
-  times: EngineTimes;
-  content: Content;
-  clock: ManualClock;
-  random: Random;
-}
-
-/** A running group. */
-export interface EngineGroup {
-  submit(rank: number, request: EngineRequest): void;
-  /** Requests running and waiting at a rank. */
-  load(rank: number): number;
-  report(rank: number): RankReport;
-  counts(rank: number): readonly number[];
-  placement(): { version: number; placement: Placement };
-  order(rank: number, order: RankOrder): OrderOutcome;
-  /** A rank's own work takes this much longer. */
-  slow(rank: number, factor: number): void;
-  figures(): GroupFigures;
-  close(): void;
-}
-
-/** What the passes came to. */
-export interface GroupFigures {
-  passes: number;
-  meanPassMs: number;
-  /** Most loaded rank over the mean, weighed by passes. */
-  meanSkew: number;
-  copies: number;
-  mixedPasses: number;
-}
+import type { EngineGroup, EngineGroupOptions, EngineRequest } from './engine-types.js';
+import { passMs } from './pass-time.js';
+import type { RankWork } from './pass-time.js';
 
 interface Running {
   request: EngineRequest;
@@ -125,16 +60,17 @@
   };
 
   /** Prompt tokens that a rank reads in this pass, and what its own work takes. */
-  const ownWork = (rank: Rank): { read: number; ms: number; writers: number } => {
+  const workOf = (rank: Rank): RankWork & { read: number } => {
     const writers = rank.running.filter(({ read }) => read === 0);
     const steps = writers.length > 0 ? times.stride : 1;
     const readers = rank.running.filter(({ read }) => read > 0);
     const room = writers.length > 0 ? times.chunk * steps : times.chunk;
     const read = Math.min(room, sum(readers.map((entry) => entry.read)));
     const context = sum(writers.map(({ request }) => request.promptTokens)) / 1_000;
-    const write = steps * (times.stepMs + times.perSeqMs * writers.length);
-    const ms = write + steps * times.contextMsPerK * context + read / times.prefillTokensPerMs;
-    return { read, ms: ms * rank.pace, writers: writers.length };
+    const stepsMs = rank.running.length > 0 ? steps * times.stepMs : 0;
+    const perStep = times.perSeqMs * writers.length + times.contextMsPerK * context;
+    const tokensMs = steps * perStep + read / times.prefillTokensPerMs;
+    return { read, stepsMs, tokensMs, pace: rank.pace };
   };
 
   const pickExperts = (rank: Rank, entry: Running, tokens: number): void => {
@@ -163,10 +99,11 @@
       held.flat().forEach((expert) => {
         hosts[expert] = (hosts[expert] ?? 0) + 1;
       });
-      const loads = held.map((own) =>
-        sum(own.map((expert) => (demand[expert] ?? 0) / Math.max(1, hosts[expert] ?? 1))),
-      );
-      const mean = sum(loads) / loads.length;
+      const loads = held.map((own, at) => {
+        const parts = own.map((expert) => (demand[expert] ?? 0) / Math.max(1, hosts[expert] ?? 1));
+        return sum(parts) * (ranks[at]?.pace ?? 1);
+      });
+      const mean = sum(demand) / loads.length;
       return mean > 0 ? Math.max(...loads) / mean : 1;
     });
     return sum(perSet) / perSet.length;
@@ -212,7 +149,7 @@
     }
     step += 1;
     switchMaps();
-    const works = ranks.map(ownWork);
+    const works = ranks.map(workOf);
     const tokensByTopic = new Map<number, number>();
     ranks.forEach((rank) =>
       rank.running.forEach(({ request, read }) => {
@@ -223,10 +160,7 @@
     const skew = skewOf(tokensByTopic);
     const now = clock.monotonic();
     const isCopying = ranks.some(({ prepared }) => prepared && prepared.readyAt > now);
-    const own = Math.max(...works.map(({ ms }) => ms)) * (1 - times.expertShare);
-    const mean = sum(works.map(({ ms }) => ms)) / works.length;
-    const shared = mean * times.expertShare * skew;
-    const ms = (own + shared) * (isCopying ? times.copyFactor : 1);
+    const ms = passMs(works, times.expertShare, skew) * (isCopying ? times.copyFactor : 1);
     totals.passes += 1;
     totals.ms += ms;
     totals.skew += skew;
@@ -267,8 +201,16 @@
   };
 
   return {
-    submit: (at, request) => {
-      ranks[at]?.waiting.push({ request, read: request.promptTokens, written: 0 });
+    submit: (at, request, written = 0) => {
+      const read = request.promptTokens + written * times.stride;
+      ranks[at]?.waiting.push({ request, read, written });
+    },
+    withdraw: (at) => {
+      const rank = ranks[at];
+      if (!rank) return [];
+      const taken = [...rank.running, ...rank.waiting];
+      Object.assign(rank, { running: [], waiting: [] });
+      return taken.map(({ request, written }) => ({ request, written }));
     },
     load: (at) => (ranks[at]?.running.length ?? 0) + (ranks[at]?.waiting.length ?? 0),
     report: (at) => {
--- a/packages/lab/src/emulator/sites.ts
+++ b/packages/lab/src/emulator/sites.ts
@@ -20,8 +20,9 @@
   times: {
     slots: 8,
     stepMs: 4.84,
-    perSeqMs: 0.362,
-    contextMsPerK: 0.011,
+    // As the engines state them in the intent; the sheet's are of the traffic before it was thinned.
+    perSeqMs: 0.543,
+    contextMsPerK: 0.0165,
     prefillTokensPerMs: 74.8,
     chunk: 512,
     stride: 6,
@@ -39,6 +40,19 @@
   policy: followPace,
 };
 
+/** A group of 12 ranks with more experts and places, under the traffic of a busy day. */
+export const denseGroupDay: Omit<DaySpec, 'seed'> = {
+  ...smallGroupDay,
+  ranks: 12,
+  places: 8,
+  spare: 3,
+  copyMs: copyMsOf(2_200),
+  content: { sets: 4, experts: 72, topics: 9, skew: 1.3, common: 0.75 },
+  perSecond: 40,
+  shiftEveryMs: 4_000,
+  shiftShare: 0.67,
+};
+
 /** A group of 72 ranks with more and smaller experts. */
 export const largeGroupDay: Omit<DaySpec, 'seed'> = {
   ...smallGroupDay,
--- a/packages/lab/src/experiments/admission.ts
+++ b/packages/lab/src/experiments/admission.ts
@@ -27,7 +27,7 @@
   ['a burst of twice the traffic', { burst: { fromMs: 6_000, toMs: 12_000, factor: 2 } }],
   [
     'a rank at a third of its pace',
-    { straggler: { atMs: 6_000, rank: 3, factor: 3, forMs: 8_000 } },
+    { stragglers: [{ atMs: 6_000, rank: 3, factor: 3, forMs: 8_000 }] },
   ],
 ];
 
--- a/packages/lab/src/experiments/rank-balance.ts
+++ b/packages/lab/src/experiments/rank-balance.ts
@@ -21,7 +21,7 @@
   ['skew, 2 in 100 orders late', { weighs: 'skew', lateOrders: 0.02 }],
   [
     'skew, one rank at a third of its pace',
-    { weighs: 'skew', straggler: { atMs: 3_000, rank: 5, factor: 3, forMs: 8_000 } },
+    { weighs: 'skew', stragglers: [{ atMs: 3_000, rank: 5, factor: 3, forMs: 8_000 }] },
   ],
 ];
 
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -17,6 +17,7 @@
 
 /** Every experiment, each in the module `NAME.ts`, which exports `run`. */
 export const experimentNames = [
+  'ablation',
   'admission',
   'balance',
   'claims',
