A group counts as open when whoever asks is not refused at once

Cause: an entry whose callers wait for a group took it for closed until the first event of the one that asked.

Ruled out: asking more often, which spends the retry budget on refusals.

Change: ranks that refuse do so within some 5 ms; where the one that asks is not refused until the next would ask, all go on. An attempt that met nobody, or another instance, says nothing.

--- a/packages/gateway/src/admission/reopening.ts
+++ b/packages/gateway/src/admission/reopening.ts
@@ -27,6 +27,8 @@
   noteRefusing(service: string): void;
   /** One of them has answered. */
   noteAnswer(service: string): void;
+  /** A request ended in a way that says nothing: nobody was there, or another instance. */
+  noteNothing(service: string): void;
   isClosed(service: string): boolean;
   /** Waits until the service opens, at most until a time (monotonic, ms). */
   wait(service: string, caller: WaitingCaller): Promise<WaitOutcome>;
@@ -52,7 +54,9 @@
 
 /**
  * Pause between two callers that ask, in ms. A group forms in 600: an entry spends some five attempts
- * of its share of the retries, and callers wait half of this longer than they have to.
+ * of its share of the retries, and callers wait half of this longer than they have to. Ranks refuse
+ * within some 5 ms, but the first event of a group that has opened takes up to a second: whoever asks and
+ * is not refused until the next would ask has found it open.
  */
 const ASK_MS = 120;
 /** A refusal says something about the next request for this long, in ms. */
@@ -67,6 +71,8 @@
   since: number;
   refusedAt: number;
   askedAt: number;
+  /** Somebody asks and has not been refused yet. */
+  isAsking: boolean;
   waiters: Waiter[];
   stopTimer: () => void;
 }
@@ -90,16 +96,20 @@
   };
 
   /** Ends waits that are over and lets the next caller ask. */
-  const turn = (closure: Closure): void => {
+  const turn = (service: string, closure: Closure): void => {
+    if (closure.isAsking) {
+      open(service, closure);
+      return;
+    }
     const now = clock.monotonic();
     const late = closure.waiters.filter(({ until }) => until <= now);
     const left = closure.waiters.filter(({ until }) => until > now).sort(byTurn);
     const next = left.shift();
-    Object.assign(closure, { waiters: left, askedAt: now });
+    Object.assign(closure, { waiters: left, askedAt: now, isAsking: next !== undefined });
     late.forEach(({ settle }) => settle('too-long'));
     next?.settle('ask');
-    if (left.length > 0) {
-      Object.assign(closure, { stopTimer: clock.after(ASK_MS, () => turn(closure)) });
+    if (next) {
+      Object.assign(closure, { stopTimer: clock.after(ASK_MS, () => turn(service, closure)) });
     }
   };
 
@@ -107,17 +117,22 @@
     noteRefusing: (service) => {
       const now = clock.monotonic();
       const known = closures.get(service);
-      if (known) known.refusedAt = now;
+      if (known) Object.assign(known, { refusedAt: now, isAsking: false });
       else {
         log.event('service-closed', { service });
         const times = { since: now, refusedAt: now, askedAt: now };
-        closures.set(service, { ...times, waiters: [], stopTimer: () => {} });
+        const none = { isAsking: false, waiters: [], stopTimer: () => {} };
+        closures.set(service, { ...times, ...none });
       }
     },
     noteAnswer: (service) => {
       const closure = closures.get(service);
       if (closure) open(service, closure);
     },
+    noteNothing: (service) => {
+      const closure = closures.get(service);
+      if (closure) closure.isAsking = false;
+    },
     isClosed: (service) => {
       const closure = closures.get(service);
       if (closure && isOver(closure)) closures.delete(service);
@@ -131,14 +146,20 @@
       const isFull = closure.waiters.length >= caller.room;
       if (!caller.isLastTry || isFull) {
         if (now - closure.askedAt < ASK_MS) return Promise.resolve('no-room');
-        closure.askedAt = now;
+        if (closure.isAsking) {
+          open(service, closure);
+          return Promise.resolve('open');
+        }
+        Object.assign(closure, { askedAt: now, isAsking: true });
         return Promise.resolve('ask');
       }
       metrics.count('gateway_waited_for_group');
       return new Promise((settle) => {
         closure.waiters.push({ ...caller, since: now, settle });
         if (closure.waiters.length > 1) return;
-        Object.assign(closure, { stopTimer: clock.after(ASK_MS, () => turn(closure)) });
+        closure.stopTimer();
+        const again = clock.after(ASK_MS, () => turn(service, closure));
+        Object.assign(closure, { stopTimer: again });
       });
     },
   };
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -113,6 +113,15 @@
     return true;
   };
 
+  /** What an attempt says of a service that is closed, or closes it. */
+  const noteClosure = (hasAnswered: boolean, upstream: Upstream): void => {
+    if (hasAnswered) reopening.noteAnswer(service);
+    else if (!upstream.isRefusing()) reopening.noteNothing(service);
+    else if (reopening.isClosed(service) || directory.isRefusing(service)) {
+      reopening.noteRefusing(service);
+    }
+  };
+
   const attemptAt = async (
     rounds: Rounds,
     upstream: Upstream,
@@ -130,8 +139,7 @@
     stopWatch();
     attempt.end();
     endedAt = clock.monotonic();
-    if (head.outcome === 'answered') reopening.noteAnswer(service);
-    else if (directory.isRefusing(service)) reopening.noteRefusing(service);
+    noteClosure(head.outcome === 'answered', upstream);
     if (head.outcome === 'answered' && !isGone && !isLate && !isMoving) {
       if (isUpstreamFault(outcome)) upstream.noteFailure('failed');
       else upstream.noteSuccess();
