--- a/packages/gateway/src/admission/reopening.ts
+++ b/packages/gateway/src/admission/reopening.ts
@@ -2,10 +2,10 @@
  * Callers that wait while the group behind a service forms anew.
  *
  * The pattern: after a loss of power all ranks refuse for some 0.7 s, and the callers whose streams were
- * cut are back within that time. They come back once: refused then, they are lost. So a bounded number
- * of those who won't be back waits here; the others are told to come later, or all would begin at
- * once with the uneven map that a group forms with. One caller asks now and then, and with the first
- * answer those that wait go on, the most urgent and then the longest waiting first.
+ * cut are back within that time. They come back once: refused then, they are lost. So a few of those who
+ * won't be back wait here; the others are told to come later, or all would begin at once with the uneven
+ * map that a group forms with, and those that come new would be late with them. One caller asks now and
+ * then, and when it is served those that wait go on, the most urgent and the longest waiting first.
  */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,11 +135,8 @@
     log,
   });
   const admission = createAdmission(clock, log);
-  const budget = createRetryBudget({
-    limits: () => bounds.retries,
-    entries: () => (mesh?.peers() ?? 0) + 1,
-    clock,
-  });
+  const entries = (): number => (mesh?.peers() ?? 0) + 1;
+  const budget = createRetryBudget({ limits: () => bounds.retries, entries, clock });
   const reopening = createReopening({ clock, metrics, log });
 
   const untilIntent = async (waitMs: number): Promise<void> => {
@@ -153,6 +150,7 @@
     admission,
     budget,
     reopening,
+    entries,
     clock,
     random,
     metrics,
--- a/packages/gateway/src/serving/await-open.ts
+++ b/packages/gateway/src/serving/await-open.ts
@@ -10,9 +10,6 @@
  */
 const LONGEST_WAIT_MS = 1_200;
 
-/** Share of all places for which callers may wait at one entry: the rest is for those that come new. */
-const ROOM_SHARE = 0.5;
-
 /** Resolves when the request may be sent; false when it is not to be sent any more. */
 export const awaitOpen = async (
   request: CallerRequest,
@@ -22,13 +19,13 @@
   const { reopening, directory } = deps;
   const { service } = request;
   if (!reopening.isClosed(service)) return true;
-  const slots = directory.usable(service).reduce((sum, { record }) => sum + record.slots, 0);
   const outcome = await reopening.wait(service, {
     isLastTry: request.isReturn || request.fields.lastEventId !== undefined,
     until: Math.min(from + LONGEST_WAIT_MS, request.deadlineAt),
     urgency: urgencyOf(request),
-    // Callers are spread unevenly over the entries; when the group opens, admission counts for all.
-    room: slots * ROOM_SHARE,
+    // One prompt for each engine, over all entries, is read within one pass. More of them at once, with
+    // the uneven map that a group forms with, made passes of 200 ms for three seconds.
+    room: Math.ceil(directory.usable(service).length / deps.entries()),
   });
   return outcome === 'open' || outcome === 'ask';
 };
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -14,6 +14,8 @@
   admission: Admission;
   budget: RetryBudget;
   reopening: Reopening;
+  /** Entries that are linked, this one counted. */
+  entries: () => number;
   clock: Clock;
   random: Random;
   metrics: Metrics;
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -109,6 +109,7 @@
     isStopping: () => false,
     isClosing: () => options.isClosing ?? false,
     reopening: createReopening({ clock, metrics, log }),
+    entries: () => 1,
     untilIntent: async () => {},
     table: () => (options.withoutIntent ? undefined : table),
     intentAge: () => options.intentAge ?? 0,
