Who is done without for being slow is decided in one place

The directory and the emulator each worked out paces, slots and requests in flight and filtered by them; the emulator did so anew for each upstream. One function beside the rule serves both.

--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -7,7 +7,7 @@
 import type { UpstreamFault, UpstreamRecord } from '../types.js';
 import { createForeignEntries } from './foreign-entries.js';
 import { createKnownStarts } from './known-starts.js';
-import { usedPace } from './slow-upstreams.js';
+import { withoutSlow } from './slow-upstreams.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
 
@@ -163,17 +163,7 @@
     return ready.length > 0 ? ready : lapsedOf(service);
   };
 
-  const preferred = (service: string): Upstream[] => {
-    const all = usable(service);
-    if (all.every((upstream) => upstream.pace() === 1)) return all;
-    const paced = all.map((upstream) => ({
-      pace: upstream.pace(),
-      slots: upstream.record.slots,
-    }));
-    const inFlight = all.reduce((sum, upstream) => sum + upstream.total(), 0);
-    const most = usedPace(paced, inFlight);
-    return all.filter((upstream) => upstream.pace() <= most);
-  };
+  const preferred = (service: string): Upstream[] => withoutSlow(usable(service));
 
   const cost = (upstream: Upstream): number => {
     const { record } = upstream;
--- a/packages/gateway/src/upstreams/slow-upstreams.ts
+++ b/packages/gateway/src/upstreams/slow-upstreams.ts
@@ -8,6 +8,8 @@
  * the others don't take what is asked for.
  */
 
+import type { Upstream } from './upstream.js';
+
 /** An upstream as this decision needs it. */
 export interface PacedUpstream {
   /** Time of its own work over the usual. */
@@ -32,3 +34,15 @@
   });
   return best.pace;
 };
+
+/** What is asked of an upstream to tell whether it is done without. */
+type Judged = Pick<Upstream, 'pace' | 'total' | 'record'>;
+
+/** Those that new work goes to: all, less the ones that would hold the others up. */
+export const withoutSlow = <U extends Judged>(upstreams: readonly U[]): U[] => {
+  if (upstreams.every((upstream) => upstream.pace() === 1)) return [...upstreams];
+  const paced = upstreams.map(({ pace, record }) => ({ pace: pace(), slots: record.slots }));
+  const inFlight = upstreams.reduce((sum, upstream) => sum + upstream.total(), 0);
+  const most = usedPace(paced, inFlight);
+  return upstreams.filter((upstream) => upstream.pace() <= most);
+};
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -2,7 +2,7 @@
 
 import { createManualClock, createSeededRandom } from '@plantaindrum/common';
 import type { ManualClock, Random } from '@plantaindrum/common';
-import { createUpstream, usedPace } from '@plantaindrum/gateway';
+import { createUpstream, withoutSlow } from '@plantaindrum/gateway';
 import type { PassTimes, Upstream } from '@plantaindrum/gateway';
 import type { Weighs } from '@plantaindrum/rank-groups';
 import { normal } from '../experiments/balance-traces.js';
@@ -148,15 +148,9 @@
   const at = new Map<EngineRequest, number>();
   const counts = { streams: 0, onTime: 0, late: 0, lateFirst: 0, refused: 0 };
 
-  /** Ranks that new streams go to. */
-  const isUsed = (upstream: Upstream): boolean => {
-    if (spec.keepsSlowRanks) return true;
-    const paced = upstreams.map((each) => ({ pace: each.pace(), slots: each.record.slots }));
-    const inFlight = upstreams.reduce((total, each) => total + each.total(), 0);
-    return upstream.pace() <= usedPace(paced, inFlight);
-  };
   const place = (request: EngineRequest, written = 0): void => {
-    const costs = upstreams.map((each) => (isUsed(each) ? each.costOfNext() : Infinity));
+    const used = new Set(spec.keepsSlowRanks ? upstreams : withoutSlow(upstreams));
+    const costs = upstreams.map((each) => (used.has(each) ? each.costOfNext() : Infinity));
     const rank = costs.indexOf(Math.min(...costs));
     upstreams[rank]?.begin();
     at.set(request, rank);
