The choice of an upstream reckons with what other entries send meanwhile

Cause: entries hear of each other's requests 60 ms late, and each sends to the one upstream that looks emptiest. Ruled out: telling loads more often (bytes grow with the square of the entries). Change: the choice is made by free places among as many of the least loaded as have three times the places that others fill in 60 ms, observed from their shares of load. The sum over 36 entries is kept, not worked out 200 times a choice.

--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -5,6 +5,8 @@
 import type { EnginePace } from '../mesh/engine-pace.js';
 import type { LoadShare } from '../mesh/load-share.js';
 import type { UpstreamFault, UpstreamRecord } from '../types.js';
+import { createArrivals } from './arrivals.js';
+import { pickOffer } from './choice.js';
 import { createForeignEntries } from './foreign-entries.js';
 import { createKnownStarts } from './known-starts.js';
 import { withoutSlow } from './slow-upstreams.js';
@@ -23,7 +25,7 @@
   isHoldingUp(upstream: Upstream): boolean;
   /** Told of each change in who holds up others; the result ends that. */
   onPaceChange(listener: () => void): () => void;
-  /** The least loaded of a service's upstreams, apart from those already tried. */
+  /** One of the least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
   /** Most of a service's upstreams have just refused to run a request. */
   isRefusing(service: string): boolean;
@@ -91,6 +93,7 @@
   const leaving = new Set<string>();
   const replaced = new WeakSet<Upstream>();
   const starts = createKnownStarts();
+  const arrivals = createArrivals(clock);
   const noteForeign = createForeignEntries(metrics, log);
   const paceListeners = new Set<() => void>();
   /** Upstreams that are there; worked out again after each change of the list. */
@@ -172,11 +175,12 @@
     return upstream.costOfNext() + away + warming + upstream.failureShare() * FAILURE_COST;
   };
 
-  const cheapest = (upstreams: readonly Upstream[]): Upstream | undefined => {
-    const costs = upstreams.map((upstream) => cost(upstream));
-    const least = Math.min(...costs);
-    const best = upstreams.filter((_, at) => (costs[at] ?? Infinity) <= least + 1e-9);
-    return best[Math.floor(random() * best.length)];
+  const cheapest = (service: string, upstreams: readonly Upstream[]): Upstream | undefined => {
+    const offers = upstreams.map((upstream) => ({
+      cost: cost(upstream),
+      free: upstream.record.slots - upstream.total(),
+    }));
+    return upstreams[pickOffer(offers, arrivals.unheard(service), random)];
   };
 
   return {
@@ -205,7 +209,8 @@
       const quick = preferred(service).filter(isFresh);
       const sound = quick.filter((upstream) => !upstream.isSuspect());
       // Never all ejected: with every upstream suspect the least loaded is tried all the same.
-      return cheapest([sound, quick, fresh].find(({ length }) => length > 0) ?? []);
+      const those = [sound, quick, fresh].find(({ length }) => length > 0) ?? [];
+      return cheapest(service, those);
     },
     isRefusing: (service) => {
       const all = usable(service);
@@ -225,7 +230,9 @@
     notePeerLoad: (peer, { isWhole, counts }) => {
       listed.forEach((upstream, instance) => {
         const count = counts[instance] ?? (isWhole ? 0 : undefined);
-        if (count !== undefined) upstream.notePeer(peer, count);
+        if (count !== undefined) {
+          arrivals.note(upstream.record.service, upstream.notePeer(peer, count));
+        }
       });
     },
     noteReplaced: (upstream) => {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -11,8 +11,8 @@
   inFlight(): number;
   begin(): void;
   end(): void;
-  /** Requests of the other entries that are at the upstream. */
-  notePeer(peer: string, inFlight: number): void;
+  /** Requests of another entry that are at the upstream; how many more these are than before. */
+  notePeer(peer: string, inFlight: number): number;
   forgetPeer(peer: string): void;
   /** All requests known to be at the upstream, over its slots. */
   load(): number;
@@ -55,6 +55,8 @@
   let record = first;
   let own = 0;
   const peers = new Map<string, number>();
+  // Asked for at each choice, of each upstream: summed over all entries it took most of the choice's time.
+  let ofPeers = 0;
   let failureShare = 0;
   let suspectUntil = -Infinity;
   let suspectMs = SUSPECT_MS;
@@ -62,7 +64,15 @@
   const paceRecord = createPaceRecord(clock);
   let reportedLoad = { at: -Infinity, excess: 0 };
 
-  const total = (): number => [...peers.values()].reduce((sum, n) => sum + n, own);
+  const total = (): number => own + ofPeers;
+
+  const setPeer = (peer: string, inFlight: number): number => {
+    const more = inFlight - (peers.get(peer) ?? 0);
+    ofPeers += more;
+    if (inFlight > 0) peers.set(peer, inFlight);
+    else peers.delete(peer);
+    return more;
+  };
 
   const load = (): number => {
     const excess = clock.monotonic() - reportedLoad.at < LOAD_VALID_MS ? reportedLoad.excess : 0;
@@ -90,11 +100,10 @@
     end: () => {
       own -= 1;
     },
-    notePeer: (peer, inFlight) => {
-      if (inFlight > 0) peers.set(peer, inFlight);
-      else peers.delete(peer);
+    notePeer: setPeer,
+    forgetPeer: (peer) => {
+      setPeer(peer, 0);
     },
-    forgetPeer: (peer) => peers.delete(peer),
     total,
     load,
     notePace: paceRecord.note,
