A request that waits for a place isn't taken for one at a dead upstream; a held pass waits for arming

Cause 1: an attempt without an event for 900 ms was cut off and begun anew elsewhere, while others of its service moved. In a group that fills up requests wait that long at every upstream: 40 to 55 a second were cut off at 192 ranks, each spent an attempt and went to the end of another queue. Change: the limit before the first event follows from what first events take (mean and four deviations, RFC 6298), and what is cut off counts as seen; in the middle of a stream it stays. Change: the pass that is held lies as far ahead as arming usually takes, and two deviations. Ruled out: a slow rank (pace 1 everywhere), copying (15 in 100 of a pass).

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-times.js';
 export * from './clock.js';
 export * from './errors/index.js';
 export * from './event-bytes.js';
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -9,8 +9,8 @@
 import type { CallerRequest, ServingDeps } from './types.js';
 
 /**
- * A stream that is silent this long while others of its service move is taken from its upstream, in
- * ms: well above a pass of a group, well below the two seconds after which callers give up.
+ * A stream that has begun and is silent this long while others of its service move is taken from its upstream,
+ * in ms: well above a pass of a group, well below the two seconds after which callers give up.
  */
 const SILENT_MS = 900;
 /** Others move if one of them had an event within this time, in ms. */
@@ -30,6 +30,8 @@
   const { clock, metrics, log, admission, directory } = deps;
   const pace = admission.pace(service);
   let lastEventAt: number | undefined;
+  /** When the running attempt was sent; undefined once it has brought an event. */
+  let awaitedSince: number | undefined;
 
   /** Goes on elsewhere when the upstream holds up all streams of its service, this one included. */
   const leaveIfHoldingUp = ({ upstream }: Attempt, moveOn: MoveOn): boolean => {
@@ -43,11 +45,16 @@
   /** Ends an attempt whose upstream is silent while the others of its service are not. */
   const watch = (attempt: Attempt, sentAt: number, moveOn: MoveOn): (() => void) => {
     let stopTimer = (): void => {};
+    awaitedSince = sentAt;
     const look = (): void => {
       const quiet = clock.monotonic() - Math.max(sentAt, lastEventAt ?? sentAt);
       if (leaveIfHoldingUp(attempt, moveOn)) return;
-      if (quiet > SILENT_MS && pace.silence() < OTHERS_MOVE_MS && route.resumable) {
-        log.event('upstream-silent', { id: request.id, quiet, othersMs: pace.silence() });
+      const isAwaited = awaitedSince !== undefined;
+      const limitMs = isAwaited ? pace.firstLimit() : SILENT_MS;
+      if (quiet > limitMs && pace.silence() < OTHERS_MOVE_MS && route.resumable) {
+        const inputs = { quiet, limitMs, isAwaited, othersMs: pace.silence() };
+        log.event('upstream-silent', { id: request.id, ...inputs });
+        if (isAwaited) pace.noteNone(quiet);
         attempt.upstream.noteFailure('unreachable');
         attempt.abort();
         return;
@@ -77,8 +84,9 @@
 
   const noteTime = (): void => {
     const now = clock.monotonic();
+    if (awaitedSince !== undefined) pace.noteFirst(now - awaitedSince);
+    awaitedSince = undefined;
     if (lastEventAt === undefined) {
-      pace.noteFirst();
       metrics.record('gateway_first_event_ms', now - request.arrivedAt);
     } else {
       pace.notePause(now - lastEventAt);
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -33,6 +33,7 @@
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import type { OrderOutcome, Placement, RankOrder, RankReport } from '../types.js';
+import { createArmingTime } from './arming-time.js';
 import type { GroupPort, RetriedOutcome } from './group-port.js';
 import { freshReports, retryAtAllRanks, retryOrder } from './group-port.js';
 import { withdrawPass } from './withdraw.js';
@@ -70,19 +71,6 @@
   at: number;
 }
 
-/**
- * Passes between the one that runs and the one that is held. Arming takes some 50 ms, so that the
- * group isn't kept waiting at short passes. At long ones, as after a shift of popularity, the last of
- * these passes would be one more with the uneven map, some 110 ms.
- */
-const LEAD_PASSES = 2;
-const LEAD_OF_LONG_PASSES = 1;
-/** A pass that takes this long is long, in ms: twice the time of arming. */
-const LONG_PASS_MS = 100;
-/** Passes ahead at the most, however long arming took: each is one more with the uneven map. */
-const MOST_LEAD = 4;
-/** Weight of the last change in the usual time of arming. */
-const ARMING_WEIGHT = 0.25;
 /** Pause before ranks are asked whether they are still there, in ms; well under the passes ahead. */
 const STILL_THERE_MS = 15;
 /** Tries to hold a pass before it begins. */
@@ -108,9 +96,7 @@
   const heldStep = createHeldSteps();
   // A helper that didn't get through is passed over once, or its group would never change its map.
   let asksHelper = true;
-  // From the hold to the last rank armed, in ms: grows with the group, and a pass that is held for longer
-  // than it would have taken to begin is a pause in every stream.
-  let armingMs = 0;
+  const arming = createArmingTime();
 
   const giveHold = async (epoch: number, step: number): Promise<RetriedOutcome | 'no-answer'> => {
     const order = { op: 'hold', epoch, step } as const;
@@ -148,11 +134,8 @@
     return reports?.every(({ prepared }) => prepared === version) ?? false;
   };
 
-  const leadAfter = (since: PassMark, report: RankReport): number => {
-    const passMs = (clock.monotonic() - since.at) / Math.max(1, report.step - since.step);
-    const usual = passMs >= LONG_PASS_MS ? LEAD_OF_LONG_PASSES : LEAD_PASSES;
-    return Math.min(MOST_LEAD, Math.max(usual, Math.ceil(armingMs / passMs)));
-  };
+  const leadAfter = (since: PassMark, report: RankReport): number =>
+    arming.lead((clock.monotonic() - since.at) / Math.max(1, report.step - since.step));
 
   /** Holds a pass that has not begun; the pass, or undefined when it can't be done. */
   const holdAhead = async (epoch: number, since: PassMark): Promise<number | undefined> => {
@@ -214,10 +197,7 @@
       return 'rank-silent';
     }
     const outcome = await armAndGo(change, step);
-    if (outcome === 'switched') {
-      const took = clock.monotonic() - heldAt;
-      armingMs = armingMs === 0 ? took : armingMs + (took - armingMs) * ARMING_WEIGHT;
-    }
+    if (outcome === 'switched') arming.note(clock.monotonic() - heldAt);
     log.event('map-switch', { epoch, version, step, outcome, preparedMs, heldMs, ms: elapsed() });
     return outcome;
   };
--- a/packages/rank-groups/src/tree/rank-port.ts
+++ b/packages/rank-groups/src/tree/rank-port.ts
@@ -1,7 +1,7 @@
 /** The ranks of a group as their coordinator reaches them: itself, along the tree, or at their engines. */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
-import { sleep } from '@plantaindrum/common';
+import { createAnswerTimes, sleep } from '@plantaindrum/common';
 import type { Link } from '@plantaindrum/link';
 import { AGAIN_MS, allRanks } from '../change/group-port.js';
 import type { GroupPort } from '../change/group-port.js';
@@ -16,7 +16,6 @@
   RankPlacement,
   RankReport,
 } from '../types.js';
-import { createAnswerTimes } from './answer-times.js';
 import { DIRECT_RANKS, directRoutes, ranksOf, routesTo } from './group-tree.js';
 import type { GroupTree, Route } from './group-tree.js';
 import type { RankAnswers, RankNews, RankOutcomes } from './rank-answers.js';
@@ -64,6 +63,8 @@
 const FIRST_RELAYED_MS = 800;
 /** Limit of a call that carries a whole map, in ms: up to 12 KB on each of three links in turn. */
 const WHOLE_MAP_MS = 1_200;
+/** No answer is waited for longer than this, in ms: after some heartbeats its link is lost. */
+const MOST_MS = 1_500;
 /** A rank that let a call's time pass relays none for this long, in ms: its links end by then. */
 const UNSOUND_MS = 1_000;
 /** Engines whose agents are silent that are called at once: each call is a whole map or report. */
@@ -103,12 +104,12 @@
   const isSound = (rank: number): boolean =>
     linkTo(rank) !== undefined && (unsoundUntil.get(rank) ?? -Infinity) < clock.monotonic();
 
-  const wholeMap = { first: WHOLE_MAP_MS, least: WHOLE_MAP_MS };
+  const wholeMap = { first: WHOLE_MAP_MS, least: WHOLE_MAP_MS, most: MOST_MS };
   const timesOfFew = createAnswerTimes((kind) =>
-    kind === WHOLE_MAP ? wholeMap : { first: LINKED_MS, least: LINKED_MS },
+    kind === WHOLE_MAP ? wholeMap : { first: LINKED_MS, least: LINKED_MS, most: MOST_MS },
   );
   const timesOfMany = createAnswerTimes((kind) =>
-    kind === WHOLE_MAP ? wholeMap : { first: FIRST_RELAYED_MS, least: RELAYED_MS },
+    kind === WHOLE_MAP ? wholeMap : { first: FIRST_RELAYED_MS, least: RELAYED_MS, most: MOST_MS },
   );
 
   const routesFor = (wanted: ReadonlySet<number>): Route[] => {
@@ -149,7 +150,7 @@
     const ownPart =
       own !== undefined && ranks.includes(own) ? methods[method].run(args, timeoutMs) : undefined;
     const first = await askLinked(method, args, wanted, timeoutMs);
-    if (first.unheard.length === 0) times.noteWhole(kind, clock.monotonic() - began);
+    if (first.unheard.length === 0) times.note(kind, clock.monotonic() - began);
     else if (2 * first.unheard.length > wanted.size) times.noteMostSilent(kind);
     const parts = [first.answer];
     const innocent = first.unheard.filter((rank) => !first.heads.includes(rank));
