Design note of the calls along a tree; news back off where most ranks are silent

Cause: with 430 ranks of 8,600 counters on emulated links, news ran into their limit, were asked for again below the relays that had not answered, and filled links further (2.5 times their capacity). Change: news are not asked twice, and come half as often while most ranks are silent.

--- a/packages/rank-groups/src/links/news-reader.ts
+++ b/packages/rank-groups/src/links/news-reader.ts
@@ -47,12 +47,13 @@
 
   const readOnce = async (): Promise<number> => {
     const began = clock.monotonic();
-    const { news: told, isWhole } = await news();
+    const { news: told, heard, ranks } = await news();
     told.reports.forEach(onReport);
     if (told.picks.length > 0) onPicks(told.picks);
     const took = clock.monotonic() - began;
-    // Waiting for a rank that says nothing takes none of the links' time.
-    if (isWhole) usualMs += (took - usualMs) * WEIGHT;
+    // Where most say nothing, links are full or lost; a rank that is silent alone takes none of their time.
+    if (2 * heard < ranks) usualMs = Math.max(2 * usualMs, took);
+    else if (heard === ranks) usualMs += (took - usualMs) * WEIGHT;
     return took;
   };
 
--- a/packages/rank-groups/src/tree/rank-port.ts
+++ b/packages/rank-groups/src/tree/rank-port.ts
@@ -37,10 +37,11 @@
   log: EventLog;
 }
 
-/** News, and whether all linked ranks have told theirs. */
+/** News, and from how many of the group's ranks. */
 export interface GatheredNews {
   news: RankNews;
-  isWhole: boolean;
+  heard: number;
+  ranks: number;
 }
 
 /** A group's ranks, for the coordinator beside one of them. */
@@ -134,14 +135,17 @@
     return { answer, unheard: routes.flatMap(ranksOf).filter((rank) => !heard.has(rank)), heads };
   };
 
-  /** Asks those of the ranks that are linked, and this agent's own; those below a lost relay twice. */
+  /**
+   * Asks those of the ranks that are linked, and this agent's own. Those below a lost relay are asked twice, but
+   * for news, which are asked for again anyway: where links are full, it would be what fills them.
+   */
   const ask = async <N extends Name>(
     method: N,
     args: unknown,
     ranks: readonly number[],
     kind: string = method,
     mostMs?: number,
-  ): Promise<{ answer: RankAnswers[N]; isWhole: boolean }> => {
+  ): Promise<RankAnswers[N]> => {
     const own = ownRank();
     const began = clock.monotonic();
     const wanted = new Set(ranks.filter((rank) => rank !== own && linkTo(rank) !== undefined));
@@ -154,17 +158,14 @@
     else if (2 * first.unheard.length > wanted.size) times.noteMostSilent(kind);
     const parts = [first.answer];
     const innocent = first.unheard.filter((rank) => !first.heads.includes(rank));
-    let silent = first.heads.length;
-    if (innocent.length > 0) {
-      const again = await askLinked(method, args, new Set(innocent), timeoutMs);
-      parts.push(again.answer);
-      silent += again.unheard.length;
+    if (innocent.length > 0 && method !== 'news') {
+      parts.push((await askLinked(method, args, new Set(innocent), timeoutMs)).answer);
       log.event('relay-lost', { method, relays: first.heads.length, again: innocent.length });
     }
     const ownAnswer = await ownPart;
     if (ownAnswer !== undefined) parts.push(ownAnswer);
     options.metrics.record('rank_tree_call_ms', clock.monotonic() - began, { method: kind });
-    return { answer: methods[method].join(parts), isWhole: silent === 0 };
+    return methods[method].join(parts);
   };
 
   const unlinked = (ranks: readonly number[]): number[] =>
@@ -186,13 +187,13 @@
     const args = { epoch: of, version };
     let unknown = ranks;
     if (difference) {
-      const { answer } = await ask('prepare', { ...args, map: difference }, ranks);
+      const answer = await ask('prepare', { ...args, map: difference }, ranks);
       unknown = outcomeOf(answer, outcomes);
     }
     if (unknown.length === 0) return;
     const whole = { ...args, map: tellWhole(placement) };
     log.event('map-told-whole', { epoch: of, version, ranks: unknown.length });
-    outcomeOf((await ask('prepare', whole, unknown, WHOLE_MAP)).answer, outcomes);
+    outcomeOf(await ask('prepare', whole, unknown, WHOLE_MAP), outcomes);
   };
 
   const orders: GroupPort['orders'] = async (ranks, order) => {
@@ -202,7 +203,7 @@
       if (outcome) outcomes.set(rank, outcome);
     });
     if (order.op === 'prepare') await prepare(ranks, order, outcomes);
-    else outcomeOf((await ask('order', order, ranks)).answer, outcomes);
+    else outcomeOf(await ask('order', order, ranks), outcomes);
     await atEngines;
     return outcomes;
   };
@@ -213,7 +214,7 @@
       const report = await (await direct(rank))?.report();
       if (report) found.push(report);
     });
-    const { answer } = await ask('report', {}, ranks);
+    const answer = await ask('report', {}, ranks);
     await atEngines;
     return [...answer, ...found];
   };
@@ -226,7 +227,7 @@
       const away = unlinked(open);
       const atEngines = reports(away);
       const linked = open.filter((rank) => !away.includes(rank));
-      const { answer } = await ask('prepared', { version }, linked, 'prepared', left);
+      const answer = await ask('prepared', { version }, linked, 'prepared', left);
       const ready = new Set(answer.done);
       (await atEngines).forEach(({ rank, prepared }) => {
         if (prepared === version) ready.add(rank);
@@ -250,10 +251,10 @@
     },
     news: async () => {
       const ranks = allRanks({ size });
-      // A rank that lets the time pass would hold up everybody's news; it is asked by itself.
+      // A rank that lets the time pass would hold up everybody's news; its report is read by itself.
       const sound = ranks.filter((rank) => rank === ownRank() || isSound(rank));
-      const { answer, isWhole } = await ask('news', {}, sound);
-      return { news: answer, isWhole: isWhole && sound.length === ranks.length };
+      const news = await ask('news', {}, sound);
+      return { news, heard: news.reports.length, ranks: ranks.length };
     },
     placements: async (ranks) => {
       const held = new Map<number, RankPlacement>();
@@ -261,7 +262,7 @@
         const found = await (await direct(rank))?.placement();
         if (found) held.set(rank, found);
       });
-      const { answer } = await ask('placement', {}, ranks);
+      const answer = await ask('placement', {}, ranks);
       answer.forEach((entry) => held.set(entry.rank, entry.held));
       await atEngines;
       return held;
