--- a/packages/rank-groups/test/plan.test.ts
+++ b/packages/rank-groups/test/plan.test.ts
@@ -215,18 +215,25 @@
     expect(shares?.[0]).to.be.within(0.35, 0.5);
   });
 
-  // Popularity shifts every two seconds, some ten pieces apart. Each shift made the next a little more usual, until
-  // none was noticed any more: plans were made for a mixture of old and new, and every stream was late.
+  // Popularity shifts every two seconds, six pieces apart, and each shift comes in the middle of a piece. Each made
+  // the next a little more usual, until none was noticed any more: plans were made for a mixture of old and new,
+  // and every stream was late.
   it('notices each of many shifts, however often they come', async () => {
-    const { popularity, pieces } = start(63);
-    let noticed = 0;
+    const { popularity, pieces } = start();
+    const of = (hot: number): number[] =>
+      Array.from({ length: 8 }, (_, expert) => (expert === hot ? 4_000 : 1_000));
+    const between = (a: number[], b: number[]): number[] =>
+      a.map((n, expert) => (n + (b[expert] ?? 0)) / 2);
+    await pieces(6, () => of(7));
+    const noticed: boolean[] = [];
     for (let shift = 0; shift < 20; shift += 1) {
-      await pieces(1, () => picksOf(shift % 8));
-      if (popularity.sinceShift() === 0) noticed += 1;
-      await pieces(8, () => picksOf(shift % 8));
+      await pieces(1, () => between(of((shift + 7) % 8), of(shift % 8)));
+      const isInMiddle = popularity.sinceShift() === 0;
+      await pieces(1, () => of(shift % 8));
+      noticed.push(isInMiddle || popularity.sinceShift() === 0);
+      await pieces(4, () => of(shift % 8));
     }
-    // The first piece of all is no shift.
-    expect(noticed).to.equal(19);
+    expect(noticed.filter(Boolean).length).to.equal(20);
   });
 
   // Content changes so much from piece to piece that a smaller share can't be told from chance; a
