--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -6,7 +6,8 @@
 import { settleHeldPass } from './change/settle.js';
 import { createMapSwitch } from './change/switch-map.js';
 import type { SwitchOptions as MapSwitchOptions } from './change/switch-map.js';
-import { nextVersion, versionsOf } from './change/versions.js';
+import { nextVersion } from './change/versions.js';
+import { createKnownReports } from './known-reports.js';
 import { createMapReader } from './map-reader.js';
 import { planChange } from './plan/plan.js';
 import type { MapPlan } from './plan/plan.js';
@@ -81,11 +82,6 @@
  */
 const PLANNING_MS = 100;
 
-interface KnownRank {
-  report: RankReport;
-  at: number;
-}
-
 /** Part of the time between news that makes a piece of counts: timers fire early and late. */
 const PIECE_SHARE = 0.7;
 /** A group that can't be acted on is told of again after this long, in ms. */
@@ -97,7 +93,7 @@
 /** Starts to coordinate; runs until `close`. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
   const { port, shape, clock, random, metrics, log } = options;
-  const known = new Map<number, KnownRank>();
+  const known = createKnownReports(clock);
   const popularity: Popularity = createPopularity({
     sets: shape.sets,
     experts: shape.experts,
@@ -111,11 +107,10 @@
   let placement: Placement | undefined;
   let placedEpoch = -1;
   let placedVersion = -1;
-  let highest = 0;
+  let planned = 0;
   let planAgainAt = -Infinity;
   let heldSince: number | undefined;
   let switchedAt = -Infinity;
-  let lastStep = { step: -1, at: -Infinity };
 
   const switchMap = createMapSwitch(options);
   const mapReader = createMapReader({
@@ -136,41 +131,29 @@
   };
 
   const onUpdate = ({ report, picks }: RankUpdate): void => {
-    // A late word of an engine's earlier start: it would show a map and preparations that are gone.
-    const before = known.get(report.rank)?.report;
-    if (report.startedAt < (before?.startedAt ?? 0)) return;
-    // News that was on its way while a change was made would show it as not made, or its pass as held.
-    const isLate = report.epoch === before?.epoch && report.step < before.step;
-    if (isLate) return;
-    known.set(report.rank, { report, at: clock.monotonic() });
-    highest = Math.max(highest, versionsOf(report));
-    if (report.step > lastStep.step || report.epoch !== placedEpoch) {
-      lastStep = { step: report.step, at: clock.monotonic() };
-    }
+    known.note(report);
     if (picks.length > 0) popularity.add(picks);
   };
 
-  const isOlder = (rank: number, ms: number): boolean =>
-    (known.get(rank)?.at ?? -Infinity) < clock.monotonic() - ms;
   const validMs = (): number => REPORT_VALID_MS + 2 * options.newsEveryMs();
 
   /** Ranks whose agents are silent are read from here: their counts are missed, not their state. */
   const readSilent = async (): Promise<void> => {
     if (clock.monotonic() - leadSince < LINKING_MS) return;
-    const silent = allRanks(port).filter((rank) => isOlder(rank, validMs()));
+    const silent = known.olderThan(allRanks(port), validMs());
     if (silent.length === 0) return;
     (await port.reports(silent)).forEach((report) => onUpdate({ report, picks: [] }));
   };
 
   const openReports = (): RankReport[] | undefined => {
     const ranks = allRanks(port);
-    const silent = ranks.filter((rank) => isOlder(rank, 2 * validMs()));
+    const silent = known.olderThan(ranks, 2 * validMs());
     const [first] = silent;
     if (first !== undefined || ranks.length === 0) {
       noteObstacle('ranks-silent', { silent: silent.length, ranks: ranks.length, first });
       return undefined;
     }
-    const reports = ranks.flatMap((rank) => known.get(rank)?.report ?? []);
+    const reports = ranks.flatMap((rank) => known.of(rank) ?? []);
     const closed = reports.filter(({ isOpen, epoch }) => !isOpen || epoch !== port.epoch());
     if (closed.length > 0) {
       noteObstacle('group-closed', { closed: closed.length, epoch: port.epoch() });
@@ -180,7 +163,7 @@
   };
 
   const loadPlacement = async (epoch: number): Promise<void> => {
-    const version = known.get(options.ownRank)?.report.map;
+    const version = known.of(options.ownRank)?.map;
     if (version === undefined) return;
     placement = await mapReader.read(epoch, version, allRanks(port));
     if (!placement) {
@@ -214,10 +197,10 @@
   };
 
   const change = async (plan: MapPlan, epoch: number, current: Placement): Promise<void> => {
-    const version = nextVersion(highest, random);
-    highest = version;
+    const version = nextVersion(Math.max(planned, known.highestVersion()), random);
+    planned = version;
     const { before, after, copies, mostCopies } = plan;
-    const slowest = Math.max(...[...known.values()].map(({ report }) => report.pace));
+    const slowest = Math.max(...allRanks(port).map((rank) => known.of(rank)?.pace ?? 1));
     log.event('map-planned', { epoch, version, before, after, copies, slowest });
     const copyMs = mostCopies * shape.copyMs;
     const outcome = await switchMap({ epoch, version, placement: plan.placement, current, copyMs });
@@ -258,7 +241,7 @@
     if (!reports) return;
     if (placedEpoch !== epoch) placement = undefined;
     // All ranks begin each pass together, so the one at hand, whose report is newest, tells their map.
-    const isOther = known.get(options.ownRank)?.report.map !== placedVersion;
+    const isOther = known.of(options.ownRank)?.map !== placedVersion;
     const isForeign = clock.monotonic() - switchedAt > FOREIGN_MS;
     if (isForeign && isOther) placement = undefined;
     if (await settleIfHeld(reports, epoch)) {
@@ -269,7 +252,7 @@
       await loadPlacement(epoch);
       return;
     }
-    const isIdle = clock.monotonic() - lastStep.at > IDLE_MS;
+    const isIdle = known.sinceLastPass() > IDLE_MS;
     // A rank that is armed takes no preparation: the last change waits for its pass.
     noteObstacle(isOther ? 'change-under-way' : undefined, { epoch });
     const shares = popularity.shares();
