One agent of a group reads the list of nodes and passes it on

Cause: each agent read the list after each of its changes. Change: the agent that coordinates reads, and passes what it has read along the tree; the others read by themselves until they are linked to a lower rank and when they have had no word for the time of a reading. What is read of a push is checked in one place for entries and agents.

--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -4,7 +4,8 @@
 import { isObject, silentLogger } from '@plantaindrum/common';
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
-import type { KeyedRecord, NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
+import { readPush, readRecordList } from '@plantaindrum/mirror';
+import type { NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
 import { readEnginePace } from './engine-pace.js';
 import type { EnginePace } from './engine-pace.js';
@@ -59,17 +60,6 @@
 const HELLO_MS = 1_000;
 const BACKOFF = { firstMs: 100, maxMs: 1_500 };
 
-const isRecord = (value: unknown): value is KeyedRecord =>
-  isObject(value) &&
-  typeof value.key === 'string' &&
-  typeof value.offset === 'number' &&
-  (value.value === undefined || value.value === null || value.value instanceof Uint8Array);
-
-const readRecordList = (value: unknown): KeyedRecord[] | undefined =>
-  Array.isArray(value) && value.every(isRecord)
-    ? value.map((record) => ({ ...record, value: record.value ?? undefined }))
-    : undefined;
-
 const readRecords = (value: unknown): PeerRecords | undefined => {
   if (!isObject(value)) return undefined;
   const { end, ageMs } = value;
@@ -78,14 +68,10 @@
   return { records, end, ageMs };
 };
 
-const readPush = (value: unknown): { topic: string; push: PeerPush } | undefined => {
-  if (!isObject(value)) return undefined;
-  const { topic, after, end, records } = value;
-  if (typeof topic !== 'string' || typeof after !== 'number' || typeof end !== 'number') {
-    return undefined;
-  }
-  const read = readRecordList(records);
-  return read && { topic, push: { after, end, records: read } };
+const readTopicPush = (value: unknown): { topic: string; push: PeerPush } | undefined => {
+  if (!isObject(value) || typeof value.topic !== 'string') return undefined;
+  const push = readPush(value);
+  return push && { topic: value.topic, push };
 };
 
 const addressKey = ({ host, port }: ListenAddress): string => `${host}:${port}`;
@@ -109,7 +95,7 @@
       if (frame.t !== 'note') return;
       const share = frame.method === 'load.share' ? readShare(frame.args) : undefined;
       if (share) options.onShare(peer, share);
-      const pushed = frame.method === 'mirror.push' ? readPush(frame.args) : undefined;
+      const pushed = frame.method === 'mirror.push' ? readTopicPush(frame.args) : undefined;
       if (pushed) options.onPush(pushed.topic, pushed.push);
       const pace = frame.method === 'engine.pace' ? readEnginePace(frame.args) : undefined;
       if (pace) options.onPace(pace);
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -34,7 +34,7 @@
 
 /** Options of `createCoordinator`. */
 export interface CoordinatorOptions {
-  port: Omit<CoordinatorPort, 'news'>;
+  port: Omit<CoordinatorPort, 'news' | 'passOnNodes'>;
   ownRank: number;
   shape: GroupShape;
   weighs: Weighs;
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -3,7 +3,13 @@
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import { createKeyedMirror, createPublisher, decodeNode, followTopic } from '@plantaindrum/mirror';
-import type { KeyedTopic, NodeRecord, PublishNode, RankPlace } from '@plantaindrum/mirror';
+import type {
+  Follower,
+  KeyedTopic,
+  NodeRecord,
+  PublishNode,
+  RankPlace,
+} from '@plantaindrum/mirror';
 import { createCoordinator } from './coordinator.js';
 import type { Coordinator } from './coordinator.js';
 import { createEngineFinder } from './engine-finder.js';
@@ -91,6 +97,7 @@
   };
 
   let links: RankLinks | undefined;
+  let follower: Follower | undefined;
   const pace = createPaceReporter({
     self,
     region: options.region,
@@ -113,7 +120,12 @@
     log,
   });
   const book = createPlacementBook();
-  const methods = createRankMethods({ member: () => member, book, clock });
+  const methods = createRankMethods({
+    member: () => member,
+    book,
+    onNodes: (push) => follower?.takePush(push),
+    clock,
+  });
   const calls = createTreeCalls({ linkTo: (rank) => links?.toRank(rank), methods });
   links = await createRankLinks({
     self,
@@ -131,21 +143,6 @@
   });
   const linked = links;
 
-  const mirror = createKeyedMirror(({ key, value }) => {
-    const record = value && decodeNode(value);
-    if (record) nodes.set(key, record);
-    else nodes.delete(key);
-  });
-  const follower = followTopic({
-    topic: options.nodes,
-    mirror,
-    askPeers: async () => undefined,
-    ...NODES_READ,
-    clock,
-    metrics,
-    log,
-  });
-
   const keepLinks = async (): Promise<void> => {
     while (!stopped) {
       if (place) linked.setNodes([...nodes.values()], place.name, place.rank);
@@ -174,6 +171,27 @@
     metrics,
     log,
   });
+  const mirror = createKeyedMirror(({ key, value }) => {
+    const record = value && decodeNode(value);
+    if (record) nodes.set(key, record);
+    else nodes.delete(key);
+  });
+  follower = followTopic({
+    topic: options.nodes,
+    mirror,
+    askPeers: async () => undefined,
+    // Each call to the log is paid for. The agent that coordinates reads the list for its group, the others
+    // only while they are linked to no lower rank, or have not heard of it for the time of a reading.
+    isReadByPeer: () => !linked.isLowest(),
+    onAnswer: (push) => {
+      if (linked.isLowest()) port.passOnNodes(push);
+    },
+    ...NODES_READ,
+    clock,
+    metrics,
+    log,
+  });
+
   const news = createNewsReader({
     isCoordinating: () => coordinator !== undefined && linked.isLowest(),
     news: port.news,
@@ -231,7 +249,7 @@
       news.close();
       member.close();
       stopPublishing();
-      follower.close();
+      follower?.close();
       await pace.close();
       await linked.close();
       log.flush();
--- a/packages/rank-groups/src/tree/rank-answers.ts
+++ b/packages/rank-groups/src/tree/rank-answers.ts
@@ -31,6 +31,8 @@
   prepared: RankOutcomes;
   /** Takes note of the map in use, to which later ones are told as differences. */
   'map-in-use': RankOutcomes;
+  /** Takes what the coordinator's agent has read of the list of nodes. */
+  nodes: RankOutcomes;
   /** A report that is read now. */
   report: RankReport[];
   placement: HeldExperts[];
@@ -143,6 +145,7 @@
   prepare: outcomes,
   prepared: outcomes,
   'map-in-use': outcomes,
+  nodes: outcomes,
   report: {
     read: (value) => readList(value, reportFromWire),
     write: (reports) => reports.map(reportToWire),
--- a/packages/rank-groups/src/tree/rank-methods.ts
+++ b/packages/rank-groups/src/tree/rank-methods.ts
@@ -2,6 +2,8 @@
 
 import { isObject, sleep } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
+import { readPush } from '@plantaindrum/mirror';
+import type { PeerPush } from '@plantaindrum/mirror';
 import { AGAIN_MS } from '../change/group-port.js';
 import type { PlacementBook } from '../links/placement-deltas.js';
 import { readOrder, readPreparation } from '../links/shapes.js';
@@ -16,6 +18,8 @@
   member: () => RankMember | undefined;
   /** Maps that this agent knows, by which differences are told. */
   book: PlacementBook;
+  /** Takes what another agent has read of the list of nodes. */
+  onNodes: (push: PeerPush) => void;
   clock: Clock;
 }
 
@@ -73,6 +77,12 @@
     return isPrepared ? 'done' : 'no-answer';
   };
 
+  const takeNodes = async (args: unknown): Promise<RankOutcome> => {
+    const push = readPush(args);
+    if (push) options.onNodes(push);
+    return push ? 'done' : 'refused';
+  };
+
   const byRank =
     (run: (args: unknown, timeoutMs: number) => Promise<RankOutcome>) =>
     async (args: unknown, timeoutMs: number): Promise<RankOutcomes | undefined> => {
@@ -102,6 +112,7 @@
     prepare: { ...answerShapes.prepare, run: byRank(prepare) },
     prepared: { ...answerShapes.prepared, run: byRank(awaitPrepared) },
     'map-in-use': { ...answerShapes['map-in-use'], run: byRank(noteMapInUse) },
+    nodes: { ...answerShapes.nodes, run: byRank(takeNodes) },
     report: { ...answerShapes.report, run: report },
     placement: { ...answerShapes.placement, run: placement },
     news: { ...answerShapes.news, run: news },
--- a/packages/rank-groups/src/tree/rank-port.ts
+++ b/packages/rank-groups/src/tree/rank-port.ts
@@ -3,6 +3,7 @@
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import { createAnswerTimes, inTurns, sleep } from '@plantaindrum/common';
 import type { Link } from '@plantaindrum/link';
+import type { PeerPush } from '@plantaindrum/mirror';
 import { AGAIN_MS, allRanks } from '../change/group-port.js';
 import type { GroupPort } from '../change/group-port.js';
 import { tellChanges, tellWhole } from '../links/placement-deltas.js';
@@ -49,6 +50,8 @@
   news(): Promise<GatheredNews>;
   /** What these ranks hold, as far as they have answered. */
   placements(ranks: readonly number[]): Promise<ReadonlyMap<number, RankPlacement>>;
+  /** Passes on what this agent has read of the list of nodes, so that the others need not read it. */
+  passOnNodes(push: PeerPush): void;
   /** Tells all ranks' agents the map in use, so that the next one can be told as a difference. */
   noteMapInUse(epoch: number, version: number, placement: Placement): void;
 }
@@ -164,6 +167,8 @@
     return methods[method].join(parts);
   };
 
+  const others = (): number[] => allRanks({ size }).filter((rank) => rank !== ownRank());
+
   const unlinked = (ranks: readonly number[]): number[] =>
     ranks.filter((rank) => rank !== ownRank() && linkTo(rank) === undefined);
 
@@ -267,13 +272,15 @@
       await atEngines;
       return held;
     },
+    passOnNodes: (push) => {
+      void ask('nodes', push, others());
+    },
     noteMapInUse: (of, version, placement) => {
       inUse = { epoch: of, version };
       if (book.find(of, version)) return;
       book.put(of, version, placement);
-      const others = allRanks({ size }).filter((rank) => rank !== ownRank());
       const args = { epoch: of, version, map: tellWhole(placement) };
-      void ask('map-in-use', args, others, WHOLE_MAP);
+      void ask('map-in-use', args, others(), WHOLE_MAP);
     },
   };
 };
--- a/packages/rank-groups/test/fakes/slow-group.ts
+++ b/packages/rank-groups/test/fakes/slow-group.ts
@@ -125,7 +125,7 @@
       ...{ clock, metrics, log: rank === 0 ? log : { event: () => {}, flush: () => {} } },
     });
     const book = createPlacementBook();
-    const methods = createRankMethods({ member: () => member, book, clock });
+    const methods = createRankMethods({ member: () => member, book, onNodes: () => {}, clock });
     const linkTo = linkFrom(rank);
     const calls = createTreeCalls({ linkTo, methods });
     members.push(member);
--- /dev/null
+++ b/packages/rank-groups/test/rank-methods.test.ts
@@ -0,0 +1,68 @@
+import { expect } from 'chai';
+import { createManualClock } from '@plantaindrum/common';
+import type { PeerPush } from '@plantaindrum/mirror';
+import { createPlacementBook, tellChanges, tellWhole } from '../src/links/placement-deltas.js';
+import type { RankMember } from '../src/member.js';
+import { createRankMethods } from '../src/tree/rank-methods.js';
+import type { OrderOutcome, RankOrder, RankReport } from '../src/index.js';
+
+const start = (outcomes: OrderOutcome[] = []) => {
+  const orders: RankOrder[] = [];
+  const pushes: PeerPush[] = [];
+  const clock = createManualClock();
+  const member = {
+    lastReport: () => ({ rank: 3 }) as RankReport,
+    order: async (order: RankOrder) => {
+      orders.push(order);
+      return outcomes.shift() ?? 'done';
+    },
+  } as unknown as RankMember;
+  const book = createPlacementBook();
+  const methods = createRankMethods({
+    member: () => member,
+    book,
+    onNodes: (push) => pushes.push(push),
+    clock,
+  });
+  return { methods, book, clock, orders, pushes };
+};
+
+const placement = [[[0], [1], [2]]];
+
+describe("a rank's part in calls to all ranks", () => {
+  it('answers for itself alone', async () => {
+    const { methods } = start();
+    const order = { op: 'arm', epoch: 1, version: 7, step: 9 };
+    expect(await methods.order.run(order, 100)).to.deep.equal({ done: [3] });
+    expect(await methods.order.run({ op: 'arm' }, 100)).to.deep.equal({ refused: [3] });
+  });
+
+  // Workers leave some orders unanswered. Given again from afar, each would cost the whole group another round
+  // while a pass is held.
+  it('gives an order again to an engine that does not answer', async () => {
+    const { methods, orders, clock } = start(['no-answer', 'no-answer']);
+    const running = methods.order.run({ op: 'go', epoch: 1, step: 9 }, 100);
+    for (let ms = 0; ms < 100; ms += 5) await clock.advance(5);
+    expect(await running).to.deep.equal({ done: [3] });
+    expect(orders.length).to.equal(3);
+  });
+
+  it('prepares a map that is told as a difference, once it knows the base', async () => {
+    const { methods, orders } = start();
+    const next = [[[0], [1, 0], [2]]];
+    const told = { epoch: 1, version: 8, map: tellChanges(7, placement, next) };
+    expect(await methods.prepare.run(told, 100)).to.deep.equal({ 'unknown-base': [3] });
+    const base = { epoch: 1, version: 7, map: tellWhole(placement) };
+    expect(await methods['map-in-use'].run(base, 100)).to.deep.equal({ done: [3] });
+    expect(await methods.prepare.run(told, 100)).to.deep.equal({ done: [3] });
+    expect(orders).to.deep.equal([{ op: 'prepare', epoch: 1, version: 8, placement: next }]);
+  });
+
+  it('takes what another agent has read of the list of nodes', async () => {
+    const { methods, pushes } = start();
+    const push = { after: 4, end: 5, records: [{ key: 'n', offset: 4, value: Uint8Array.of(1) }] };
+    expect(await methods.nodes.run(push, 100)).to.deep.equal({ done: [3] });
+    expect(await methods.nodes.run({ after: 4 }, 100)).to.deep.equal({ refused: [3] });
+    expect(pushes).to.deep.equal([push]);
+  });
+});
