--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -6,7 +6,6 @@
 import { createPaceMeter } from './pace.js';
 import { proportionalPasses, streamsWithin } from './pass-model.js';
 import type { PassState, PassTimes } from './pass-model.js';
-import { streamsOnTime } from './pause-guard.js';
 
 /** What decides on one request. */
 export interface AdmissionRequest {
@@ -52,9 +51,6 @@
 const JUDGE_MS = 150;
 /** Streams are never limited below this share of all slots: their number isn't the cause then. */
 const LEAST_SHARE = 0.25;
-/** Share of passes below the usual one, and below the longest but a few: a shift makes two in forty long. */
-const USUAL_PASS = 0.5;
-const LONG_PASS = 0.94;
 /** What a returning caller may have beyond the limit, as a share of it. */
 const RETURN_SHARE = 0.12;
 
@@ -93,25 +89,10 @@
     const within = streamsWithin({ ...group, times, passMs, boundMs });
     const isCause = within >= LEAST_SHARE * slots;
     const before = limit.value;
-    const onTime = streamsOnTime({
-      ...group,
-      times,
-      usualMs: pace(request.service).passOver(USUAL_PASS) ?? 0,
-      longMs: pace(request.service).passOver(LONG_PASS) ?? 0,
-      targetMs: targetPauseMs,
-      lateShare: pace(request.service).lateShare(),
-    });
-    limit.value = Math.min(most, isCause ? within : most, onTime ?? most);
-    if (limit.value < before) {
+    limit.value = isCause ? Math.min(most, within) : most;
+    if (isCause && limit.value < before) {
       const { service } = request;
-      log.event('stream-limit-cut', {
-        service,
-        passMs,
-        before,
-        limit: limit.value,
-        onTime,
-        ...group,
-      });
+      log.event('stream-limit-cut', { service, passMs, before, limit: limit.value, ...group });
     }
     return limit.value;
   };
--- a/packages/gateway/src/admission/pace.ts
+++ b/packages/gateway/src/admission/pace.ts
@@ -16,29 +16,12 @@
   firstLimit(): number;
   /** Pause that the given share of recent ones stays below; undefined without recent events. */
   pause(share: number): number | undefined;
-  /** The same of the last seconds' passes. */
-  passOver(share: number): number | undefined;
-  /** A stream has ended; whether it had a pause over its target. */
-  noteStream(isLate: boolean): void;
-  /** Share of late streams, as high as it was in the last seconds. */
-  lateShare(): number;
   /** Milliseconds since any stream of the service had an event. */
   silence(): number;
 }
 
 /** Recent means within this time, in ms: some ten passes of a group. */
 const WINDOW_MS = 600;
-/** Passes of this time are told apart as usual and long, in ms: a shift or two of popularity. */
-const PASSES_MS = 3_000;
-/** All streams of a group pause together: one sample in this time stands for a pass, in ms. */
-const PASS_SAMPLE_MS = 40;
-/** Weight of one stream in the share that is late: some twenty, two seconds of an entry's, are remembered. */
-const LATE_WEIGHT = 0.05;
-/**
- * Time after which a share of late streams counts 1/e, in ms. A limit that keeps streams on time would else take its
- * own ground away, and the group would be full again a second later.
- */
-const LATE_MEMORY_MS = 5_000;
 /** Most samples that are kept: a bound on memory under a burst. */
 const MAX_SAMPLES = 512;
 
@@ -65,22 +48,6 @@
   let lastAt = -Infinity;
   const firsts = createAnswerTimes(() => FIRST_EVENT);
 
-  let passes: Sample[] = [];
-  let lateNow = 0;
-  let late = { share: 0, at: clock.monotonic() };
-
-  const lateShare = (): number => {
-    const remembered = late.share * Math.exp((late.at - clock.monotonic()) / LATE_MEMORY_MS);
-    return Math.max(lateNow, remembered);
-  };
-
-  const notePass = (ms: number): void => {
-    const now = clock.monotonic();
-    if (now - (passes.at(-1)?.at ?? -Infinity) < PASS_SAMPLE_MS) return;
-    passes = passes.filter(({ at }) => at >= now - PASSES_MS);
-    passes.push({ at: now, ms });
-  };
-
   const recent = (samples: Sample[]): Sample[] => {
     const oldest = clock.monotonic() - WINDOW_MS;
     return samples.filter(({ at }) => at >= oldest).slice(-MAX_SAMPLES);
@@ -94,7 +61,6 @@
   return {
     notePause: (ms) => {
       pauses = add(pauses, ms);
-      notePass(ms);
     },
     noteFirst: (ms) => {
       lastAt = clock.monotonic();
@@ -106,12 +72,6 @@
       pauses = recent(pauses);
       return quantile(pauses, share);
     },
-    passOver: (share) => quantile(passes, share),
-    noteStream: (isLate) => {
-      lateNow += ((isLate ? 1 : 0) - lateNow) * LATE_WEIGHT;
-      late = { share: lateShare(), at: clock.monotonic() };
-    },
-    lateShare,
     silence: () => clock.monotonic() - lastAt,
   };
 };
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -32,7 +32,6 @@
   let lastEventAt: number | undefined;
   /** When the running attempt was sent; undefined once it has brought an event. */
   let awaitedSince: number | undefined;
-  let longestPauseMs = 0;
 
   /** Goes on elsewhere when the upstream holds up all streams of its service, this one included. */
   const leaveIfHoldingUp = ({ upstream }: Attempt, moveOn: MoveOn): boolean => {
@@ -91,7 +90,6 @@
       metrics.record('gateway_first_event_ms', now - request.arrivedAt);
     } else {
       pace.notePause(now - lastEventAt);
-      longestPauseMs = Math.max(longestPauseMs, now - lastEventAt);
       metrics.record('gateway_pause_ms', now - lastEventAt);
     }
     lastEventAt = now;
@@ -144,7 +142,6 @@
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
     // A stream resumed after its last event has none left, and its head has not been passed on yet.
     if (!res.headersSent) beginAnswer(res, answer.status, endToEnd(answer.res), deps.isStopping());
-    pace.noteStream(longestPauseMs > (route.targetPauseMs ?? Infinity));
     return { outcome: 'streamed' };
   });
 };
