A rank for which two machines are listed is called once

Cause: a machine that replaces another has its rank, and the old entry stays in the list of nodes; the tree held the rank twice, so it was given each order twice and looked silent where the old machine was asked. Test: group-tree.test.ts, red before.

--- a/packages/rank-groups/src/tree/group-tree.ts
+++ b/packages/rank-groups/src/tree/group-tree.ts
@@ -46,10 +46,14 @@
     ? ranks.map((rank) => [rank])
     : inParts(ranks, Math.ceil(Math.sqrt(ranks.length)));
 
-/** Arranges a group's members. */
+/**
+ * Arranges a group's members. A machine that took another's place has its rank, and both are listed; the rank is
+ * called once.
+ */
 export const buildTree = (members: readonly TreeMember[]): GroupTree => {
   const byDataCentre = new Map<string, number[]>();
-  members.forEach(({ rank, dataCentre }) => {
+  const dataCentres = new Map(members.map(({ rank, dataCentre }) => [rank, dataCentre]));
+  dataCentres.forEach((dataCentre, rank) => {
     byDataCentre.set(dataCentre, [...(byDataCentre.get(dataCentre) ?? []), rank]);
   });
   return [...byDataCentre]
--- a/packages/rank-groups/test/group-tree.test.ts
+++ b/packages/rank-groups/test/group-tree.test.ts
@@ -60,6 +60,12 @@
     );
   });
 
+  // A machine is removed for good, and a new one takes its rank at another address. Both are listed.
+  it('has a rank once that two machines are listed for', () => {
+    const members = [0, 1, 1, 2].map((rank, at) => ({ rank, dataCentre: at === 2 ? 'b' : 'a' }));
+    expect(buildTree(members)).to.deep.equal([[[0], [2]], [[1]]]);
+  });
+
   it('keeps few links and calls few ranks at any size', () => {
     const shape = [12, 63, 192, 256, 430].map((ranks) => {
       const tree = group(ranks, 5);
