--- a/packages/rank-groups/test/coordinator.test.ts
+++ b/packages/rank-groups/test/coordinator.test.ts
@@ -25,6 +25,8 @@
   /** VMs that stand still: their engines can't be reached. */
   frozen: Set<number>;
   coordinator: Coordinator;
+  /** How often what ranks hold was read. */
+  reads(): number;
   /** Lets time and passes go on; the longest time without a new pass, in ms. */
   run(ms: number): Promise<number>;
 }
@@ -33,6 +35,7 @@
   const clock = createManualClock();
   const group = createFakeRanks({ size: RANKS, clock, fate: () => 'slow', lateMs: ORDER_MS });
   const frozen = new Set<number>();
+  let reads = 0;
   const port = group.port(
     () => true,
     (rank) => !frozen.has(rank),
@@ -40,12 +43,11 @@
   const coordinator = createCoordinator({
     port: {
       ...port,
-      placements: async (ranks) =>
-        new Map(
-          ranks
-            .filter((rank) => !frozen.has(rank))
-            .map((rank) => [rank, group.placement(rank)] as const),
-        ),
+      placements: async (ranks) => {
+        reads += 1;
+        const there = ranks.filter((rank) => !frozen.has(rank));
+        return new Map(there.map((rank) => [rank, group.placement(rank)] as const));
+      },
       noteMapInUse: () => {},
     },
     ownRank: 0,
@@ -80,7 +82,7 @@
     }
     return longest;
   };
-  return { clock, group, frozen, coordinator, run };
+  return { clock, group, frozen, coordinator, reads: () => reads, run };
 };
 
 describe('coordinating a group', () => {
@@ -129,6 +131,23 @@
     played.coordinator.close();
   });
 
+  // The agent that coordinates dies as popularity shifts. Its successor has been told what was counted and which map
+  // is in use; did it begin with nothing, streams would be late until it has read both.
+  it('changes the map at once as a successor, without reading it', async () => {
+    let isLowest = false;
+    const played = start({
+      isLowest: () => isLowest,
+      knownPlacement: () => [[[0], [1], [2], [3]]],
+    });
+    await played.run(1_000);
+    expect(played.group.report(0).map).to.equal(0);
+    isLowest = true;
+    await played.run(500);
+    expect(played.group.report(0).map).to.be.greaterThan(0);
+    expect(played.reads()).to.equal(0);
+    played.coordinator.close();
+  });
+
   // The helper can't reach the coordinator's engine: its way there is cut, or it knows an old address.
   // No change would ever come about again, and streams would grow late with the first shift.
   it('changes the map although no helper gets through', async () => {
