--- a/packages/rank-groups/src/links/shapes.ts
+++ b/packages/rank-groups/src/links/shapes.ts
@@ -1,12 +1,9 @@
 /** Checks what agents of a group say to each other before any code relies on its type. */
 
-import { isObject } from '@plantaindrum/common';
+import { isNumber, isObject } from '@plantaindrum/common';
 import type { OrderOutcome, RankOrder } from '../types.js';
 import type { ToldMap } from './placement-deltas.js';
 
-const isNumber = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value);
-
 /** The outcome of an order; anything else is no answer. */
 export const readOutcome = (value: unknown): OrderOutcome =>
   value === 'done' || value === 'refused' ? value : 'no-answer';
--- a/packages/rank-groups/src/tree/rank-answers.ts
+++ b/packages/rank-groups/src/tree/rank-answers.ts
@@ -1,6 +1,6 @@
 /** What agents answer each other along a tree: shapes on links, and how answers are joined. */
 
-import { isObject } from '@plantaindrum/common';
+import { isNumber, isNumbers, isObject } from '@plantaindrum/common';
 import type { ExpertCounts, OrderOutcome, RankPlacement, RankReport } from '../types.js';
 import { packNumbers, unpackNumbers } from './packing.js';
 import type { TreeMethod } from './tree-calls.js';
@@ -41,13 +41,6 @@
 
 const OUTCOMES: readonly RankOutcome[] = ['done', 'refused', 'no-answer', 'unknown-base'];
 
-const isNumber = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value);
-
-/** Whether a decoded value is a list of numbers. */
-export const isNumbers = (value: unknown): value is number[] =>
-  Array.isArray(value) && value.every(isNumber);
-
 const all = <T>(parts: readonly (T | undefined)[]): T[] | undefined =>
   parts.every((part) => part !== undefined) ? (parts as T[]) : undefined;
 
