Long lists of nodes are read by each agent, short changes are passed on

Cause (by reckoning, not played): when all machines start, the list of 228 nodes is published twice, 114 KB; passed on to five data centres by the agent that coordinates, it fills its link of 525 B/ms for a second in which the group forms. Change: changes of more than 20 nodes are not passed on; agents without word read by themselves.

--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -61,6 +61,11 @@
 
 /** Agents come and go seldom; the list is read again after each change, but not more often. */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
+/**
+ * Most nodes that are passed on at once. When all start, the list is some 100 KB for 228 nodes: sent on by one agent
+ * it would fill that one's link for a second in which the group forms, while the others' links are free.
+ */
+const MOST_PASSED_ON = 20;
 /** An order given by another agent, in ms: the link and the engine take some ten. */
 const CALL_MS = 110;
 /** How often links follow what is known of the nodes, in ms. */
@@ -184,7 +189,8 @@
     // only while they are linked to no lower rank, or have not heard of it for the time of a reading.
     isReadByPeer: () => !linked.isLowest(),
     onAnswer: (push) => {
-      if (linked.isLowest()) port.passOnNodes(push);
+      const isSmall = push.records.length <= MOST_PASSED_ON;
+      if (isSmall && linked.isLowest()) port.passOnNodes(push);
     },
     ...NODES_READ,
     clock,
