Picks between two readings are worked out where the engine is read

Only the member uses them; they had moved among the answers of the tree. sumOf is used in its own module only.

--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -2,7 +2,6 @@
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import { picksBetween } from './tree/rank-answers.js';
 import type {
   ExpertCounts,
   OrderOutcome,
@@ -50,6 +49,13 @@
 /** Picks of a longer time tell what was popular before, not now, in ms. */
 const PICKS_MOST_MS = 2_000;
 
+/** Picks of each expert between two readings; an engine that started anew counts from nothing. */
+const picksBetween = (before: ExpertCounts, now: ExpertCounts): number[] => {
+  const isAnew =
+    now.startedAt > before.startedAt || now.counts.some((n, at) => n < (before.counts[at] ?? 0));
+  return isAnew ? [...now.counts] : now.counts.map((n, at) => n - (before.counts[at] ?? 0));
+};
+
 /** Starts to read the engine; runs until `close`. */
 export const createRankMember = (options: RankMemberOptions): RankMember => {
   const { engine, onReport, clock, metrics, log } = options;
--- a/packages/rank-groups/src/tree/rank-answers.ts
+++ b/packages/rank-groups/src/tree/rank-answers.ts
@@ -1,7 +1,7 @@
 /** What agents answer each other along a tree: shapes on links, and how answers are joined. */
 
 import { isNumber, isNumbers, isObject } from '@plantaindrum/common';
-import type { ExpertCounts, OrderOutcome, RankPlacement, RankReport } from '../types.js';
+import type { OrderOutcome, RankPlacement, RankReport } from '../types.js';
 import { packNumbers, unpackNumbers } from './packing.js';
 import type { TreeMethod } from './tree-calls.js';
 
@@ -108,7 +108,7 @@
 };
 
 /** Adds counts one by one. */
-export const sumOf = (a: readonly number[], b: readonly number[]): number[] => {
+const sumOf = (a: readonly number[], b: readonly number[]): number[] => {
   if (a.length === 0) return [...b];
   if (b.length === 0) return [...a];
   return a.map((n, at) => n + (b[at] ?? 0));
@@ -164,10 +164,3 @@
     ranks: ({ reports }) => reports.map(({ rank }) => rank),
   },
 };
-
-/** Picks of each expert between two readings; an engine that started anew counts from nothing. */
-export const picksBetween = (before: ExpertCounts, now: ExpertCounts): number[] => {
-  const isAnew =
-    now.startedAt > before.startedAt || now.counts.some((n, at) => n < (before.counts[at] ?? 0));
-  return isAnew ? [...now.counts] : now.counts.map((n, at) => n - (before.counts[at] ?? 0));
-};
