The end of a keyed answer waits for its record in the log

What callers saw: a call with an idempotency key was answered, and the same call again, sent at once through another entry, got 409 claim-lost (outcome unknown) in place of the kept answer.

Cause: the agent told the entry that the answer had ended and appended the record of its outcome in the background. A repeat at another agent could claim the key before the record was in the log, and found it held by a call of which nothing is known.

Ruled out: a repeat that waits for the first call to end, at the other agent. It can't tell a call that has just ended from one that was lost with its agent, and would hold every repeat of a lost call.

Change: finish resolves when its record is in the log, as release did, and the runner waits for it before it ends the answer. Why it holds: the entry ends an answer to its caller only on the agent's end, so whoever comes after the whole answer finds the outcome by replay. Bounded by 500 ms, so an outage of the log doesn't hold answers up.

--- a/packages/agent/src/core/attempts/run-keyed.ts
+++ b/packages/agent/src/core/attempts/run-keyed.ts
@@ -79,7 +79,9 @@
   { outcome }: AttemptOutcome,
   answered: ClaimOutcome,
 ): Promise<void> => {
-  if (outcome === 'answered') claims.finish(claim, answered);
+  // Waited for: a caller that has its whole answer may come again at once, elsewhere. Until the log has the outcome
+  // the repeat is told "unknown"; the end of the answer follows the record, some ms later.
+  if (outcome === 'answered') await claims.finish(claim, answered);
   // Waited for: the entry may try another upstream, whose claim would find the key still held.
   else if (outcome === 'not-run') await claims.release(claim);
   // Nobody can tell whether the call ran: the key stays taken, so that it never runs again.
--- a/packages/lab/src/experiments/claims.ts
+++ b/packages/lab/src/experiments/claims.ts
@@ -90,7 +90,7 @@
     const verdict = await agent.claim(request);
     times.push(systemClock.monotonic() - since);
     verdicts[verdict.verdict] = (verdicts[verdict.verdict] ?? 0) + 1;
-    if (verdict.verdict === 'first') agent.finish(verdict.claim, { status: 200 });
+    if (verdict.verdict === 'first') void agent.finish(verdict.claim, { status: 200 });
   };
 
   const running: Promise<void>[] = [];
--- a/packages/lab/src/experiments/slopes/claims.ts
+++ b/packages/lab/src/experiments/slopes/claims.ts
@@ -60,7 +60,7 @@
   await Promise.all(
     indices.map(async (index) => {
       const verdict = await claims.claim(requestOf(index));
-      if (verdict.verdict === 'first') claims.finish(verdict.claim, { status: 200 });
+      if (verdict.verdict === 'first') void claims.finish(verdict.claim, { status: 200 });
     }),
   );
   await claims.flush(BUDGET_MS);
--- a/packages/requests/src/claims/claims.ts
+++ b/packages/requests/src/claims/claims.ts
@@ -57,8 +57,11 @@
 const REAPPEND_PAUSE_MS = 50;
 /** A log that fails this often in a row is given up on. */
 const MOST_TRIES = 3;
-/** How long a release is waited for, in milliseconds. */
-const DEFAULT_RELEASE_WAIT_MS = 500;
+/**
+ * How long the record of a call's end is waited for, in milliseconds. The log takes one in some ten; one
+ * whose append was lost is appended again after 200. Longer, an outage of the log would hold up answers.
+ */
+const DEFAULT_END_WAIT_MS = 500;
 /** A larger answer is not kept with its key, in bytes of base64. */
 const MOST_KEPT_BODY = 1_024;
 
@@ -257,22 +260,22 @@
       metrics.count('claims', { verdict: verdict.verdict });
       return verdict;
     },
-    finish: (claim, outcome) => {
+    finish: async (claim, outcome, waitMs = DEFAULT_END_WAIT_MS) => {
       const ended = end(claim);
       if (!ended) return;
       const { key, partition } = ended;
-      void tail.add(partition, {
+      const record = {
         kind: 'finish',
         id: claim,
         key,
         outcome: withoutLargeBody(outcome),
-      });
+      } as const;
+      await Promise.race([tail.add(partition, record), pause(waitMs)]);
     },
-    release: async (claim, waitMs = DEFAULT_RELEASE_WAIT_MS) => {
+    release: async (claim, waitMs = DEFAULT_END_WAIT_MS) => {
       const ended = end(claim);
       if (!ended) return;
-      const landed = release(ended.partition, claim, ended.key);
-      await Promise.race([landed, pause(waitMs)]);
+      await Promise.race([release(ended.partition, claim, ended.key), pause(waitMs)]);
     },
     abandon: (claim) => {
       end(claim);
--- a/packages/requests/src/claims/types.ts
+++ b/packages/requests/src/claims/types.ts
@@ -44,8 +44,11 @@
 export interface Claims {
   /** Settles who may run the call; never rejects. */
   claim(request: ClaimRequest): Promise<ClaimVerdict>;
-  /** The call of a `first` claim was answered; a later call with its key gets this outcome. */
-  finish(claim: ClaimId, outcome: ClaimOutcome): void;
+  /**
+   * The call of a `first` claim was answered. Resolves when the log has taken the outcome, which every later
+   * call with the key then gets, or after `waitMs`; a call before that is refused as held.
+   */
+  finish(claim: ClaimId, outcome: ClaimOutcome, waitMs?: number): Promise<void>;
   /**
    * The call of a `first` claim provably never ran: its key is free again. Resolves when the log has
    * taken the release, or after `waitMs`; a retry through another agent before that is refused as
--- a/packages/requests/test/claims.test.ts
+++ b/packages/requests/test/claims.test.ts
@@ -74,7 +74,7 @@
       ['other body', await settled(clock, lynnwood.claim(request({ bodyHash: 'b2' })))],
       ['other organisation', await settled(clock, kent.claim(request({ organisation: 'x' })))],
     ];
-    kent.finish(claimIdOf(first), { status: 200, body: 'ZG9uZQ==' });
+    void kent.finish(claimIdOf(first), { status: 200, body: 'ZG9uZQ==' });
     await settled(clock, kent.flush(1000));
     steps.push(['after the end', await settled(clock, lynnwood.claim(request()))]);
     expect(Object.fromEntries(steps)).toMatchSnapshot();
@@ -99,6 +99,32 @@
     expect((await settled(clock, kent.claim(request()))).verdict).to.equal('held');
   });
 
+  // A caller has its answer and comes again at once, at another agent. The record of the outcome was lost on its way
+  // to the log and waits to be appended again, so the repeat finds the key held by a call of which nothing is known.
+  // Whoever waits for the end of a call is told of it only when every later claim finds its outcome.
+  it('has ended a call when every later claim finds its outcome', async () => {
+    const { clock, fake, agent } = worldWith();
+    const [kent, lynnwood] = [agent('kent'), agent('lynnwood')];
+    const first = claimIdOf(await settled(clock, kent.claim(request())));
+    fake.faults.appends.push('lost-request');
+    await settled(clock, kent.finish(first, { status: 200 }));
+    const repeat = await settled(clock, lynnwood.claim(request()));
+    expect(repeat).to.deep.equal({ verdict: 'known', outcome: { status: 200 } });
+  });
+
+  it('waits no longer than it is told for the record of an end', async () => {
+    const { clock, fake, agent } = worldWith();
+    const kent = agent('kent');
+    const first = claimIdOf(await settled(clock, kent.claim(request())));
+    Object.assign(fake.faults, { down: true });
+    const before = clock.monotonic();
+    await settled(clock, kent.finish(first, { status: 200 }, 300));
+    expect(clock.monotonic() - before).to.equal(300);
+    Object.assign(fake.faults, { down: false });
+    await settled(clock, kent.flush(20_000));
+    expect((await settled(clock, agent('csepel').claim(request()))).verdict).to.equal('known');
+  });
+
   it('refuses at once while the log is down, and runs nothing', async () => {
     const { clock, fake, agent } = worldWith();
     Object.assign(fake.faults, { down: true });
@@ -262,7 +288,7 @@
         const verdict = await claims.claim(request({ key, budgetMs }));
         if (verdict.verdict === 'first') {
           if (end !== 'release') runs.set(key, (runs.get(key) ?? 0) + 1);
-          if (end === 'finish') claims.finish(verdict.claim, { status: 200 });
+          if (end === 'finish') void claims.finish(verdict.claim, { status: 200 });
           if (end === 'release') void claims.release(verdict.claim);
           if (end === 'abandon') claims.abandon(verdict.claim);
           if (end === 'crash') agents.set(name, agent(`${name}-again-${open}`));
