--- a/packages/lab/src/emulator/coordinate.ts
+++ b/packages/lab/src/emulator/coordinate.ts
@@ -7,11 +7,11 @@
 import type { DaySpec } from './day.js';
 import type { EngineGroup } from './engine-types.js';
 
-/** An order and its answer on the links, in ms. */
+/** An order and its answer where agents are idle and links wide, in ms. */
 const ORDER_MS = 4;
 const LATE_MS = 3_000;
-/** Time after which an order counts as unanswered, in ms. */
-const UNANSWERED_MS = 30;
+/** Time beyond that after which an order counts as unanswered, in ms. */
+const UNANSWERED_MS = 26;
 const UPDATE_MS = 80;
 
 /** Starts the product's coordinator on a group; every rank tells it what it reads. */
@@ -21,6 +21,7 @@
   clock: ManualClock,
   random: Random,
 ) => {
+  const orderMs = spec.orderMs ?? ORDER_MS;
   const isReachable = (rank: number): boolean => {
     const { fromMs = Infinity, toMs = 0 } = spec.unreachable ?? {};
     const now = clock.monotonic();
@@ -28,24 +29,24 @@
   };
   const order = async (rank: number, given: RankOrder): Promise<OrderOutcome> => {
     if (!isReachable(rank)) {
-      await sleep(clock, UNANSWERED_MS);
+      await sleep(clock, orderMs + UNANSWERED_MS);
       return 'no-answer';
     }
     if (random() < (spec.lateOrders ?? 0)) {
       clock.after(random() * LATE_MS, () => group.order(rank, given));
-      await sleep(clock, ORDER_MS);
+      await sleep(clock, orderMs);
       return 'no-answer';
     }
-    await sleep(clock, ORDER_MS / 2);
+    await sleep(clock, orderMs / 2);
     const outcome = group.order(rank, given);
-    await sleep(clock, ORDER_MS / 2);
+    await sleep(clock, orderMs / 2);
     return outcome;
   };
   const ranks: RankPort = {
     size: () => spec.ranks,
     epoch: () => group.report(0).epoch,
     report: async (rank) => {
-      await sleep(clock, ORDER_MS / 2);
+      await sleep(clock, orderMs / 2);
       return isReachable(rank) ? group.report(rank) : undefined;
     },
     order,
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -58,6 +58,8 @@
   /** Undefined: the map is left as it is. */
   weighs: Weighs | undefined;
   policy: (tools: AdmissionTools) => AdmissionPolicy;
+  /** Time of an order to all ranks with its answers, in ms; 4 unless said otherwise. */
+  orderMs?: number;
   /** Part of the orders that are answered by nobody and carried out late. */
   lateOrders?: number;
   /** Ranks that are slow for a while. */
