A held pass lies as far ahead as arming takes, however long that is

Cause: a change of map holds a pass; the group stands still from where that pass would have begun until the last rank is armed, and there is a change in the time of most streams. What was left is mended here: the lead was bounded by four passes, counted from after the hold, learnt slowly from 70 ms, and the time of a pass was told by the passes since the change began, of which there may be none.

Change: the lead is counted from the report on, by the mean pass of the last half second; before anything was observed three answers of the last order are reckoned with, later two at least, and the bound is half a second.

--- a/packages/rank-groups/src/change/arming-time.ts
+++ b/packages/rank-groups/src/change/arming-time.ts
@@ -6,39 +6,63 @@
  * and a pass held one or two ahead began after 200 to 264: each change of map made every stream late, and
  * there was more than one change in the time of a stream. A pass further ahead costs only one more pass with
  * the map that has been in use until then.
+ *
+ * So the lead follows what arming takes, with no bound in passes and from the report on by which the pass is
+ * counted. With four passes at the most, counted from the hold on, an emulated group of 72 ranks had 68 to 86 in
+ * 100 streams on time where an order took 60 ms, and 27 to 43 where it took 120; it has 99 of both.
  */
 
 /** The time of arming a group, as it was observed. */
 export interface ArmingTime {
-  /** A group was armed this long after its pass was held, in ms. */
+  /** A group was armed this long after the report from which its held pass was counted, in ms. */
   note(ms: number): void;
-  /** Passes between the one that runs and the one to hold, where a pass takes this long, in ms. */
-  lead(passMs: number): number;
+  /**
+   * Passes between the one that runs and the one to hold, where a pass takes `passMs` and all ranks have just
+   * answered an order in `orderMs`.
+   */
+  lead(passMs: number, orderMs: number): number;
 }
 
-/** Time of arming before any was observed, in ms: two answers of all ranks. */
+/** Least time of arming that is reckoned with before any was observed, in ms: two answers of all ranks. */
 const FIRST_MS = 70;
+/** Orders to all ranks from the report on: whether all are there, and arming. */
+const ORDERS_TO_ALL = 2;
+/** And those to one rank, the hold and the go, which take as long as one to all at the most. */
+const ORDERS_TO_ONE = 1;
 const MEAN_WEIGHT = 0.2;
 const DEVIATION_WEIGHT = 0.25;
 /** Arming takes longer than the mean by this many deviations about once in twenty times. */
 const DEVIATIONS = 2;
 /** The pass that runs ends at any time; it is not counted on. */
 const RUNNING = 1;
-/** Passes ahead at the most, however long arming takes: each goes on with the uneven map. */
-const MOST_LEAD = 4;
+/**
+ * A pass is held no further ahead than this, in ms, however long arming takes: the uneven map stays in use until
+ * then. Half of the second within which a shift should be followed by a better map.
+ */
+const MOST_AHEAD_MS = 500;
 
 /** Creates the record. */
 export const createArmingTime = (): ArmingTime => {
-  let mean = FIRST_MS;
-  let deviation = FIRST_MS / 4;
+  let usual: { mean: number; deviation: number } | undefined;
+
+  // An order that has just taken long says that links or VMs have turned slow before arming shows it.
+  const expected = (orderMs: number): number => {
+    if (!usual) return Math.max(FIRST_MS, (ORDERS_TO_ALL + ORDERS_TO_ONE) * orderMs);
+    return Math.max(usual.mean + DEVIATIONS * usual.deviation, ORDERS_TO_ALL * orderMs);
+  };
+
   return {
     note: (ms) => {
-      deviation += (Math.abs(ms - mean) - deviation) * DEVIATION_WEIGHT;
-      mean += (ms - mean) * MEAN_WEIGHT;
+      if (!usual) {
+        usual = { mean: ms, deviation: ms / 2 };
+        return;
+      }
+      usual.deviation += (Math.abs(ms - usual.mean) - usual.deviation) * DEVIATION_WEIGHT;
+      usual.mean += (ms - usual.mean) * MEAN_WEIGHT;
     },
-    lead: (passMs) => {
-      const passes = (mean + DEVIATIONS * deviation) / Math.max(1, passMs);
-      return Math.min(MOST_LEAD, RUNNING + Math.ceil(passes));
+    lead: (passMs, orderMs) => {
+      const aheadMs = Math.min(MOST_AHEAD_MS, expected(orderMs));
+      return RUNNING + Math.ceil(aheadMs / Math.max(1, passMs));
     },
   };
 };
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -49,6 +49,8 @@
   ownRank: number;
   /** Gives an order to the own rank from another VM; undefined when no other agent is linked. */
   orderOwnFromAfar: (order: RankOrder) => Promise<OrderOutcome> | undefined;
+  /** Time of a pass at present, in ms; undefined before it is known. */
+  passMs: () => number | undefined;
   clock: Clock;
   random: Random;
   log: EventLog;
@@ -65,14 +67,16 @@
   copyMs: number;
 }
 
-/** A pass that was running at some time (monotonic, ms). */
-interface PassMark {
+/** A pass that is held, and when the report was read from which it was counted (monotonic, ms). */
+interface HeldPass {
   step: number;
-  at: number;
+  countedAt: number;
 }
 
 /** Pause before ranks are asked whether they are still there, in ms; well under the passes ahead. */
 const STILL_THERE_MS = 15;
+/** Time of a pass that is reckoned with before one is known, in ms. */
+const USUAL_PASS_MS = 60;
 /** Tries to hold a pass before it begins. */
 const HOLD_TRIES = 3;
 /** Pause between two tries to withdraw a change while a rank can't be reached, in ms. */
@@ -95,6 +99,8 @@
   // A helper that didn't get through is passed over once, or its group would never change its map.
   let asksHelper = true;
   const arming = createArmingTime();
+  /** How long all ranks took to answer the last order to prepare, in ms. */
+  let orderMs = 0;
 
   const giveHold = async (epoch: number, step: number): Promise<RetriedOutcome | 'no-answer'> => {
     const order = { op: 'hold', epoch, step } as const;
@@ -111,9 +117,11 @@
 
   const prepareAll = async (change: MapChange): Promise<boolean> => {
     const { epoch, version, placement } = change;
-    const giveUpAt = clock.monotonic() + change.copyMs + port.patienceMs();
+    const began = clock.monotonic();
+    const giveUpAt = began + change.copyMs + port.patienceMs();
     const order = { op: 'prepare', epoch, version, placement } as const;
     const outcomes = await retryAtAllRanks(port, clock, order, giveUpAt);
+    orderMs = clock.monotonic() - began;
     if (outcomes.some((outcome) => outcome !== 'done')) return false;
     return port.arePrepared(epoch, version, giveUpAt);
   };
@@ -132,17 +140,16 @@
     return reports?.every(({ prepared }) => prepared === version) ?? false;
   };
 
-  const leadAfter = (since: PassMark, report: RankReport): number =>
-    arming.lead((clock.monotonic() - since.at) / Math.max(1, report.step - since.step));
-
-  /** Holds a pass that has not begun; the pass, or undefined when it can't be done. */
-  const holdAhead = async (epoch: number, since: PassMark): Promise<number | undefined> => {
+  /** Holds a pass that has not begun; undefined when it can't be done. */
+  const holdAhead = async (epoch: number): Promise<HeldPass | undefined> => {
     for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
       const report = await port.report(ownRank);
+      const countedAt = clock.monotonic();
       if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
-      const step = heldStep(epoch, report.step + leadAfter(since, report));
+      const lead = arming.lead(options.passMs() ?? USUAL_PASS_MS, orderMs);
+      const step = heldStep(epoch, report.step + lead);
       const outcome = await giveHold(epoch, step);
-      if (outcome === 'done') return step;
+      if (outcome === 'done') return { step, countedAt };
       if (outcome === 'no-answer') await release(epoch, step, 'hold-unanswered');
       if (outcome !== 'refused') return undefined;
     }
@@ -180,22 +187,21 @@
     const startedAt = clock.monotonic();
     const elapsed = (): number => Math.round(clock.monotonic() - startedAt);
     const { epoch, version } = change;
-    const began = port.report(ownRank);
     const isReady = await prepareAll(change);
     if (isAnew(epoch)) return 'group-formed-anew';
     if (!isReady) return 'not-prepared';
     const preparedMs = elapsed();
-    const since = { step: (await began)?.step ?? 0, at: startedAt };
-    const step = await holdAhead(epoch, since);
-    if (step === undefined) return 'not-held';
+    const held = await holdAhead(epoch);
+    if (!held) return 'not-held';
+    const { step, countedAt } = held;
     const heldMs = elapsed();
-    const heldAt = clock.monotonic();
     if (!(await isEveryRankThere(change))) {
       await release(epoch, step, 'rank-silent');
       return 'rank-silent';
     }
     const outcome = await armAndGo(change, step);
-    if (outcome === 'switched') arming.note(clock.monotonic() - heldAt);
+    // From the report on, passes go by, also while the hold is on its way.
+    if (outcome === 'switched') arming.note(clock.monotonic() - countedAt);
     log.event('map-switch', { epoch, version, step, outcome, preparedMs, heldMs, ms: elapsed() });
     return outcome;
   };
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -112,7 +112,7 @@
   let heldSince: number | undefined;
   let switchedAt = -Infinity;
 
-  const switchMap = createMapSwitch(options);
+  const switchMap = createMapSwitch({ ...options, passMs: known.passes.passMs });
   const mapReader = createMapReader({
     known: options.knownPlacement,
     placements: port.placements,
@@ -252,7 +252,7 @@
       await loadPlacement(epoch);
       return;
     }
-    const isIdle = known.sinceLastPass() > IDLE_MS;
+    const isIdle = known.passes.sinceLast() > IDLE_MS;
     // A rank that is armed takes no preparation: the last change waits for its pass.
     noteObstacle(isOther ? 'change-under-way' : undefined, { epoch });
     const shares = popularity.shares();
--- a/packages/rank-groups/src/known-reports.ts
+++ b/packages/rank-groups/src/known-reports.ts
@@ -2,6 +2,8 @@
 
 import type { Clock } from '@plantaindrum/common';
 import { versionsOf } from './change/versions.js';
+import { createPassTimes } from './pass-times.js';
+import type { PassTimes } from './pass-times.js';
 import type { RankReport } from './types.js';
 
 /** Reports by rank. */
@@ -12,15 +14,15 @@
   olderThan(ranks: readonly number[], ms: number): number[];
   /** The highest version of a map that any report has shown. */
   highestVersion(): number;
-  /** Milliseconds since any rank began a new pass. */
-  sinceLastPass(): number;
+  /** The passes that the reports show. */
+  readonly passes: Pick<PassTimes, 'passMs' | 'sinceLast'>;
 }
 
 /** Creates the record. */
 export const createKnownReports = (clock: Clock): KnownReports => {
   const known = new Map<number, { report: RankReport; at: number }>();
   let highest = 0;
-  let lastPass = { epoch: -1, step: -1, at: -Infinity };
+  const passes = createPassTimes(clock);
 
   const isOutdated = (report: RankReport): boolean => {
     const before = known.get(report.rank)?.report;
@@ -37,8 +39,7 @@
       const now = clock.monotonic();
       known.set(report.rank, { report, at: now });
       highest = Math.max(highest, versionsOf(report));
-      const { epoch, step } = report;
-      if (epoch !== lastPass.epoch || step > lastPass.step) lastPass = { epoch, step, at: now };
+      passes.note(report.epoch, report.step);
     },
     of: (rank) => known.get(rank)?.report,
     olderThan: (ranks, ms) => {
@@ -46,6 +47,6 @@
       return ranks.filter((rank) => (known.get(rank)?.at ?? -Infinity) < oldest);
     },
     highestVersion: () => highest,
-    sinceLastPass: () => clock.monotonic() - lastPass.at,
+    passes,
   };
 };
--- a/packages/rank-groups/test/known-reports.test.ts
+++ b/packages/rank-groups/test/known-reports.test.ts
@@ -51,7 +51,7 @@
     known.note(report({ rank: 1, step: 6 }));
     await clock.advance(200);
     expect(known.olderThan([0, 1, 2], 400)).to.deep.equal([0, 2]);
-    expect(known.sinceLastPass()).to.equal(200);
+    expect(known.passes.sinceLast()).to.equal(200);
     expect(known.highestVersion()).to.equal(12);
   });
 });
