The lead of a held pass is weighed by the pause that callers want

After a steep shift passes with the uneven map are too long for every stream in flight, and one more of them before the next map costs more than a wait.

Change: agents read the shortest pause that routes to their service aim for. While passes are within it, one more makes no stream late and a wait makes all late: the lead covers arming, the running pass not counted on. Where passes are longer already, the soonest pass is taken at which ranks can be armed. The time of a pass is the mean of the last 250 ms.

The emulator's targets stand once.

--- a/packages/lab/src/emulator/coordinate.ts
+++ b/packages/lab/src/emulator/coordinate.ts
@@ -6,6 +6,7 @@
 import type { OrderOutcome, RankOrder, RankPlacement, RankPort } from '@plantaindrum/rank-groups';
 import type { DaySpec } from './day.js';
 import type { EngineGroup } from './engine-types.js';
+import { TARGET_PAUSE_MS } from './targets.js';
 
 /** An order and its answer where agents are idle and links wide, in ms. */
 const ORDER_MS = 4;
@@ -52,6 +53,7 @@
     order,
   };
   const { sets, experts } = spec.content;
+  const { places, spare, copyMs } = spec;
   const held = (rank: number): RankPlacement => {
     const { version, placement } = group.placement();
     return { epoch: 1, version, experts: placement.map((set) => set[rank] ?? []) };
@@ -65,7 +67,7 @@
   const coordinator = createCoordinator({
     port,
     ownRank: 0,
-    shape: { sets, experts, places: spec.places, spare: spec.spare, copyMs: spec.copyMs },
+    shape: { sets, experts, places, spare, copyMs, targetPauseMs: TARGET_PAUSE_MS },
     weighs: spec.weighs ?? 'skew',
     isLowest: () => true,
     knownPlacement: () => undefined,
--- a/packages/lab/src/emulator/day.ts
+++ b/packages/lab/src/emulator/day.ts
@@ -12,6 +12,7 @@
 import { startCoordinator } from './coordinate.js';
 import { createEngineGroup } from './engine-group.js';
 import type { EngineGroup, EngineRequest, EngineTimes, GroupFigures } from './engine-types.js';
+import { TARGET_FIRST_MS, TARGET_PAUSE_MS } from './targets.js';
 
 /** A stream as its caller sees it. */
 export interface StreamRequest {
@@ -87,9 +88,6 @@
   shiftToMapP95Ms: number;
 }
 
-/** Latest first event and longest pause that are on time, in ms (the users' sheet). */
-const FIRST_MS = 401;
-const PAUSE_MS = 120;
 const LATE_WORTH = 0.5;
 /** A refused caller comes back once, after about this long, in ms. */
 const RETURN_MS = 300;
@@ -176,7 +174,7 @@
         const gap = clock.monotonic() - lastAt;
         lastAt = clock.monotonic();
         if (n > 1) policy.notePause(gap);
-        if (gap <= (n === 1 ? FIRST_MS : PAUSE_MS)) return;
+        if (gap <= (n === 1 ? TARGET_FIRST_MS : TARGET_PAUSE_MS)) return;
         if (n === 1) counts.lateFirst += 1;
         isLate = true;
       },
--- a/packages/lab/src/emulator/policies.ts
+++ b/packages/lab/src/emulator/policies.ts
@@ -4,9 +4,9 @@
 import { createAdmission } from '@plantaindrum/gateway';
 import type { Upstream } from '@plantaindrum/gateway';
 import type { AdmissionPolicy, AdmissionTools, StreamRequest } from './day.js';
+import { TARGET_PAUSE_MS } from './targets.js';
 
 const SERVICE = 's';
-const TARGET_PAUSE_MS = 120;
 /** A token that is written weighs as much as this many that are read (the users' rule of worth). */
 const WRITTEN_WEIGHT = 10;
 const TOKENS_PER_EVENT = 6;
--- a/packages/rank-groups/src/change/arming-time.ts
+++ b/packages/rank-groups/src/change/arming-time.ts
@@ -4,23 +4,32 @@
  * The pattern: the group stands still from where a held pass would have begun until its last rank is armed,
  * and that time is a pause in every stream. In a group of 63 ranks passes took 100 ms, arming 70 to 190,
  * and a pass held one or two ahead began after 200 to 264: each change of map made every stream late, and
- * there was more than one change in the time of a stream. A pass further ahead costs only one more pass with
- * the map that has been in use until then.
+ * there was more than one change in the time of a stream. So the lead follows what arming takes, from the report
+ * on by which the pass is counted. With four passes at the most, counted from the hold on, an emulated group of
+ * 72 ranks had 68 to 86 in 100 streams on time where an order took 60 ms, and 27 to 43 where it took 120; it has
+ * 99 of both.
  *
- * So the lead follows what arming takes, with no bound in passes and from the report on by which the pass is
- * counted. With four passes at the most, counted from the hold on, an emulated group of 72 ranks had 68 to 86 in
- * 100 streams on time where an order took 60 ms, and 27 to 43 where it took 120; it has 99 of both.
+ * A pass further ahead costs one more pass with the uneven map. While passes are as short as callers want, no stream
+ * is late by it, and every stream by a pass that waits; where passes are too long already it is the other way round,
+ * and the soonest pass is taken.
  */
 
 /** The time of arming a group, as it was observed. */
 export interface ArmingTime {
   /** A group was armed this long after the report from which its held pass was counted, in ms. */
   note(ms: number): void;
-  /**
-   * Passes between the one that runs and the one to hold, where a pass takes `passMs` and all ranks have just
-   * answered an order in `orderMs`.
-   */
-  lead(passMs: number, orderMs: number): number;
+  /** Passes between the one that runs and the one to hold. */
+  lead(group: PassingGroup): number;
+}
+
+/** What is known of a group whose pass is to be held, in ms. */
+export interface PassingGroup {
+  /** Time of a pass at present. */
+  passMs: number;
+  /** How long all ranks have just taken to answer an order. */
+  orderMs: number;
+  /** Longest pause that streams of the group are to have; undefined where none is declared. */
+  targetMs: number | undefined;
 }
 
 /** Least time of arming that is reckoned with before any was observed, in ms: two answers of all ranks. */
@@ -45,10 +54,13 @@
 export const createArmingTime = (): ArmingTime => {
   let usual: { mean: number; deviation: number } | undefined;
 
-  // An order that has just taken long says that links or VMs have turned slow before arming shows it.
-  const expected = (orderMs: number): number => {
-    if (!usual) return Math.max(FIRST_MS, (ORDERS_TO_ALL + ORDERS_TO_ONE) * orderMs);
-    return Math.max(usual.mean + DEVIATIONS * usual.deviation, ORDERS_TO_ALL * orderMs);
+  /** Time of arming to be expected; in all but one of twenty times it takes less than `most`. */
+  const expected = (orderMs: number): { mean: number; most: number } => {
+    const orders = usual ? ORDERS_TO_ALL : ORDERS_TO_ALL + ORDERS_TO_ONE;
+    const { mean, deviation } = usual ?? { mean: FIRST_MS, deviation: 0 };
+    // An order that has just taken long says that links or VMs have turned slow before arming shows it.
+    const least = Math.max(mean, orders * orderMs);
+    return { mean: least, most: Math.max(least, mean + DEVIATIONS * deviation) };
   };
 
   return {
@@ -60,9 +72,11 @@
       usual.deviation += (Math.abs(ms - usual.mean) - usual.deviation) * DEVIATION_WEIGHT;
       usual.mean += (ms - usual.mean) * MEAN_WEIGHT;
     },
-    lead: (passMs, orderMs) => {
-      const aheadMs = Math.min(MOST_AHEAD_MS, expected(orderMs));
-      return RUNNING + Math.ceil(aheadMs / Math.max(1, passMs));
+    lead: ({ passMs, orderMs, targetMs = Infinity }) => {
+      const { mean, most } = expected(orderMs);
+      // Streams are late already: the soonest is best, and waiting costs them less than one more long pass.
+      if (passMs > targetMs) return Math.max(1, Math.round(Math.min(MOST_AHEAD_MS, mean) / passMs));
+      return RUNNING + Math.ceil(Math.min(MOST_AHEAD_MS, most) / Math.max(1, passMs));
     },
   };
 };
--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -32,7 +32,7 @@
 
 import type { Clock, EventLog, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import type { OrderOutcome, Placement, RankOrder, RankReport } from '../types.js';
+import type { OrderOutcome, Placement, RankOrder } from '../types.js';
 import { createArmingTime } from './arming-time.js';
 import type { GroupPort, RetriedOutcome } from './group-port.js';
 import { freshReports, retryAtAllRanks, retryOrder } from './group-port.js';
@@ -51,6 +51,8 @@
   orderOwnFromAfar: (order: RankOrder) => Promise<OrderOutcome> | undefined;
   /** Time of a pass at present, in ms; undefined before it is known. */
   passMs: () => number | undefined;
+  /** Longest pause that the group's streams are to have, in ms; undefined where none is declared. */
+  targetMs: number | undefined;
   clock: Clock;
   random: Random;
   log: EventLog;
@@ -146,7 +148,8 @@
       const report = await port.report(ownRank);
       const countedAt = clock.monotonic();
       if (!report || report.epoch !== epoch || report.held !== undefined) return undefined;
-      const lead = arming.lead(options.passMs() ?? USUAL_PASS_MS, orderMs);
+      const passMs = options.passMs() ?? USUAL_PASS_MS;
+      const lead = arming.lead({ passMs, orderMs, targetMs: options.targetMs });
       const step = heldStep(epoch, report.step + lead);
       const outcome = await giveHold(epoch, step);
       if (outcome === 'done') return { step, countedAt };
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -112,7 +112,11 @@
   let heldSince: number | undefined;
   let switchedAt = -Infinity;
 
-  const switchMap = createMapSwitch({ ...options, passMs: known.passes.passMs });
+  const switchMap = createMapSwitch({
+    ...options,
+    passMs: known.passes.passMs,
+    targetMs: shape.targetPauseMs,
+  });
   const mapReader = createMapReader({
     known: options.knownPlacement,
     placements: port.placements,
--- a/packages/rank-groups/src/pass-times.ts
+++ b/packages/rank-groups/src/pass-times.ts
@@ -17,8 +17,8 @@
   at: number;
 }
 
-/** Passes of this time make the mean, in ms: some five, so that one between two reports weighs little. */
-const WINDOW_MS = 500;
+/** Passes of this time make the mean, in ms: some four usual ones, or the first two after a shift of popularity. */
+const WINDOW_MS = 250;
 
 /** Creates the record; it begins anew with each epoch. */
 export const createPassTimes = (clock: Clock): PassTimes => {
--- a/packages/rank-groups/src/types.ts
+++ b/packages/rank-groups/src/types.ts
@@ -15,6 +15,8 @@
   spare: number;
   /** Time in which a rank copies one expert, in milliseconds. */
   copyMs: number;
+  /** Longest pause between two events that callers of the group's streams want, in ms, where it is declared. */
+  targetPauseMs?: number | undefined;
 }
 
 /** One rank as its engine reports it. */
--- a/packages/rank-groups/test/map-change.test.ts
+++ b/packages/rank-groups/test/map-change.test.ts
@@ -54,7 +54,7 @@
     const orderOwnFromAfar = (order: RankOrder) => port.order(ownRank, order);
     const options = {
       ...{ port, ownRank, orderOwnFromAfar },
-      ...{ passMs: () => PASS_MS, clock, random, log: silentEventLog },
+      ...{ passMs: () => PASS_MS, targetMs: undefined, clock, random, log: silentEventLog },
     };
     const placement = { placement: PLACEMENT, current: PLACEMENT };
     return createMapSwitch(options)({ epoch: 1, version, ...placement, copyMs: 0 });
@@ -204,6 +204,7 @@
       ownRank: 0,
       orderOwnFromAfar: () => undefined,
       passMs: () => PASS_MS,
+      targetMs: undefined,
       clock,
       random: createSeededRandom(1),
       log: silentEventLog,
--- a/packages/rank-groups/test/pass-times.test.ts
+++ b/packages/rank-groups/test/pass-times.test.ts
@@ -7,7 +7,7 @@
 describe('the time of a pass', () => {
   // A change of map counts ahead in passes. Told by the passes since the change began, of which there was none yet, one
   // passed for 6 ms in place of 80: the pass that was held lay a second ahead, with the uneven map until then.
-  it('is the mean of the last half second, whatever the moment between two passes', async () => {
+  it('is the mean of the last few, whatever the moment between two passes', async () => {
     const clock = createManualClock();
     const passes = createPassTimes(clock);
     expect(passes.passMs()).to.equal(undefined);
