--- a/packages/rank-groups/src/change/switch-map.ts
+++ b/packages/rank-groups/src/change/switch-map.ts
@@ -73,6 +73,9 @@
 interface HeldPass {
   step: number;
   countedAt: number;
+  /** Passes between the one that ran then and this one, and the time that each was reckoned to take, in ms. */
+  lead: number;
+  passMs: number;
 }
 
 /** Pause before ranks are asked whether they are still there, in ms; well under the passes ahead. */
@@ -152,7 +155,7 @@
       const lead = arming.lead({ passMs, orderMs, targetMs: options.targetMs });
       const step = heldStep(epoch, report.step + lead);
       const outcome = await giveHold(epoch, step);
-      if (outcome === 'done') return { step, countedAt };
+      if (outcome === 'done') return { step, countedAt, lead, passMs };
       if (outcome === 'no-answer') await release(epoch, step, 'hold-unanswered');
       if (outcome !== 'refused') return undefined;
     }
@@ -196,7 +199,8 @@
     const preparedMs = elapsed();
     const held = await holdAhead(epoch);
     if (!held) return 'not-held';
-    const { step, countedAt } = held;
+    const { step, countedAt, lead } = held;
+    const passMs = Math.round(held.passMs);
     const heldMs = elapsed();
     if (!(await isEveryRankThere(change))) {
       await release(epoch, step, 'rank-silent');
@@ -205,7 +209,8 @@
     const outcome = await armAndGo(change, step);
     // From the report on, passes go by, also while the hold is on its way.
     if (outcome === 'switched') arming.note(clock.monotonic() - countedAt);
-    log.event('map-switch', { epoch, version, step, outcome, preparedMs, heldMs, ms: elapsed() });
+    const times = { preparedMs, heldMs, ms: elapsed(), lead, passMs };
+    log.event('map-switch', { epoch, version, step, outcome, ...times });
     return outcome;
   };
 };
