The first guess of arming is no wider than what orders take

Cause: three answers of the order to prepare were reckoned with before arming was observed, six passes of a group that had just formed; then the first observed time with half of it as its deviation, which kept four passes ahead where two or three are enough. Both guard a first change only, and a group that forms anew needs its first maps soonest.

Change: two answers of an order, as later; a quarter of the first time as its deviation, as it was before.

--- a/packages/rank-groups/src/change/arming-time.ts
+++ b/packages/rank-groups/src/change/arming-time.ts
@@ -36,8 +36,6 @@
 const FIRST_MS = 70;
 /** Orders to all ranks from the report on: whether all are there, and arming. */
 const ORDERS_TO_ALL = 2;
-/** And those to one rank, the hold and the go, which take as long as one to all at the most. */
-const ORDERS_TO_ONE = 1;
 const MEAN_WEIGHT = 0.2;
 const DEVIATION_WEIGHT = 0.25;
 /** Arming takes longer than the mean by this many deviations about once in twenty times. */
@@ -56,17 +54,17 @@
 
   /** Time of arming to be expected; in all but one of twenty times it takes less than `most`. */
   const expected = (orderMs: number): { mean: number; most: number } => {
-    const orders = usual ? ORDERS_TO_ALL : ORDERS_TO_ALL + ORDERS_TO_ONE;
     const { mean, deviation } = usual ?? { mean: FIRST_MS, deviation: 0 };
     // An order that has just taken long says that links or VMs have turned slow before arming shows it.
-    const least = Math.max(mean, orders * orderMs);
+    const least = Math.max(mean, ORDERS_TO_ALL * orderMs);
     return { mean: least, most: Math.max(least, mean + DEVIATIONS * deviation) };
   };
 
   return {
     note: (ms) => {
       if (!usual) {
-        usual = { mean: ms, deviation: ms / 2 };
+        // No wider: a group that forms anew needs its first maps soonest.
+        usual = { mean: ms, deviation: ms / 4 };
         return;
       }
       usual.deviation += (Math.abs(ms - usual.mean) - usual.deviation) * DEVIATION_WEIGHT;
