Requests that crash the upstreams which run them are put into quarantine

Cause: nothing told a request that ends its upstream from one that met a crash. It came again at any entry and ended the next upstream, and in an expert group each crash stops all ranks. Ruled out: counting resets (upstreams reset connections beyond their limit and break answers off); counting crashes alone (a popular request runs at ten upstreams that lose power together). Change: gateway/src/quarantine, without network: which requests were under way when an upstream's process ended (refused connections after a lost attempt, another instance at its address, a later start), and how many sends one after the other that makes without a good run since. Three crashes in two rounds or more make a quarantine; a request that ran well before needs three rounds. A suspect is tried once at a time, from two crashes on by one entry at a time, and is not sent on before it is known whether its last upstream ended. Notes to all linked entries within 40 ms, ages instead of times; the quarantine itself is kept in a keyed topic of the platform, written by whoever saw the last crash, by a peer 3 s later where that failed. Proof: module tests, an entry before upstreams that end, two entries and a third that starts when both are gone, before the store's stand-in.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -19,6 +19,7 @@
   gateway_answer_ms: 'Milliseconds from arrival to the end of the answer, by kind of route.',
   gateway_attempts: 'Attempts sent to an upstream, by service.',
   gateway_connections_dropped: 'Connections of callers refused because too many were open.',
+  gateway_crashes_seen: 'Requests that were under way at an upstream when its process ended.',
   gateway_events_repeated: 'Events of resumed streams that the caller had already; left out.',
   gateway_faults: 'Requests that met a fault of this process.',
   gateway_first_event_ms: 'Milliseconds from arrival to the first event of a stream.',
@@ -30,6 +31,9 @@
   gateway_mirror_from_peer: "Times at which a peer knew more of the platform's log, by topic.",
   gateway_outdated_entries: "Late entries of the platform's list that were left out.",
   gateway_pause_ms: 'Milliseconds between two events of a stream.',
+  gateway_quarantine_news_unreadable:
+    "Peers' notes and records of requests in quarantine that could not be read.",
+  gateway_quarantined: 'Requests put into quarantine, by where that was learnt.',
   gateway_refused: 'Requests that the entry answered in its own name, by reason.',
   gateway_requests: 'Requests whose head was read.',
   gateway_waited_for_group: 'Requests that waited while the group behind a service formed anew.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,11 +19,13 @@
 import { createLoadTeller } from './mesh/load-share.js';
 import { createMesh } from './mesh/mesh.js';
 import type { Mesh } from './mesh/mesh.js';
+import { createEndCheck, tryConnect } from './attempts/end-check.js';
+import { createQuarantine } from './quarantine/index.js';
 import { createReadinessDoor } from './readiness-door.js';
 import { createRetryBudget } from './retry/budget.js';
 import type { RetryLimits } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
-import type { HeaderDialect, Intent } from './types.js';
+import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
 import type { DecodeUpstream } from './upstreams/directory.js';
 
@@ -52,8 +54,10 @@
   /** Callers' connections that are taken at once. */
   maxConnections: number;
   /** The platform's log: the operators' intent, the list of upstreams, and this system's nodes. */
-  topics: { intent: KeyedTopic; upstreams: KeyedTopic; nodes: KeyedTopic };
+  topics: { intent: KeyedTopic; upstreams: KeyedTopic; nodes: KeyedTopic; quarantine: KeyedTopic };
   publish: PublishNode;
+  /** Writes to the topic of requests in quarantine; without a value the key is dropped. */
+  publishQuarantine: (key: string, value: Uint8Array | undefined) => Promise<boolean>;
   /** Key of the intent in its topic. */
   intentKey: string;
   decodeIntent: (value: Uint8Array) => Intent | undefined;
@@ -78,6 +82,8 @@
 const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500 };
 /** Nodes come and go seldom. */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000 };
+/** Entries tell each other at once; the log is for those that start. */
+const QUARANTINE_READ = { waitMs: 25_000, pauseMs: 1_000 };
 /** After the signal to stop the balancer still sends new connections for two of its checks, in ms. */
 const LISTEN_ON_MS = 3_200;
 /** Kept free at the end of the grace, in ms, to end in order. */
@@ -125,9 +131,23 @@
     return follower;
   };
 
+  const quarantine = createQuarantine({
+    tell: (news) => mesh?.tellCrashes(news),
+    publish: options.publishQuarantine,
+    clock,
+    metrics,
+    log,
+  });
+  const checkEnd = createEndCheck<UpstreamRecord>(
+    (upstream) => quarantine.noteEnded(upstream, 'refused-connection'),
+    (host, port) => tryConnect(host, port, clock),
+    clock,
+  );
+
   const directory = createDirectory({
     decode: options.decodeUpstream,
     dataCentre: self.dataCentre,
+    onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
     logBackAt: () => mirrored.get(topics.upstreams.name)?.follower.logBackAt() ?? -Infinity,
     clock,
     random,
@@ -150,6 +170,8 @@
     admission,
     budget,
     reopening,
+    quarantine,
+    checkEnd,
     entries,
     clock,
     random,
@@ -197,8 +219,10 @@
   });
 
   const intentFollower = follow(topics.intent, intentMirror, INTENT_READ);
-  const upstreamFollower = follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
-  const nodeFollower = follow(topics.nodes, nodeMirror, NODES_READ);
+  follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
+  follow(topics.nodes, nodeMirror, NODES_READ);
+  const quarantineMirror = createKeyedMirror(quarantine.takeRecord);
+  follow(topics.quarantine, quarantineMirror, QUARANTINE_READ);
 
   const ownCounts = (): Map<string, number> =>
     new Map(
@@ -222,8 +246,13 @@
     onPeerAhead: () => intentFollower.hurry(),
     onShare: directory.notePeerLoad,
     wholeShare: loadTeller.whole,
+    onCrashNews: quarantine.takeNews,
+    wholeCrashNews: quarantine.whole,
     onPush: (topic, push) => mirrored.get(topic)?.follower.takePush(push),
-    onPeerGone: (peer) => directory.all().forEach((upstream) => upstream.forgetPeer(peer)),
+    onPeerGone: (peer) => {
+      directory.all().forEach((upstream) => upstream.forgetPeer(peer));
+      quarantine.forgetPeer(peer);
+    },
     onPace: directory.notePace,
     recordsAfter: (topic, after) => {
       const held = mirrored.get(topic);
@@ -273,7 +302,8 @@
     door.stopListening();
     await untilIdle(endBy);
     log.event('stopped', { cut: door.open() });
-    [intentFollower, upstreamFollower, nodeFollower].forEach((follower) => follower.close());
+    mirrored.forEach(({ follower }) => follower.close());
+    quarantine.close();
     publisher.close();
     readiness.close();
     metricsDoor.close();
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -7,6 +7,7 @@
 import { readPush, readRecordList } from '@plantaindrum/mirror';
 import type { NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
+import type { News } from '../quarantine/news.js';
 import { readEnginePace } from './engine-pace.js';
 import type { EnginePace } from './engine-pace.js';
 import { readShare } from './load-share.js';
@@ -21,6 +22,8 @@
   /** Whether a linked entry comes before this one; the first reads the log for all. */
   hasEarlierPeer(): boolean;
   shareLoad(share: LoadShare): void;
+  /** Tells all linked entries of requests that crash upstreams. */
+  tellCrashes(news: News): void;
   /** Passes on what the log has just answered. */
   passOn(topic: string, push: PeerPush): void;
   /** Asks a linked entry for records of a topic beyond an offset. */
@@ -42,6 +45,10 @@
   onShare: (peer: string, share: LoadShare) => void;
   /** The whole of this entry's load, for a peer that is newly linked. */
   wholeShare: () => LoadShare;
+  /** A peer's note on requests that crash upstreams, not yet checked. */
+  onCrashNews: (peer: string, value: unknown) => void;
+  /** All that is known of them, for a peer that is newly linked. */
+  wholeCrashNews: () => News;
   onPush: (topic: string, push: PeerPush) => void;
   onPeerGone: (peer: string) => void;
   /** An agent tells the pace of the engine beside it. */
@@ -58,6 +65,7 @@
 const ASK_MS = 400;
 /** Time for a connection and its hello, in ms. */
 const HELLO_MS = 1_000;
+const CRASH_NOTE = 'request.crashes';
 const BACKOFF = { firstMs: 100, maxMs: 1_500 };
 
 const readRecords = (value: unknown): PeerRecords | undefined => {
@@ -99,6 +107,7 @@
       if (pushed) options.onPush(pushed.topic, pushed.push);
       const pace = frame.method === 'engine.pace' ? readEnginePace(frame.args) : undefined;
       if (pace) options.onPace(pace);
+      if (frame.method === CRASH_NOTE) options.onCrashNews(peer, frame.args);
     };
 
   const onLink = (link: Link): FrameHandler => {
@@ -107,6 +116,7 @@
     log.event('peer-linked', { peer: node, role: link.peer.role });
     if (link.peer.role === 'entry') {
       link.send({ t: 'note', method: 'load.share', args: options.wholeShare() });
+      link.send({ t: 'note', method: CRASH_NOTE, args: options.wholeCrashNews() });
     }
     void link.closed.then((why) => {
       links.delete(link);
@@ -173,6 +183,9 @@
     shareLoad: (share) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: 'load.share', args: share }));
     },
+    tellCrashes: (news) => {
+      byPeer().forEach((link) => link.send({ t: 'note', method: CRASH_NOTE, args: news }));
+    },
     passOn: (topic, push) => {
       const args = { topic, ...push };
       byPeer().forEach((link) => link.send({ t: 'note', method: 'mirror.push', args }));
--- /dev/null
+++ b/packages/gateway/src/quarantine/index.ts
@@ -0,0 +1,4 @@
+export * from './crash-evidence.js';
+export * from './fingerprint.js';
+export * from './quarantine.js';
+export * from './runs-at-upstreams.js';
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -4,6 +4,7 @@
 import { startExchange } from '../attempts/exchange.js';
 import type { Exchange } from '../attempts/exchange.js';
 import type { AnswerFields } from '../types.js';
+import type { QuarantineRun } from '../quarantine/index.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import type { CallerRequest, ServingDeps } from './types.js';
 
@@ -28,6 +29,8 @@
   head: Promise<AttemptAnswer | AttemptFailure>;
   bodyEnd: Exchange['bodyEnd'];
   readBody: Exchange['readBody'];
+  /** What the quarantine learns from this attempt. */
+  watched: QuarantineRun;
   abort(): void;
   /** Ends the attempt: the upstream's slot counts as free, and its connection is closed. */
   end(): void;
@@ -76,6 +79,7 @@
     clock,
   );
   upstream.begin();
+  const watched = deps.quarantine.begin(request.fingerprint, record);
   metrics.count('gateway_attempts', { service: record.service });
   let ended = false;
 
@@ -83,6 +87,7 @@
     const kind = failure.outcome === 'not-run' && !failure.wasSent ? 'unreachable' : 'failed';
     // An attempt that was given up here says nothing about its upstream.
     if (!ended) upstream.noteFailure(kind);
+    if (failure.outcome === 'not-run') watched.noteNotRun();
     return failure;
   };
 
@@ -93,8 +98,10 @@
     if (fields.notRun || status === 421) {
       res.resume();
       // Another instance has the address: this one is gone, though its entry stands for seconds yet.
-      if (status === 421) deps.directory.noteReplaced(upstream);
-      else upstream.noteRefusal();
+      if (status === 421) {
+        deps.directory.noteReplaced(upstream);
+        deps.quarantine.noteEnded(record, 'other-instance');
+      } else upstream.noteRefusal();
       return settle({ outcome: 'not-run', why: `status-${status}`, wasSent: true });
     }
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
@@ -111,6 +118,7 @@
   const head = exchange.head.then((outcome) => {
     if (outcome.outcome === 'head') return judge(outcome.res);
     if (outcome.outcome === 'not-sent') {
+      if (outcome.why === 'ECONNREFUSED') deps.quarantine.noteEnded(record, 'refused-connection');
       return settle({ outcome: 'not-run', why: outcome.why, wasSent: false });
     }
     return settle({ outcome: 'unknown', why: outcome.why });
@@ -120,9 +128,10 @@
     if (ended) return;
     ended = true;
     upstream.end();
+    watched.end();
     exchange.abort();
   };
 
   const { bodyEnd, readBody } = exchange;
-  return { upstream, head, bodyEnd, readBody, abort: end, end };
+  return { upstream, head, bodyEnd, readBody, watched, abort: end, end };
 };
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -1,6 +1,7 @@
 /** Answers that the entry gives in its own name. */
 
 import type { ServerResponse } from 'node:http';
+import type { QuarantineRefusal } from '../quarantine/index.js';
 import type { RefusalReason, ServingDeps } from './types.js';
 
 /** An answer of the entry's own. */
@@ -41,6 +42,13 @@
   return { reason, status: 503, retryAfterMs: leastMs + random() * spreadMs };
 };
 
+/** A refusal of a request that may have crashed upstreams. */
+export const keptAway = (refusal: QuarantineRefusal, random: () => number): Refusal => {
+  const { reason } = refusal;
+  if (reason === 'crash-suspect') return notRun(reason, random);
+  return { reason, status: 503, retryAfterMs: refusal.retryAfterMs };
+};
+
 /** A refusal of a request that may have run: nothing is promised. */
 export const mayHaveRun = (reason: RefusalReason): Refusal => ({
   reason,
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -85,7 +85,7 @@
   deps: ServingDeps,
 ): Rounds => {
   const { route, res, service } = request;
-  const { clock, directory, budget, reopening, metrics, log } = deps;
+  const { clock, directory, budget, reopening, quarantine, metrics, log } = deps;
   const { mayRepeat } = options;
   const tried = new Set<string>();
   let current: Attempt | undefined;
@@ -137,10 +137,16 @@
     const outcome = head.outcome === 'answered' ? await take(attempt, head) : head;
     stopTimer();
     stopWatch();
+    if (outcome.outcome === 'whole' || outcome.outcome === 'streamed') attempt.watched.noteWhole();
+    const isGivenUp = isGone || isLate || isMoving;
+    const isLost = !isGivenUp && !attempt.watched.hasSurvived();
     attempt.end();
+    // A suspect is not sent on before it is known whether it has crashed this one, too.
+    const endCheck = isLost ? deps.checkEnd(upstream.record) : undefined;
+    if (quarantine.isSuspect(request.fingerprint)) await endCheck;
     endedAt = clock.monotonic();
     noteClosure(head.outcome === 'answered', upstream);
-    if (head.outcome === 'answered' && !isGone && !isLate && !isMoving) {
+    if (head.outcome === 'answered' && !isGivenUp) {
       if (isUpstreamFault(outcome)) upstream.noteFailure('failed');
       else upstream.noteSuccess();
     }
@@ -174,6 +180,8 @@
   const obstacle = (): RefusalReason | undefined => {
     if (isLate) return 'deadline';
     if (mayHave && !mayRepeat) return 'upstream-failed';
+    const away = quarantine.refusal(request.fingerprint);
+    if (away) return away.reason;
     const sends = runs + notRuns - unsent;
     const isSpent = mayRepeat ? runs >= route.maxAttempts : sends >= route.maxAttempts;
     // Asking whether a group is there again is bounded by time and by the budget.
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -3,10 +3,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RouteTable } from '../intent/route-table.js';
 import { pickService } from '../intent/route-table.js';
+import { fingerprintOf } from '../quarantine/index.js';
+import type { RequestContent } from '../quarantine/index.js';
 import type { CallerFields, Organisation, Route } from '../types.js';
 import { awaitOpen } from './await-open.js';
 import { readCallerBody } from './read-caller-body.js';
-import { notRun, refuse } from './refuse.js';
+import { keptAway, notRun, refuse } from './refuse.js';
 import type { Refusal } from './refuse.js';
 import { servePlain } from './serve-plain.js';
 import { serveStream } from './serve-stream.js';
@@ -49,6 +51,13 @@
   refusal: { reason, status },
 });
 
+const contentOf = ({ req, organisation }: CallerRequest, body: Uint8Array): RequestContent => ({
+  method: req.method ?? 'GET',
+  path: req.url ?? '/',
+  organisation: organisation?.name,
+  body,
+});
+
 /** Longest time that callers of a route have said they wait, by its name. */
 const createLongestWaits = () => {
   const longest = new Map<string, number>();
@@ -117,6 +126,7 @@
       ...found,
       service: pickService(route, random) ?? '',
       body: new Uint8Array(),
+      fingerprint: '',
       arrivedAt,
       deadlineAt: arrivedAt + waitMs,
       isReturn: isReturning(route, fields.deadlineMs),
@@ -158,6 +168,16 @@
       return;
     }
     budget.noteRequest(request.service);
+    const whole = {
+      ...request,
+      body: body.body,
+      fingerprint: fingerprintOf(contentOf(request, body.body)),
+    };
+    const away = context.quarantine.refusal(whole.fingerprint);
+    if (away) {
+      turnAway(keptAway(away, random), request.route, { fingerprint: whole.fingerprint });
+      return;
+    }
     const mayGoOn = await awaitOpen(request, arrivedAt, context);
     if (res.destroyed) {
       log.event('caller-gone', { id: request.id, route: request.route.name });
@@ -170,7 +190,6 @@
       turnAway(refusal, request.route, { limit, pause, isReturn: request.isReturn });
       return;
     }
-    const whole = { ...request, body: body.body };
     await (request.route.kind === 'stream'
       ? serveStream(whole, context)
       : servePlain(whole, context));
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -96,7 +96,7 @@
   };
 
   /** Passes one event on; false when it doesn't follow the last one. */
-  const forward = (event: StreamEvent, answer: AttemptAnswer): boolean => {
+  const forward = (event: StreamEvent, attempt: Attempt, answer: AttemptAnswer): boolean => {
     const last = rounds.resumeAfter;
     if (event.id !== undefined && last !== undefined) {
       if (event.id <= last) {
@@ -107,6 +107,7 @@
       if (event.id > last + 1) return false;
     }
     noteTime();
+    attempt.watched.noteEvent();
     if (event.id !== undefined) rounds.resumeAfter = event.id;
     // Until the first event nothing has been promised, and a failure can still be told as one.
     if (!res.headersSent) beginAnswer(res, answer.status, endToEnd(answer.res), deps.isStopping());
@@ -125,7 +126,7 @@
     };
     answer.res.on('data', (chunk: Buffer) => {
       if (fault !== undefined) return;
-      const isSound = splitter.push(chunk).every((event) => forward(event, answer));
+      const isSound = splitter.push(chunk).every((event) => forward(event, attempt, answer));
       if (!isSound) breakOff('event-missing');
       else if (isOversized(splitter)) breakOff('event-too-large');
       else if (res.writableLength > MAX_WAITING_BYTES) breakOff('caller-slow');
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -3,8 +3,9 @@
 import type { Admission } from '../admission/admission.js';
 import type { Reopening } from '../admission/reopening.js';
 import type { RouteTable } from '../intent/route-table.js';
+import type { RequestQuarantine } from '../quarantine/index.js';
 import type { RetryBudget } from '../retry/budget.js';
-import type { CallerFields, HeaderDialect, Organisation, Route } from '../types.js';
+import type { CallerFields, HeaderDialect, Organisation, Route, UpstreamRecord } from '../types.js';
 import type { Directory } from '../upstreams/directory.js';
 
 /** What serving a request needs from its entry. */
@@ -14,6 +15,9 @@
   admission: Admission;
   budget: RetryBudget;
   reopening: Reopening;
+  quarantine: RequestQuarantine;
+  /** An attempt at this upstream was lost: finds out whether its process has ended. */
+  checkEnd: (upstream: UpstreamRecord) => Promise<void>;
   /** Entries that are linked, this one counted. */
   entries: () => number;
   clock: Clock;
@@ -35,6 +39,8 @@
   service: string;
   organisation: Organisation | undefined;
   body: Uint8Array;
+  /** Tells the same work from other work; see `fingerprintOf`. */
+  fingerprint: string;
   /** When it arrived, and when its answer is due at the latest (monotonic, ms). */
   arrivedAt: number;
   deadlineAt: number;
@@ -56,6 +62,10 @@
   | 'pace-too-slow'
   | 'upstreams-refusing'
   | 'attempts-spent'
+  /** It has crashed upstreams that ran it. */
+  | 'quarantined'
+  /** It may have, and is being tried at one. */
+  | 'crash-suspect'
   | 'retry-budget-spent'
   | 'deadline'
   | 'upstream-failed';
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -48,6 +48,8 @@
 export interface DirectoryOptions {
   decode: DecodeUpstream;
   dataCentre: string;
+  /** An upstream's process has ended: it has started again, or another one is listed at its address. */
+  onEnded: (upstream: UpstreamRecord) => void;
   /** When the platform's log came back after an outage (monotonic, ms). */
   logBackAt: () => number;
   clock: Clock;
@@ -105,6 +107,13 @@
     leaving.delete(instance);
   };
 
+  /** Upstreams listed at the same address that did not say they would leave. */
+  const predecessorsOf = ({ host, port, instance }: UpstreamRecord): UpstreamRecord[] =>
+    [...listed.values()]
+      .map(({ record }) => record)
+      .filter((other) => other.host === host && other.port === port)
+      .filter((other) => other.instance !== instance && !leaving.has(other.instance));
+
   const add = (record: UpstreamRecord): void => {
     const { instance, startedAt, sequence } = record;
     const standing = starts.take(record);
@@ -116,6 +125,8 @@
       return;
     }
     if (standing === 'later-start') {
+      const earlier = listed.get(instance) ?? lapsed.get(instance)?.upstream;
+      if (earlier) options.onEnded(earlier.record);
       forget(instance);
       log.event('upstream-started-again', { upstream: instance, startedAt, sequence });
     }
@@ -129,6 +140,7 @@
     lapsed.delete(record.instance);
     if (!known) {
       log.event('upstream-listed', { upstream: record.instance, service: record.service });
+      predecessorsOf(record).forEach((earlier) => options.onEnded(earlier));
     }
     const upstream = known ?? createUpstream(settled, clock);
     upstream.update(settled);
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -26,6 +26,7 @@
 
 const start = () => {
   const events: unknown[][] = [];
+  const ended: [instance: string, startedAt: number][] = [];
   const metrics = createMetrics();
   const clock = createManualClock();
   const directory = createDirectory({
@@ -34,6 +35,7 @@
       return text.startsWith('{') ? ok(JSON.parse(text) as UpstreamRecord) : fail('bytes');
     },
     dataCentre: 'd',
+    onEnded: ({ instance, startedAt }) => ended.push([instance, startedAt]),
     logBackAt: () => -Infinity,
     clock,
     random: createSeededRandom(1),
@@ -47,7 +49,7 @@
     });
   const take = (record: UpstreamRecord): void => put(record.instance, record);
   const chosen = (): UpstreamRecord | undefined => directory.choose('s', new Set())?.record;
-  return { directory, clock, metrics, events, put, take, chosen };
+  return { directory, clock, metrics, events, ended, put, take, chosen };
 };
 
 describe('upstreams that start again under their instance', () => {
@@ -61,6 +63,19 @@
     expect(events.map(([name]) => name)).to.include('upstream-started-again');
   });
 
+  // What ran at it when it crashed is suspect; an upstream that has left as announced crashed nobody.
+  it('are told as ended, and so are those at whose address another one is listed', () => {
+    const { take, ended } = start();
+    take(first);
+    take(again);
+    expect(ended).to.deep.equal([[first.instance, first.startedAt]]);
+    take({ ...again, instance: 'next' });
+    expect(ended.slice(1)).to.deep.equal([[again.instance, again.startedAt]]);
+    take({ ...again, instance: 'next', state: 'draining', sequence: 2 });
+    take({ ...again, instance: 'after-it' });
+    expect(ended.slice(2)).to.deep.equal([[again.instance, again.startedAt]]);
+  });
+
   // It announced its leaving, ended, and is back under its instance. It stayed "leaving" for ever.
   it('are no longer leaving', () => {
     const { take, chosen } = start();
--- /dev/null
+++ b/packages/gateway/test/quarantine-serving.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import { resetConnection, startFakeUpstream, answerOk } from './support/fake-upstream.js';
+import type { Act, FakeUpstream } from './support/fake-upstream.js';
+import { startEntry } from './support/entry.js';
+import { stream, wait } from './support/with-entry.js';
+
+/** Ends the upstream's process as far as callers can tell: connections are reset, and refused from then on. */
+const crashOn = (isHarmful: (body: string) => boolean, upstreams: () => FakeUpstream[]): Act => {
+  const act: Act = (req, res) => {
+    if (!isHarmful(req.body)) {
+      answerOk()(req, res);
+      return;
+    }
+    resetConnection(req, res);
+    void upstreams()
+      .find(({ seen }) => seen.includes(req))
+      ?.close();
+  };
+  return act;
+};
+
+describe('serving requests that crash upstreams', () => {
+  // One request ends each upstream that runs it, and its caller sends it again and again. Six upstreams are
+  // there; without a safeguard it ends them all. The others' requests go on.
+  it('stops a request after three crashes, and answers its caller at once', async () => {
+    const upstreams: FakeUpstream[] = [];
+    const act = crashOn(
+      (body) => body === 'harmful',
+      () => upstreams,
+    );
+    for (let n = 0; n < 6; n += 1) upstreams.push(await startFakeUpstream(act));
+    const route = { ...stream, maxAttempts: 2 };
+    const entry = await startEntry({ upstreams, route });
+    try {
+      const answers: number[] = [];
+      for (let n = 0; n < 6; n += 1) {
+        const answer = await entry.ask({ 'x-id': `q${n}` }, '/p/x', 'harmful');
+        answers.push(answer.status);
+        await wait(250);
+      }
+      const ran = upstreams.filter(({ seen }) => seen.some(({ body }) => body === 'harmful'));
+      expect(ran).to.have.lengthOf(3);
+      // The last ones have not run: the status says so, and when to come back.
+      expect(answers.slice(-3)).to.deep.equal([503, 503, 503]);
+      const last = await entry.ask({ 'x-id': 'q9' }, '/p/x', 'harmful');
+      expect(last.body).to.equal('quarantined\n');
+      expect(last.ms).to.be.below(200);
+      expect(Number(last.headers['retry-after'])).to.be.above(300);
+      expect((await entry.ask({ 'x-id': 'q10' }, '/p/x', 'other')).status).to.equal(200);
+    } finally {
+      await entry.close();
+    }
+  });
+});
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -11,8 +11,11 @@
 } from '@plantaindrum/common';
 import { createAdmission } from '../../src/admission/admission.js';
 import { createReopening } from '../../src/admission/reopening.js';
-import type { Intent, Route } from '../../src/index.js';
+import { createEndCheck, tryConnect } from '../../src/attempts/end-check.js';
+import type { Intent, Route, UpstreamRecord } from '../../src/index.js';
 import { createRouteTable } from '../../src/intent/route-table.js';
+import { createQuarantine } from '../../src/quarantine/index.js';
+import type { News } from '../../src/quarantine/news.js';
 import { createRetryBudget } from '../../src/retry/budget.js';
 import { createRequestHandler } from '../../src/serving/serve-request.js';
 import { createDirectory } from '../../src/upstreams/directory.js';
@@ -41,6 +44,10 @@
   withoutIntent?: boolean;
   /** The entry ends soon and takes nothing more. */
   isClosing?: boolean;
+  /** Takes what the entry tells others of requests that crash upstreams. */
+  tell?: (news: News) => void;
+  /** Takes what the entry writes to the platform of requests in quarantine. */
+  publish?: (key: string, value: Uint8Array | undefined) => void;
 }
 
 const baseRoute: Route = {
@@ -66,9 +73,25 @@
   const random = createSeededRandom(3);
   const metrics = createMetrics();
   const log = silentEventLog;
+  const quarantine = createQuarantine({
+    tell: (news) => options.tell?.(news),
+    publish: async (key, value) => {
+      options.publish?.(key, value);
+      return true;
+    },
+    clock,
+    metrics,
+    log,
+  });
+  const checkEnd = createEndCheck<UpstreamRecord>(
+    (upstream) => quarantine.noteEnded(upstream, 'refused-connection'),
+    (host, at) => tryConnect(host, at, clock),
+    clock,
+  );
   const directory = createDirectory({
     decode: (key, value) => ok({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
     dataCentre: 'd',
+    onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
     logBackAt: () => -Infinity,
     clock,
     random,
@@ -109,6 +132,8 @@
     isStopping: () => false,
     isClosing: () => options.isClosing ?? false,
     reopening: createReopening({ clock, metrics, log }),
+    quarantine,
+    checkEnd,
     entries: () => 1,
     untilIntent: async () => {},
     table: () => (options.withoutIntent ? undefined : table),
@@ -152,6 +177,7 @@
     ask,
     metrics,
     directory,
+    quarantine,
     close: async (): Promise<void> => {
       server.closeAllConnections();
       server.close();
--- a/packages/stand-ins/src/users-platform/store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -31,6 +31,8 @@
   port: number;
   /** Writes as the operator or a server does; an empty value drops the key. */
   put(topic: string, key: string, value: unknown): void;
+  /** Keys of a topic that have a value. */
+  keys(topic: string): string[];
   setMode(mode: StoreMode): void;
   /** Deletes all records but the newest of each key. */
   forgetHistory(): void;
@@ -163,6 +165,10 @@
       const bytes = value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
       append(name, [{ key, value: bytes }]);
     },
+    keys: (name) => {
+      const values = new Map(topicOf(name).records.map(({ key, value }) => [key, value.length]));
+      return [...values].filter(([, length]) => length > 0).map(([key]) => key);
+    },
     setMode: (next) => {
       mode = next;
     },
