--- a/packages/gateway/src/quarantine/index.ts
+++ b/packages/gateway/src/quarantine/index.ts
@@ -1,4 +1,5 @@
 export * from './crash-evidence.js';
 export * from './fingerprint.js';
+export type { News } from './news.js';
 export * from './quarantine.js';
 export * from './runs-at-upstreams.js';
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -27,6 +27,7 @@
   'overload',
   'overload-processes',
   'path',
+  'quarantine',
   'rank-balance',
   'recovery',
   'routing',
