A plan tries its edits without allocating, and ends where edits only cost

Change: one array of changed loads for all edits that are tried; copies are counted for the ranks of an edit only; a plan ends after 32 edits in a row that cost more than they bring.

--- a/packages/rank-groups/src/plan/edits.ts
+++ b/packages/rank-groups/src/plan/edits.ts
@@ -33,23 +33,42 @@
   return square * square * square;
 };
 
-/** Changes of a few ranks' loads: lists are half as slow as a map made anew for each edit that is tried. */
+/**
+ * Changes of a few ranks' loads. Hundreds are tried for each edit that is made, so the same arrays are used for all
+ * of them.
+ */
 interface Deltas {
-  ranks: number[];
-  by: number[];
+  shift(rank: number, change: number): void;
+  /** What the changes relieve the set of; they are forgotten by it. */
+  takeRelief(set: SetPlacement): number;
 }
 
-const shift = ({ ranks, by }: Deltas, rank: number, change: number): void => {
-  const at = ranks.indexOf(rank);
-  if (at >= 0) by.splice(at, 1, (by[at] ?? 0) + change);
-  else {
-    ranks.push(rank);
-    by.push(change);
-  }
+const createDeltas = (size: number): Deltas => {
+  const by = new Float64Array(size);
+  // An edit changes the hosts of two experts; each host is named at most twice for each.
+  const ranks = new Int32Array(4 * size);
+  let count = 0;
+  return {
+    shift: (rank, change) => {
+      ranks[count] = rank;
+      count += 1;
+      by[rank] = (by[rank] ?? 0) + change;
+    },
+    takeRelief: (set) => {
+      let total = 0;
+      for (let at = 0; at < count; at += 1) {
+        const rank = ranks[at] ?? 0;
+        const change = by[rank] ?? 0;
+        const load = set.loads[rank] ?? 0;
+        if (change !== 0) total += weight(load) - weight(load + change);
+        by[rank] = 0;
+      }
+      count = 0;
+      return total;
+    },
+  };
 };
 
-const none = (): Deltas => ({ ranks: [], by: [] });
-
 /** How the loads change when an expert's hosts change. */
 const rehost = (
   set: SetPlacement,
@@ -60,20 +79,12 @@
 ): void => {
   const before = set.hosts(expert);
   const after = before.length - (lose === undefined ? 0 : 1) + (gain === undefined ? 0 : 1);
-  for (const rank of before) {
+  for (let at = 0; at < before.length; at += 1) {
+    const rank = before[at] ?? 0;
     const kept = rank === lose ? 0 : set.part(rank, expert, after);
-    shift(deltas, rank, kept - set.part(rank, expert, before.length));
+    deltas.shift(rank, kept - set.part(rank, expert, before.length));
   }
-  if (gain !== undefined) shift(deltas, gain, set.part(gain, expert, after));
-};
-
-const relief = (set: SetPlacement, { ranks, by }: Deltas): number => {
-  let total = 0;
-  for (let at = 0; at < ranks.length; at += 1) {
-    const load = set.loads[ranks[at] ?? 0] ?? 0;
-    total += weight(load) - weight(load + (by[at] ?? 0));
-  }
-  return total;
+  if (gain !== undefined) deltas.shift(gain, set.part(gain, expert, after));
 };
 
 /** The ranks with the least load, in order; found in one pass, as it is asked for before each edit. */
@@ -93,43 +104,43 @@
 /** The best edit for a set's busiest rank; undefined when none helps within the limits. */
 export const bestEdit = (set: SetPlacement, limits: EditLimits): Edit | undefined => {
   const hot = set.loads.indexOf(set.highest());
+  const deltas = createDeltas(set.loads.length);
   let best: Edit | undefined;
 
   const copiesOf = (rank: number, expert: number): number => (set.hadBefore(rank, expert) ? 0 : 1);
   const hasRoom = (rank: number, copies: number): boolean =>
     copies === 0 || limits.room(rank, set) >= copies;
 
-  const consider = (deltas: Deltas, edit: Omit<Edit, 'value'>): void => {
-    const gain = relief(set, deltas);
-    const value = gain / (edit.copies + FREE_EDIT);
-    if (gain > 1e-9 && value > (best?.value ?? 0)) best = { ...edit, value };
+  /** Takes the edit whose changes of load have just been reckoned, if it is the best so far. */
+  const consider = (copies: number, edit: () => Omit<Edit, 'value' | 'copies'>): void => {
+    const gain = deltas.takeRelief(set);
+    const value = gain / (copies + FREE_EDIT);
+    if (gain > 1e-9 && value > (best?.value ?? 0)) best = { ...edit(), copies, value };
   };
 
   /** `cool` takes `expert`, from `hot` or beside it, and gives up `freed` where it is full. */
   const tryTake = (expert: number, cool: number, freed: number | undefined): void => {
     const copies = copiesOf(cool, expert);
-    const drops = freed === undefined ? [] : [{ rank: cool, expert: freed }];
     const takes = [{ rank: cool, expert }];
-    const shared = none();
-    const moved = none();
-    rehost(set, shared, expert, undefined, cool);
-    rehost(set, moved, expert, hot, cool);
-    if (freed !== undefined) {
-      rehost(set, shared, freed, cool, undefined);
-      rehost(set, moved, freed, cool, undefined);
-    }
-    consider(shared, { drops, takes, copies });
-    consider(moved, { drops: [...drops, { rank: hot, expert }], takes, copies });
+    const freedDrops = freed === undefined ? [] : [{ rank: cool, expert: freed }];
+    const free = (): void => {
+      if (freed !== undefined) rehost(set, deltas, freed, cool, undefined);
+    };
+    rehost(set, deltas, expert, undefined, cool);
+    free();
+    consider(copies, () => ({ drops: freedDrops, takes }));
+    rehost(set, deltas, expert, hot, cool);
+    free();
+    consider(copies, () => ({ drops: [...freedDrops, { rank: hot, expert }], takes }));
   };
 
   const trySwap = (expert: number, cool: number, other: number): void => {
     if (set.held(hot).includes(other)) return;
     const back = copiesOf(hot, other);
     if (!hasRoom(hot, back)) return;
-    const deltas = none();
     rehost(set, deltas, expert, hot, cool);
     rehost(set, deltas, other, cool, hot);
-    consider(deltas, {
+    consider(copiesOf(cool, expert) + back, () => ({
       drops: [
         { rank: hot, expert },
         { rank: cool, expert: other },
@@ -138,8 +149,7 @@
         { rank: cool, expert },
         { rank: hot, expert: other },
       ],
-      copies: copiesOf(cool, expert) + back,
-    });
+    }));
   };
 
   const tryReceiver = (expert: number, cool: number): void => {
@@ -157,9 +167,8 @@
   const receivers = coolest(set, hot);
   set.held(hot).forEach((expert) => {
     if (set.hosts(expert).length > 1) {
-      const deltas = none();
       rehost(set, deltas, expert, hot, undefined);
-      consider(deltas, { drops: [{ rank: hot, expert }], takes: [], copies: 0 });
+      consider(0, () => ({ drops: [{ rank: hot, expert }], takes: [] }));
     }
     receivers.forEach((cool) => tryReceiver(expert, cool));
   });
--- a/packages/rank-groups/src/plan/plan.ts
+++ b/packages/rank-groups/src/plan/plan.ts
@@ -65,6 +65,8 @@
 
 /** A set whose busiest rank has less than this over the mean is left alone. */
 const EVEN_ENOUGH = 1.03;
+/** A plan ends after so many edits in a row that cost more than they bring: the ones to come bring less. */
+const LOSING_EDITS = 32;
 /** Edits of one plan, for each rank: a bound on the time that planning takes. */
 const EDITS_PER_RANK = 3;
 
@@ -78,9 +80,6 @@
 const addedBy = (sets: readonly SetPlacement[], rank: number): number =>
   sets.reduce((sum, set) => sum + set.added(rank), 0);
 
-const copiesByRank = (sets: readonly SetPlacement[], ranks: number): number[] =>
-  Array.from({ length: ranks }, (_, rank) => addedBy(sets, rank));
-
 const busiest = (sets: readonly SetPlacement[]): SetPlacement | undefined =>
   sets.reduce<SetPlacement | undefined>(
     (worst, set) => (worst && worst.highest() >= set.highest() ? worst : set),
@@ -125,9 +124,18 @@
     room: (rank, set) => Math.min(shape.spare - set.added(rank), mostCopies - addedBy(sets, rank)),
   };
 
+  /** Copies by rank; only those of an edit's ranks are counted again. */
+  const byRank = new Array<number>(rankCount).fill(0);
+  let copies = 0;
+  const countCopies = ({ takes, drops }: Edit): void => {
+    [...takes, ...drops].forEach(({ rank }) => {
+      const now = addedBy(sets, rank);
+      copies += now - (byRank[rank] ?? 0);
+      byRank[rank] = now;
+    });
+  };
+
   const mark = (): Mark => {
-    const byRank = copiesByRank(sets, rankCount);
-    const copies = byRank.reduce((sum, n) => sum + n, 0);
     const after = mean(sets.map((set) => set.highest()));
     const worth = before - after - (gainPerCopy * copies) / Math.max(1, rankCount);
     return { after, copies, mostCopies: Math.max(...byRank), worth };
@@ -139,10 +147,12 @@
   const done = new Set<SetPlacement>();
   for (let edits = 0; edits < EDITS_PER_RANK * rankCount; edits += 1) {
     const worst = busiest(sets.filter((set) => !done.has(set) && set.highest() > EVEN_ENOUGH));
-    if (!worst || !mayGoOn()) break;
+    const isLosing = made.length - (best?.edits ?? 0) > LOSING_EDITS;
+    if (!worst || isLosing || !mayGoOn()) break;
     const edit = bestEdit(worst, limits);
     if (edit) {
       applyEdit(worst, edit);
+      countCopies(edit);
       made.push({ set: sets.indexOf(worst), edit });
       const reached = mark();
       if (reached.worth > (best?.worth ?? 0)) best = { ...reached, edits: made.length };
@@ -150,6 +160,6 @@
   }
   if (!best || before - best.after < price.leastGain) return undefined;
   const placement = withEdits(current, made.slice(0, best.edits));
-  const { after, copies } = best;
-  return { placement, before, after, copies, mostCopies: best.mostCopies };
+  const { after, mostCopies: copiesOfOne } = best;
+  return { placement, before, after, copies: best.copies, mostCopies: copiesOfOne };
 };
