--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,20 +2,15 @@
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import { createKeyedMirror, createPublisher, decodeNode, followTopic } from '@plantaindrum/mirror';
-import type {
-  Follower,
-  KeyedMirror,
-  KeyedTopic,
-  NodeRecord,
-  PublishNode,
-} from '@plantaindrum/mirror';
+import { createKeyedMirror, createPublisher, decodeNode } from '@plantaindrum/mirror';
+import type { KeyedTopic, NodeRecord, PublishNode } from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
 import { createReopening } from './admission/reopening.js';
 import { createDoor } from './door.js';
 import type { ListenAddress } from './door.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
+import { createFollowedTopics } from './mesh/followed-topics.js';
 import { createLoadTeller } from './mesh/load-share.js';
 import { createMesh } from './mesh/mesh.js';
 import type { Mesh } from './mesh/mesh.js';
@@ -92,11 +87,6 @@
 /** How often a caller that came before the first intent looks for it, in ms. */
 const INTENT_CHECK_MS = 10;
 
-interface Mirrored {
-  mirror: KeyedMirror;
-  follower: Follower;
-}
-
 /** Starts an entry; rejects when one of its addresses is in use. */
 export const createGateway = async (options: GatewayOptions): Promise<Gateway> => {
   const { self, topics, clock, random, metrics, log } = options;
@@ -104,32 +94,10 @@
   let table: RouteTable | undefined;
   let isStopping = false;
   let isClosing = false;
-  const mirrored = new Map<string, Mirrored>();
 
-  // The followers ask the mesh, and the mesh answers from the mirrors; the mesh comes last.
+  // What is followed asks the mesh, and the mesh answers from the mirrors; the mesh comes last.
   let mesh: Mesh | undefined;
-  const askPeers = async (topic: string, after: number) => mesh?.askPeers(topic, after);
-
-  const follow = (
-    topic: KeyedTopic,
-    mirror: KeyedMirror,
-    read: { waitMs: number; pauseMs: number },
-  ): Follower => {
-    const follower = followTopic({
-      topic,
-      mirror,
-      askPeers,
-      // One entry reads the log for all: calls to it are paid for, and links are there anyway.
-      isReadByPeer: () => mesh?.hasEarlierPeer() ?? false,
-      onAnswer: (push) => mesh?.passOn(topic.name, push),
-      ...read,
-      clock,
-      metrics,
-      log,
-    });
-    mirrored.set(topic.name, { mirror, follower });
-    return follower;
-  };
+  const followed = createFollowedTopics({ mesh: () => mesh, clock, metrics, log });
 
   const quarantine = createQuarantine({
     tell: (news) => mesh?.tellCrashes(news),
@@ -148,7 +116,7 @@
     decode: options.decodeUpstream,
     dataCentre: self.dataCentre,
     onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
-    logBackAt: () => mirrored.get(topics.upstreams.name)?.follower.logBackAt() ?? -Infinity,
+    logBackAt: () => followed.follower(topics.upstreams.name)?.logBackAt() ?? -Infinity,
     clock,
     random,
     metrics,
@@ -181,7 +149,7 @@
     isClosing: () => isClosing,
     table: () => table,
     untilIntent,
-    intentAge: () => mirrored.get(topics.intent.name)?.follower.age() ?? Infinity,
+    intentAge: () => followed.follower(topics.intent.name)?.age() ?? Infinity,
   });
 
   const door = await createDoor({
@@ -218,11 +186,11 @@
     mesh?.setNodes([...nodes.values()]);
   });
 
-  const intentFollower = follow(topics.intent, intentMirror, INTENT_READ);
-  follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
-  follow(topics.nodes, nodeMirror, NODES_READ);
+  const intentFollower = followed.follow(topics.intent, intentMirror, INTENT_READ);
+  followed.follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
+  followed.follow(topics.nodes, nodeMirror, NODES_READ);
   const quarantineMirror = createKeyedMirror(quarantine.takeRecord);
-  follow(topics.quarantine, quarantineMirror, QUARANTINE_READ);
+  followed.follow(topics.quarantine, quarantineMirror, QUARANTINE_READ);
 
   const ownCounts = (): Map<string, number> =>
     new Map(
@@ -248,18 +216,13 @@
     wholeShare: loadTeller.whole,
     onCrashNews: quarantine.takeNews,
     wholeCrashNews: quarantine.whole,
-    onPush: (topic, push) => mirrored.get(topic)?.follower.takePush(push),
+    onPush: (topic, push) => followed.follower(topic)?.takePush(push),
     onPeerGone: (peer) => {
       directory.all().forEach((upstream) => upstream.forgetPeer(peer));
       quarantine.forgetPeer(peer);
     },
     onPace: directory.notePace,
-    recordsAfter: (topic, after) => {
-      const held = mirrored.get(topic);
-      if (!held || held.mirror.end() < 0) return undefined;
-      const { mirror, follower } = held;
-      return { records: mirror.changesAfter(after), end: mirror.end(), ageMs: follower.age() };
-    },
+    recordsAfter: followed.recordsAfter,
     clock,
     random,
     metrics,
@@ -302,7 +265,7 @@
     door.stopListening();
     await untilIdle(endBy);
     log.event('stopped', { cut: door.open() });
-    mirrored.forEach(({ follower }) => follower.close());
+    followed.close();
     quarantine.close();
     publisher.close();
     readiness.close();
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -1,15 +1,17 @@
 /** Keeps requests that crash upstreams away from them, together with the other entries. */
 
-import type { Clock, EventLog, Metrics, Pause } from '@plantaindrum/common';
-import { createPause } from '@plantaindrum/common';
+import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import type { KeyedChange } from '@plantaindrum/mirror';
 import type { UpstreamStart } from '../types.js';
 import { createCrashEvidence } from './crash-evidence.js';
 import type { Verdict } from './crash-evidence.js';
 import { MOST_IN_NOTE, readNews } from './news.js';
 import type { News } from './news.js';
+import { createNewsTeller, noNews } from './news-teller.js';
+import { createRecordWriter } from './record-writer.js';
 import { decodeRecord, encodeRecord } from './record.js';
 import { createRunsAtUpstreams } from './runs-at-upstreams.js';
+import { createTriedSuspects } from './tried-suspects.js';
 import type { CrashedRun } from './runs-at-upstreams.js';
 
 /** Why a request is not sent to an upstream. */
@@ -70,59 +72,22 @@
  * die of the request.
  */
 const SOUND_AFTER_MS = 500;
-/** News are collected this long, in ms: upstreams that lose power together make hundreds. */
-const TELL_MS = 40;
-/** A suspect that a peer tries is held back here for this long at the most, in ms. */
-const TRIED_MS = 3_000;
 /** Crashed upstreams from which a suspect is tried by one entry at a time. */
 const TRIED_BY_ONE = 2;
-/** Pause between two tries to write the record, in ms. */
-const PUBLISH_AGAIN_MS = 1_000;
 /** A quarantine that another entry told of is written from here when it isn't on the platform by then, in ms. */
 const RECORD_DUE_MS = 3_000;
-/** Requests that one entry keeps in the platform's record. */
-const MOST_RECORDS = 64;
-
 const startId = ({ instance, startedAt }: UpstreamStart): string => `${instance}@${startedAt}`;
 
-const noNews = (): News => ({ crashes: [], quarantined: [], sound: [], tried: [] });
-
 /** Creates the quarantine of one entry; it writes its record until `close`. */
 export const createQuarantine = (options: QuarantineOptions): RequestQuarantine => {
-  const { tell, publish, clock, metrics, log } = options;
+  const { clock, metrics, log } = options;
   const evidence = createCrashEvidence(clock);
   const recorded = new Set<string>();
-  const toPublish = new Set<string>();
-  const triedByPeers = new Map<string, { fingerprints: readonly string[]; at: number }>();
-  const triedHere = new Map<string, number>();
-  const pause: Pause = createPause(clock);
-  let isPublishing = false;
-  let stopped = false;
-  let news = noNews();
-  let isTelling = false;
+  const tried = createTriedSuspects(clock);
+  const teller = createNewsTeller({ tell: options.tell, tried: tried.here, clock });
 
   const ago = (at: number): number => Math.max(0, clock.monotonic() - at);
 
-  const tellSoon = (): void => {
-    if (isTelling) return;
-    isTelling = true;
-    clock.after(TELL_MS, () => {
-      isTelling = false;
-      const told = { ...news, tried: [...triedHere.keys()].slice(0, MOST_IN_NOTE) };
-      news = noNews();
-      if (!stopped) tell(told);
-    });
-  };
-
-  const add = <Kind extends 'crashes' | 'quarantined' | 'sound'>(
-    kind: Kind,
-    entry: News[Kind][number],
-  ): void => {
-    const list = news[kind] as News[Kind][number][];
-    if (list.length < MOST_IN_NOTE) list.push(entry);
-    tellSoon();
-  };
-
   const quarantineOf = (fingerprint: string): News['quarantined'] => {
     const { quarantine } = evidence.caseOf(fingerprint) ?? {};
     if (!quarantine || evidence.verdict(fingerprint) !== 'quarantined') return [];
@@ -136,26 +101,7 @@
     return held && encodeRecord({ since: now - held.sinceAgoMs, until: now + held.leftMs });
   };
 
-  const publishAll = async (): Promise<void> => {
-    if (isPublishing) return;
-    isPublishing = true;
-    while (toPublish.size > 0 && !stopped) {
-      const [fingerprint = ''] = toPublish;
-      const isDone = await publish(fingerprint, recordOf(fingerprint));
-      if (isDone) toPublish.delete(fingerprint);
-      else {
-        log.event('quarantine-record-failed', { fingerprint, waiting: toPublish.size });
-        await pause.wait(PUBLISH_AGAIN_MS);
-      }
-    }
-    isPublishing = false;
-  };
-
-  const publishSoon = (fingerprint: string): void => {
-    if (toPublish.size >= MOST_RECORDS) return;
-    toPublish.add(fingerprint);
-    void publishAll();
-  };
+  const writer = createRecordWriter({ publish: options.publish, recordOf, clock, log });
 
   const noteVerdict = (fingerprint: string, verdict: Verdict, from: string): void => {
     const { crashes = [] } = evidence.caseOf(fingerprint) ?? {};
@@ -171,10 +117,10 @@
     noteVerdict(fingerprint, verdict, 'own');
     const { instance, sentAt, endedAt } = crash;
     const ages = { sentAgoMs: ago(sentAt), endedAgoMs: Math.min(ago(sentAt), ago(endedAt)) };
-    add('crashes', { fingerprint, instance, ...ages });
+    teller.add('crashes', { fingerprint, instance, ...ages });
     if (verdict !== 'quarantined') return;
-    quarantineOf(fingerprint).forEach((entry) => add('quarantined', entry));
-    publishSoon(fingerprint);
+    quarantineOf(fingerprint).forEach((entry) => teller.add('quarantined', entry));
+    writer.write(fingerprint);
   };
 
   const runs = createRunsAtUpstreams(clock, noteCrash);
@@ -182,21 +128,8 @@
   const noteSound = (fingerprint: string): void => {
     if (!evidence.noteSound(fingerprint, clock.monotonic())) return;
     log.event('request-sound', { fingerprint });
-    add('sound', { fingerprint, agoMs: 0 });
-    if (recorded.has(fingerprint)) publishSoon(fingerprint);
-  };
-
-  const isTriedByPeer = (fingerprint: string): boolean =>
-    [...triedByPeers.values()].some(
-      ({ fingerprints, at }) => ago(at) < TRIED_MS && fingerprints.includes(fingerprint),
-    );
-
-  /** Counts an attempt with a suspect among those that the other entries are told of. */
-  const noteTried = (fingerprint: string, by: 1 | -1): void => {
-    const count = (triedHere.get(fingerprint) ?? 0) + by;
-    if (count > 0) triedHere.set(fingerprint, count);
-    else triedHere.delete(fingerprint);
-    tellSoon();
+    teller.add('sound', { fingerprint, agoMs: 0 });
+    if (recorded.has(fingerprint)) writer.write(fingerprint);
   };
 
   const takePeerNews = (peer: string, told: News): void => {
@@ -216,11 +149,10 @@
       noteVerdict(fingerprint, change.verdict, 'peer');
       clock.after(RECORD_DUE_MS, () => {
         const isHeld = evidence.verdict(fingerprint) === 'quarantined';
-        if (isHeld && !recorded.has(fingerprint)) publishSoon(fingerprint);
+        if (isHeld && !recorded.has(fingerprint)) writer.write(fingerprint);
       });
     });
-    if (told.tried.length > 0) triedByPeers.set(peer, { fingerprints: told.tried, at: now });
-    else triedByPeers.delete(peer);
+    tried.notePeer(peer, told.tried);
   };
 
   return {
@@ -229,14 +161,17 @@
       if (verdict === 'clear') return undefined;
       const [held] = quarantineOf(fingerprint);
       if (held) return { reason: 'quarantined', retryAfterMs: held.leftMs };
-      const isTried = runs.underWay(fingerprint) > 0 || isTriedByPeer(fingerprint);
+      const isTried = runs.underWay(fingerprint) > 0 || tried.isTriedByPeer(fingerprint);
       return isTried ? { reason: 'crash-suspect' } : undefined;
     },
     isSuspect: (fingerprint) => evidence.verdict(fingerprint) === 'suspect',
     begin: (fingerprint, upstream) => {
       const { crashes = [] } = evidence.caseOf(fingerprint) ?? {};
       const isTold = crashes.length >= TRIED_BY_ONE && evidence.verdict(fingerprint) === 'suspect';
-      if (isTold) noteTried(fingerprint, 1);
+      if (isTold) {
+        tried.begin(fingerprint);
+        teller.soon();
+      }
       const run = runs.begin(fingerprint, startId(upstream));
       let firstEventAt: number | undefined;
       let isSound = false;
@@ -259,7 +194,9 @@
         hasSurvived: () => isSound || isRefused,
         end: () => {
           run.end();
-          if (isTold) noteTried(fingerprint, -1);
+          if (!isTold) return;
+          tried.end(fingerprint);
+          teller.soon();
         },
       };
     },
@@ -277,9 +214,7 @@
         log.event('quarantine-news-unreadable', { peer });
       }
     },
-    forgetPeer: (peer) => {
-      triedByPeers.delete(peer);
-    },
+    forgetPeer: tried.forgetPeer,
     whole: () => {
       const now = clock.monotonic();
       const held = evidence.all().slice(-MOST_IN_NOTE);
@@ -315,8 +250,8 @@
       if (change.isNews) noteVerdict(key, change.verdict, 'record');
     },
     close: () => {
-      stopped = true;
-      pause.end();
+      teller.close();
+      writer.close();
     },
   };
 };
