A group's shape is read by the agents that coordinate next, and told to the others

Change: ranks 0 to 3 read, the others ask the lowest linked agent; one that has none below reads after 2 s. Ruled out: reading later in the background, as the same calls come then. Cost: where the four lowest agents are lost while the store is down, before the others have asked, nobody coordinates until it is back.

--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -9,7 +9,8 @@
 import type { GroupTree } from '../tree/group-tree.js';
 import { packNumbers, unpackNumbers } from '../tree/packing.js';
 import { TREE_CALL } from '../tree/tree-calls.js';
-import type { OrderOutcome, RankOrder } from '../types.js';
+import type { GroupShape, OrderOutcome, RankOrder } from '../types.js';
+import { readToldShape } from './group-shape.js';
 import { agentIdentity } from './identity.js';
 import { readOrderFor } from './shapes.js';
 
@@ -19,6 +20,8 @@
   setNodes(nodes: readonly NodeRecord[], group: string, rank: number): void;
   /** Link to the agent of a rank. */
   toRank(rank: number): Link | undefined;
+  /** Asks the agent of the lowest linked rank for the group's shape; undefined where it isn't told. */
+  askShape(): Promise<GroupShape | undefined>;
   /** Link to the agent of the highest linked rank, the least likely to coordinate next. */
   toHighest(): Link | undefined;
   /** Whether no agent of a lower rank is linked. */
@@ -40,6 +43,8 @@
   groupSize: () => number;
   /** Gives an order to the engine beside another agent, for that agent. */
   orderFor: (node: string, order: RankOrder) => Promise<OrderOutcome>;
+  /** The group's shape where it is known here. */
+  shape: () => GroupShape | undefined;
   /** Takes what the coordinator's agent passes on to its successor. */
   onPicks: (picks: readonly number[]) => void;
   clock: Clock;
@@ -73,6 +78,9 @@
 const BACKOFF = { firstMs: 50, maxMs: 1_000 };
 
 const PICKS_NOTE = 'rank.picks';
+const SHAPE_CALL = 'rank.shape';
+/** Time for the answer to a question over a link, in ms. */
+const ASK_MS = 400;
 
 interface Dialled {
   client: LinkClient;
@@ -93,6 +101,7 @@
 
   const handlers = {
     [TREE_CALL]: options.serveTree,
+    [SHAPE_CALL]: async () => options.shape(),
     'rank.order-for': async (args: unknown) => {
       const asked = readOrderFor(args);
       return asked ? options.orderFor(asked.node, asked.order) : 'refused';
@@ -228,6 +237,11 @@
       endOthers([...lowest, ...relays, ...down]);
     },
     toRank: (rank) => linked().get(rank),
+    askShape: async () => {
+      const [lowest] = linked().values();
+      const reply = await lowest?.call(SHAPE_CALL, {}, ASK_MS);
+      return reply?.outcome === 'answered' ? readToldShape(reply.value) : undefined;
+    },
     toHighest: () => [...linked().values()].at(-1),
     isLowest,
     tree: () => tree,
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -16,6 +16,7 @@
 import type { EngineFinderOptions } from './engine-finder.js';
 import { createPaceReporter } from './links/pace-reporter.js';
 import { createPlacementBook } from './links/placement-deltas.js';
+import { awaitShape, coordinatesSoon } from './links/group-shape.js';
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { createNewsReader } from './links/news-reader.js';
@@ -73,8 +74,6 @@
 const CALL_MS = 110;
 /** How often links follow what is known of the nodes, in ms. */
 const LINKS_MS = 250;
-/** How often the intent is read until it names the group's shape, in ms; each read is paid for. */
-const SHAPE_MS = 1_500;
 /** How often this agent looks whether its engine has told its rank, in ms; that is read anyway. */
 const PLACE_MS = 50;
 
@@ -84,6 +83,7 @@
   const nodes = new Map<string, NodeRecord>();
   let place: RankPlace | undefined;
   let coordinator: Coordinator | undefined;
+  let shape: GroupShape | undefined;
   let stopped = false;
   let stopPublishing = (): void => {};
   const engine = openEngine(engineHost, enginePort);
@@ -139,6 +139,7 @@
     self,
     region: options.region,
     serveTree: calls.serve,
+    shape: () => shape,
     groupSize: () => member.lastReport()?.size ?? 0,
     orderFor,
     onPicks: (picks) => {
@@ -218,37 +219,39 @@
       ?.call('rank.order-for', { node: self.node, order }, CALL_MS)
       .then((reply) => readOutcome(reply.outcome === 'answered' ? reply.value : undefined));
 
-  const awaitShape = async (): Promise<void> => {
-    while (!stopped) {
-      // Nobody coordinates a group that opens before this is known: waiting out a whole pause for the
-      // engine's first word left it 1.4 s with the map it forms with, and all its streams late.
-      if (!place) {
-        await sleep(clock, PLACE_MS);
-        continue;
-      }
-      const shape = await options.readShape();
-      if (shape && shape.sets > 0) {
-        await finder.prepare();
-        coordinator = createCoordinator({
-          port,
-          ownRank: place.rank,
-          shape,
-          weighs: options.weighs,
-          isLowest: linked.isLowest,
-          knownPlacement: book.find,
-          newsEveryMs: news.everyMs,
-          orderOwnFromAfar,
-          clock,
-          random,
-          metrics,
-          log,
-        });
-        return;
-      }
-      await sleep(clock, SHAPE_MS);
-    }
+  const coordinate = async (): Promise<void> => {
+    // Nobody coordinates a group that opens before this is known: waiting out a whole pause for the
+    // engine's first word left it 1.4 s with the map it forms with, and all its streams late.
+    while (!place && !stopped) await sleep(clock, PLACE_MS);
+    const rank = place?.rank;
+    if (rank === undefined) return;
+    shape = await awaitShape({
+      read: options.readShape,
+      ask: linked.askShape,
+      rank,
+      isLowest: linked.isLowest,
+      isStopped: () => stopped,
+      clock,
+    });
+    if (!shape) return;
+    // Those that may have to coordinate know the engines, should the platform be out of reach by then.
+    if (coordinatesSoon(rank)) await finder.prepare();
+    coordinator = createCoordinator({
+      port,
+      ownRank: rank,
+      shape,
+      weighs: options.weighs,
+      isLowest: linked.isLowest,
+      knownPlacement: book.find,
+      newsEveryMs: news.everyMs,
+      orderOwnFromAfar,
+      clock,
+      random,
+      metrics,
+      log,
+    });
   };
-  void awaitShape();
+  void coordinate();
 
   return {
     stop: async () => {
