One estimate of mean and deviation for times of answers and of arming

Both kept the same two figures with the same update; the weights and the first deviation are what differs.

--- a/packages/common/src/answer-times.ts
+++ b/packages/common/src/answer-times.ts
@@ -5,6 +5,9 @@
  * retransmission timer (RFC 6298): the usual time and four times its usual deviation.
  */
 
+import { createEstimate } from './estimate.js';
+import type { Estimate } from './estimate.js';
+
 /** Limits by what is asked, in ms. */
 export interface AnswerTimes {
   /** Limit of the next call of this kind. */
@@ -23,32 +26,27 @@
   most: number;
 }
 
-const MEAN_WEIGHT = 1 / 8;
-const DEVIATION_WEIGHT = 1 / 4;
+const WEIGHTS = { mean: 1 / 8, deviation: 1 / 4, firstDeviation: 1 / 2 };
 const DEVIATIONS = 4;
 const MOST_BACKOFF = 8;
 
 /** Creates the record; `bounds` gives each kind's. */
 export const createAnswerTimes = (bounds: (kind: string) => AnswerBounds): AnswerTimes => {
-  const seen = new Map<string, { mean: number; deviation: number }>();
+  const seen = new Map<string, Estimate>();
   const backoff = new Map<string, number>();
 
   return {
     limit: (kind) => {
       const { first, least, most } = bounds(kind);
-      const times = seen.get(kind);
-      const usual = times ? times.mean + DEVIATIONS * times.deviation : first;
-      return Math.min(most, Math.max(least, usual) * (backoff.get(kind) ?? 1));
+      const times = seen.get(kind)?.usual();
+      const expected = times ? times.mean + DEVIATIONS * times.deviation : first;
+      return Math.min(most, Math.max(least, expected) * (backoff.get(kind) ?? 1));
     },
     note: (kind, ms) => {
       backoff.delete(kind);
-      const times = seen.get(kind);
-      if (!times) {
-        seen.set(kind, { mean: ms, deviation: ms / 2 });
-        return;
-      }
-      times.deviation += (Math.abs(ms - times.mean) - times.deviation) * DEVIATION_WEIGHT;
-      times.mean += (ms - times.mean) * MEAN_WEIGHT;
+      const times = seen.get(kind) ?? createEstimate(WEIGHTS);
+      seen.set(kind, times);
+      times.note(ms);
     },
     noteMostSilent: (kind) => {
       backoff.set(kind, Math.min(MOST_BACKOFF, 2 * (backoff.get(kind) ?? 1)));
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clock.js';
 export * from './errors/index.js';
 export * from './event-bytes.js';
+export * from './estimate.js';
 export * from './event-log.js';
 export * from './http-fields.js';
 export * from './in-turns.js';
--- a/packages/rank-groups/src/change/arming-time.ts
+++ b/packages/rank-groups/src/change/arming-time.ts
@@ -14,6 +14,8 @@
  * and the soonest pass is taken.
  */
 
+import { createEstimate } from '@plantaindrum/common';
+
 /** The time of arming a group, as it was observed. */
 export interface ArmingTime {
   /** A group was armed this long after the report from which its held pass was counted, in ms. */
@@ -36,8 +38,8 @@
 const FIRST_MS = 70;
 /** Orders to all ranks from the report on: whether all are there, and arming. */
 const ORDERS_TO_ALL = 2;
-const MEAN_WEIGHT = 0.2;
-const DEVIATION_WEIGHT = 0.25;
+/** The first deviation is narrow: a group that forms anew needs its first maps soonest. */
+const WEIGHTS = { mean: 0.2, deviation: 0.25, firstDeviation: 0.25 };
 /** Arming takes longer than the mean by this many deviations about once in twenty times. */
 const DEVIATIONS = 2;
 /** The pass that runs ends at any time; it is not counted on. */
@@ -50,26 +52,18 @@
 
 /** Creates the record. */
 export const createArmingTime = (): ArmingTime => {
-  let usual: { mean: number; deviation: number } | undefined;
+  const observed = createEstimate(WEIGHTS);
 
   /** Time of arming to be expected; in all but one of twenty times it takes less than `most`. */
   const expected = (orderMs: number): { mean: number; most: number } => {
-    const { mean, deviation } = usual ?? { mean: FIRST_MS, deviation: 0 };
+    const { mean, deviation } = observed.usual() ?? { mean: FIRST_MS, deviation: 0 };
     // An order that has just taken long says that links or VMs have turned slow before arming shows it.
     const least = Math.max(mean, ORDERS_TO_ALL * orderMs);
     return { mean: least, most: Math.max(least, mean + DEVIATIONS * deviation) };
   };
 
   return {
-    note: (ms) => {
-      if (!usual) {
-        // No wider: a group that forms anew needs its first maps soonest.
-        usual = { mean: ms, deviation: ms / 4 };
-        return;
-      }
-      usual.deviation += (Math.abs(ms - usual.mean) - usual.deviation) * DEVIATION_WEIGHT;
-      usual.mean += (ms - usual.mean) * MEAN_WEIGHT;
-    },
+    note: observed.note,
     lead: ({ passMs, orderMs, targetMs = Infinity }) => {
       const { mean, most } = expected(orderMs);
       // Streams are late already: the soonest is best, and waiting costs them less than one more long pass.
