--- a/packages/common/src/exposition.ts
+++ b/packages/common/src/exposition.ts
@@ -1,4 +1,4 @@
-import type { HistogramSummary, Labels, MetricsSnapshot } from './metrics.js';
+import type { HistogramSummary, Labels, MetricsSnapshot } from './metrics-snapshot.js';
 
 const PREFIX = 'plantaindrum_';
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,7 @@
 export * from './in-turns.js';
 export * from './logger.js';
 export * from './metric-help.js';
+export * from './metrics-snapshot.js';
 export * from './metrics.js';
 export * from './pause.js';
 export * from './random.js';
--- a/packages/lab/src/emulator/coordinate.ts
+++ b/packages/lab/src/emulator/coordinate.ts
@@ -4,7 +4,7 @@
 import type { ManualClock, Random } from '@plantaindrum/common';
 import { createCoordinator, oneByOne } from '@plantaindrum/rank-groups';
 import type { OrderOutcome, RankOrder, RankPlacement, RankPort } from '@plantaindrum/rank-groups';
-import type { DaySpec } from './day.js';
+import type { DaySpec } from './day-types.js';
 import type { EngineGroup } from './engine-types.js';
 import { TARGET_PAUSE_MS } from './targets.js';
 
--- a/packages/lab/src/emulator/policies.ts
+++ b/packages/lab/src/emulator/policies.ts
@@ -3,7 +3,7 @@
 import { silentEventLog } from '@plantaindrum/common';
 import { createAdmission } from '@plantaindrum/gateway';
 import type { Upstream } from '@plantaindrum/gateway';
-import type { AdmissionPolicy, AdmissionTools, StreamRequest } from './day.js';
+import type { AdmissionPolicy, AdmissionTools, StreamRequest } from './day-types.js';
 import { TARGET_PAUSE_MS } from './targets.js';
 
 const SERVICE = 's';
--- a/packages/lab/src/emulator/sites.ts
+++ b/packages/lab/src/emulator/sites.ts
@@ -1,6 +1,6 @@
 /** Days that stand for the users' groups, by the figures of their sheets. */
 
-import type { DaySpec } from './day.js';
+import type { DaySpec } from './day-types.js';
 import { followPace } from './policies.js';
 
 const MS = 1_000;
--- a/packages/lab/src/experiments/ablation.ts
+++ b/packages/lab/src/experiments/ablation.ts
@@ -1,7 +1,7 @@
 /** What each mechanism is worth: days on an emulated group, each with one of them switched off. */
 
 import { playDay } from '../emulator/day.js';
-import type { DayFigures, DaySpec } from '../emulator/day.js';
+import type { DayFigures, DaySpec } from '../emulator/day-types.js';
 import { fixedCap } from '../emulator/policies.js';
 import { denseGroupDay } from '../emulator/sites.js';
 import type { ExperimentOptions } from './table.js';
--- a/packages/lab/src/experiments/admission.ts
+++ b/packages/lab/src/experiments/admission.ts
@@ -1,7 +1,12 @@
 /** How many streams to have in flight: a fixed cap, the measured pace, or a budget of tokens. */
 
 import { playDay } from '../emulator/day.js';
-import type { AdmissionPolicy, AdmissionTools, DayFigures, DaySpec } from '../emulator/day.js';
+import type {
+  AdmissionPolicy,
+  AdmissionTools,
+  DayFigures,
+  DaySpec,
+} from '../emulator/day-types.js';
 import { fixedCap, followPace, tokenBudget } from '../emulator/policies.js';
 import { smallGroupDay } from '../emulator/sites.js';
 import type { ExperimentOptions } from './table.js';
--- a/packages/lab/src/experiments/rank-balance.ts
+++ b/packages/lab/src/experiments/rank-balance.ts
@@ -1,7 +1,7 @@
 /** The change of map on an emulated group: what each word of the operator brings and costs. */
 
 import { playDay } from '../emulator/day.js';
-import type { DayFigures, DaySpec } from '../emulator/day.js';
+import type { DayFigures, DaySpec } from '../emulator/day-types.js';
 import { largeGroupDay, smallGroupDay } from '../emulator/sites.js';
 import type { ExperimentOptions } from './table.js';
 
--- a/packages/lab/test/emulator.test.ts
+++ b/packages/lab/test/emulator.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { playDay } from '../src/emulator/day.js';
-import type { DayFigures, DaySpec } from '../src/emulator/day.js';
+import type { DayFigures, DaySpec } from '../src/emulator/day-types.js';
 import { smallGroupDay } from '../src/emulator/sites.js';
 
 const SHORT_MS = 5_000;
--- a/packages/stand-ins/src/engine/control.ts
+++ b/packages/stand-ins/src/engine/control.ts
@@ -2,7 +2,7 @@
 import { addressOf, readJson, sendJson } from '../http.js';
 import type { Handler } from '../http.js';
 import type { EngineFaults } from './engine.js';
-import type { EngineGroupStandIn } from './group-stand-in.js';
+import type { EngineGroupStandIn } from './group-types.js';
 import type { PopularityMotion } from './popularity.js';
 
 /** Body of `POST /faults`: the engine, changes of its faults, and at most one action. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './engine/engine.js';
 export * from './engine/expert-map.js';
 export * from './engine/group-stand-in.js';
+export * from './engine/group-types.js';
 export * from './engine/oracle.js';
 export * from './engine/popularity.js';
 export * from './engine/text.js';
