An upstream that is back at its address after its entry has lapsed is told as ended

Cause: an upstream that crashes silently is out of the list after 3.6 s and listed again some seconds later; its predecessor was looked for among the listed ones only, so its crash was no evidence where connections to it were not refused. Red first: the entry lapses, then another instance is listed at its address.

--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -85,15 +85,20 @@
 const FIRST_REFUSING = 3;
 const SILENT_MS = 300;
 
+const addressOf = ({ host, port }: UpstreamRecord): string => `${host}:${port}`;
+
 /**
  * Of several instances at one address the one that was listed last. The others have ended, though
  * their entries stand for seconds yet, and after a loss of power half of all attempts went to them.
  * An entry that another writer made up for a sound upstream's address is told by its first answer.
  */
 const latestAtEachAddress = (upstreams: readonly Upstream[]): Upstream[] => [
-  ...new Map(upstreams.map((u) => [`${u.record.host}:${u.record.port}`, u])).values(),
+  ...new Map(upstreams.map((u) => [addressOf(u.record), u])).values(),
 ];
 
+/** Addresses of which the last upstream is remembered; a bound on memory. */
+const MOST_ADDRESSES = 4_096;
+
 /** Creates a directory that follows the platform's list. */
 export const createDirectory = (options: DirectoryOptions): Directory => {
   const { decode, dataCentre, logBackAt, clock, random, metrics, log } = options;
@@ -102,6 +107,8 @@
   const leaving = new Set<string>();
   const replaced = new WeakSet<Upstream>();
   const starts = createKnownStarts();
+  /** Also of upstreams whose entry has lapsed: one that crashed is back after that. */
+  const lastAtAddress = new Map<string, UpstreamRecord>();
   const arrivals = createArrivals(clock);
   const noteForeign = createForeignEntries(metrics, log);
   const paceListeners = new Set<() => void>();
@@ -114,12 +121,17 @@
     leaving.delete(instance);
   };
 
-  /** Upstreams listed at the same address that did not say they would leave. */
-  const predecessorsOf = ({ host, port, instance }: UpstreamRecord): UpstreamRecord[] =>
-    [...listed.values()]
-      .map(({ record }) => record)
-      .filter((other) => other.host === host && other.port === port)
-      .filter((other) => other.instance !== instance && !leaving.has(other.instance));
+  /** Tells of the upstream that was listed last at an address and is not there any more, unless it had left. */
+  const notePredecessor = (record: UpstreamRecord): void => {
+    const address = addressOf(record);
+    const last = lastAtAddress.get(address);
+    const isSame = last?.instance === record.instance && last.startedAt === record.startedAt;
+    if (last && !isSame) options.onEnded(last);
+    lastAtAddress.delete(address);
+    if (record.state === 'ready') lastAtAddress.set(address, record);
+    const [oldest] = lastAtAddress.keys();
+    if (lastAtAddress.size > MOST_ADDRESSES && oldest !== undefined) lastAtAddress.delete(oldest);
+  };
 
   const add = (record: UpstreamRecord): void => {
     const { instance, startedAt, sequence } = record;
@@ -132,8 +144,6 @@
       return;
     }
     if (standing === 'later-start') {
-      const earlier = listed.get(instance) ?? lapsed.get(instance)?.upstream;
-      if (earlier) options.onEnded(earlier.record);
       forget(instance);
       log.event('upstream-started-again', { upstream: instance, startedAt, sequence });
     }
@@ -147,8 +157,8 @@
     lapsed.delete(record.instance);
     if (!known) {
       log.event('upstream-listed', { upstream: record.instance, service: record.service });
-      predecessorsOf(record).forEach((earlier) => options.onEnded(earlier));
     }
+    notePredecessor(settled);
     const upstream = known ?? createUpstream(settled, clock);
     upstream.update(settled);
     listed.set(record.instance, upstream);
