Those that waited for a group go on in four turns at the most

Cause: 33 that wait at an entry, five at a time and 150 ms apart, would take 1 s beside the 1.2 s that they may have waited, and callers leave a stream that shows nothing for two seconds. Red first: 41 waiting, 40 gone on in 450 ms.

--- a/packages/gateway/src/admission/reopening.ts
+++ b/packages/gateway/src/admission/reopening.ts
@@ -63,6 +63,8 @@
 const ASK_MS = 120;
 /** Pause between two turns of those that waited, in ms: about a pass in which each engine reads a prompt. */
 const TURN_MS = 150;
+/** Those that waited go on in so many turns at the most: they leave when they have seen nothing for two seconds. */
+const MOST_TURNS = 4;
 /** A refusal says something about the next request for this long, in ms. */
 const KNOWN_MS = 1_000;
 
@@ -90,11 +92,15 @@
   const isOver = ({ refusedAt, waiters }: Closure): boolean =>
     waiters.length === 0 && clock.monotonic() - refusedAt > KNOWN_MS;
 
-  const releaseInTurns = (waiters: readonly Waiter[]): void => {
-    const turn = Math.max(1, ...waiters.map((waiter) => waiter.turn));
+  const releaseTurn = (waiters: readonly Waiter[], turn: number): void => {
     waiters.slice(0, turn).forEach(({ settle }) => settle('open'));
     const left = waiters.slice(turn);
-    if (left.length > 0) clock.after(TURN_MS, () => releaseInTurns(left));
+    if (left.length > 0) clock.after(TURN_MS, () => releaseTurn(left, turn));
+  };
+
+  const releaseInTurns = (waiters: readonly Waiter[]): void => {
+    const least = Math.ceil(waiters.length / MOST_TURNS);
+    releaseTurn(waiters, Math.max(1, least, ...waiters.map(({ turn }) => turn)));
   };
 
   const open = (service: string, closure: Closure): void => {
--- a/packages/gateway/test/reopening.test.ts
+++ b/packages/gateway/test/reopening.test.ts
@@ -115,6 +115,17 @@
     expect(ended.slice(1, 6).map(([name]) => name)).to.deep.equal(['c0', 'c1', 'c2', 'c3', 'c4']);
   });
 
+  // So many wait that one an engine at a time would take longer than they stay: larger turns.
+  it('lets the last one go on while it is still there', async () => {
+    const { clock, reopening, ended, join } = start();
+    reopening.noteRefusing('s');
+    for (let n = 0; n < 41; n += 1) join(`c${n}`, 1, 60, 1_200, true, 5);
+    await clock.advance(200);
+    reopening.noteAnswer('s');
+    await clock.advance(450);
+    expect(ended.filter(([, outcome]) => outcome === 'open')).to.have.lengthOf(40);
+  });
+
   // Callers that have another try are told to come later. They ask where nobody has lately, or an entry
   // at which none waits would go on refusing after the group has opened.
   it('keeps nobody waiting who may come back, and lets one of them ask now and then', async () => {
