--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -6,20 +6,11 @@
 import type { Attempt, AttemptAnswer } from './attempt.js';
 import { awaitOpen } from './await-open.js';
 import { onCallerGone } from './caller-gone.js';
-import { beginAnswer, endToEnd, hasField } from './deliver.js';
-import { mayHaveRun, notRun, refuse } from './refuse.js';
+import { endToEnd } from './deliver.js';
+import { createFinalAnswer } from './final-answer.js';
+import type { Progress, WholeAnswer } from './final-answer.js';
 import type { CallerRequest, RefusalReason, ServingDeps } from './types.js';
 
-/** An upstream's answer that has been read whole. */
-export interface WholeAnswer {
-  outcome: 'whole';
-  status: number;
-  headers: string[];
-  body: Uint8Array;
-  /** Its end is marked by a length or by chunks, and not by the end of its connection alone. */
-  isFramed: boolean;
-}
-
 /** How one attempt ended. */
 export type RoundOutcome =
   | WholeAnswer
@@ -92,19 +83,19 @@
   let isGone = false;
   let isLate = false;
   let isMoving = false;
-  let mayHave = false;
-  let runs = 0;
-  let notRuns = 0;
-  let unsent = 0;
   let asks = 0;
-  let lastWhy = '';
   let endedAt = request.arrivedAt;
-  let failedAnswer: WholeAnswer | undefined;
-
-  const held = (): number => Math.round(clock.monotonic() - request.arrivedAt);
+  const progress: Progress = {
+    runs: 0,
+    notRuns: 0,
+    unsent: 0,
+    lastWhy: '',
+    failedAnswer: undefined,
+  };
+  const { answered, deliver, giveUp, held } = createFinalAnswer(request, progress, deps);
 
   const moveOn: MoveOn = () => {
-    const isLast = runs + 1 >= route.maxAttempts;
+    const isLast = progress.runs + 1 >= route.maxAttempts;
     if (!current || !mayRepeat || isMoving || isGone || isLate || isLast) return false;
     const next = directory.choose(service, tried);
     if (!next || directory.isHoldingUp(next) || !budget.take(service)) return false;
@@ -166,72 +157,50 @@
 
   const note = (outcome: RoundOutcome): void => {
     if (outcome.outcome === 'not-run') {
-      notRuns += 1;
+      progress.notRuns += 1;
       if (reopening.isClosed(service)) asks += 1;
-      if (!outcome.wasSent) unsent += 1;
+      if (!outcome.wasSent) progress.unsent += 1;
     } else {
-      runs += 1;
-      mayHave = true;
+      progress.runs += 1;
     }
-    if (outcome.outcome === 'whole') failedAnswer = outcome;
-    if ('why' in outcome) lastWhy = outcome.why;
+    if (outcome.outcome === 'whole') progress.failedAnswer = outcome;
+    if ('why' in outcome) progress.lastWhy = outcome.why;
   };
 
   /** Why no further attempt is made; undefined when one may be. */
   const obstacle = (): RefusalReason | undefined => {
     if (isLate) return 'deadline';
-    if (mayHave && !mayRepeat) return 'upstream-failed';
+    if (progress.runs > 0 && !mayRepeat) return 'upstream-failed';
     const away = quarantine.refusal(request.fingerprint);
     if (away) return away.reason;
-    const sends = runs + notRuns - unsent;
-    const isSpent = mayRepeat ? runs >= route.maxAttempts : sends >= route.maxAttempts;
+    const sends = progress.runs + progress.notRuns - progress.unsent;
+    const isSpent = mayRepeat ? progress.runs >= route.maxAttempts : sends >= route.maxAttempts;
     // Asking whether a group is there again is bounded by time and by the budget.
-    if (isSpent || notRuns - asks > MAX_NOT_RUN) return 'attempts-spent';
+    if (isSpent || progress.notRuns - asks > MAX_NOT_RUN) return 'attempts-spent';
     // A move has been paid for before its attempt was given up.
     if (sends > 0 && !isMoving && !budget.take(service)) return 'retry-budget-spent';
     return undefined;
   };
 
-  const answered = (status: number | undefined): void => {
-    metrics.record('gateway_answer_ms', held(), { kind: route.kind });
-    log.event('answered', { id: request.id, route: route.name, status, runs, notRuns, ms: held() });
-  };
-
-  const deliver = ({ status, headers, body, isFramed }: WholeAnswer): void => {
-    // An upstream that crashes in the middle of an answer without a length may end its connection
-    // cleanly, and nothing tells the rest is missing. With a length of ours the caller would take
-    // it for whole for certain, so the answer ends as the upstream's did: with its connection.
-    if (!isFramed) res.removeHeader('Transfer-Encoding');
-    const length = ['Content-Length', String(body.length)];
-    const isSized = !isFramed || hasField(headers, 'content-length');
-    beginAnswer(res, status, isSized ? headers : [...headers, ...length], deps.isStopping());
-    res.end(body);
-    answered(status);
-  };
-
-  const giveUp = (reason: RefusalReason): void => {
-    if (failedAnswer && !res.headersSent) {
-      deliver(failedAnswer);
-      return;
-    }
-    const refusal = mayHave ? mayHaveRun(reason) : notRun(reason, deps.random);
-    const context = { id: request.id, route: route.name, heldMs: held(), attempts: runs + notRuns };
-    refuse(res, refusal, { ...context, inputs: { lastWhy, unsent } }, deps);
-  };
-
   const isFinal = (outcome: RoundOutcome): boolean =>
     outcome.outcome === 'streamed' ||
     (outcome.outcome === 'whole' && (outcome.status < 500 || !mayRepeat) && !res.headersSent);
 
+  const noteCallerGone = (): void => {
+    const { runs, notRuns } = progress;
+    log.event('caller-gone', { id: request.id, runs, notRuns, ms: held() });
+  };
+
   /** The caller left, or its time was over, while no attempt was under way. */
   const endBetweenAttempts = (): void => {
     if (isLate && !isGone) giveUp('deadline');
-    else log.event('caller-gone', { id: request.id, runs, notRuns, ms: held() });
+    else noteCallerGone();
   };
 
   /** Before its first attempt a request has waited already, ahead of its admission. */
   const isOpen = async (): Promise<boolean> =>
-    runs + notRuns === 0 || awaitOpen(request, res.headersSent ? endedAt : request.arrivedAt, deps);
+    progress.runs + progress.notRuns === 0 ||
+    awaitOpen(request, res.headersSent ? endedAt : request.arrivedAt, deps);
 
   const runAll = async (rounds: Rounds, take: TakeAnswer): Promise<void> => {
     for (;;) {
@@ -251,7 +220,7 @@
       }
       const outcome = await attemptAt(rounds, upstream, take);
       if (isGone) {
-        log.event('caller-gone', { id: request.id, runs, notRuns, ms: held() });
+        noteCallerGone();
         return;
       }
       if (isFinal(outcome)) {
@@ -277,7 +246,7 @@
   const rounds: Rounds = {
     resumeAfter: request.fields.lastEventId,
     left: () => request.deadlineAt - clock.monotonic(),
-    sent: () => runs + notRuns - unsent,
+    sent: () => progress.runs + progress.notRuns - progress.unsent,
     run: async (take) => {
       onCallerGone(res, () => {
         isGone = true;
