--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -1,6 +1,6 @@
 /** Balances one group: notices what is popular, plans a map, and makes the change. */
 
-import type { Clock, EventFields, EventLog, Metrics, Random } from '@plantaindrum/common';
+import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import { allRanks } from './change/group-port.js';
 import { settleHeldPass } from './change/settle.js';
@@ -8,6 +8,7 @@
 import type { SwitchOptions as MapSwitchOptions } from './change/switch-map.js';
 import { nextVersion } from './change/versions.js';
 import { createKnownReports } from './known-reports.js';
+import { createObstacles } from './obstacles.js';
 import { createMapReader } from './map-reader.js';
 import { planChange } from './plan/plan.js';
 import type { MapPlan } from './plan/plan.js';
@@ -84,12 +85,6 @@
 
 /** Part of the time between news that makes a piece of counts: timers fire early and late. */
 const PIECE_SHARE = 0.7;
-/** A group that can't be acted on is told of again after this long, in ms. */
-const BLOCKED_AGAIN_MS = 5_000;
-
-/** Why a coordinator leaves its group as it is. */
-type Obstacle = 'ranks-silent' | 'group-closed' | 'map-unknown' | 'pass-held' | 'change-under-way';
-
 /** Starts to coordinate; runs until `close`. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
   const { port, shape, clock, random, metrics, log } = options;
@@ -109,6 +104,8 @@
   let placedVersion = -1;
   let planned = 0;
   let planAgainAt = -Infinity;
+  /** Time that the last plan took, in ms. */
+  let planningMs = 0;
   let heldSince: number | undefined;
   let switchedAt = -Infinity;
 
@@ -122,17 +119,9 @@
     placements: port.placements,
     log,
   });
-  let told: { obstacle: Obstacle | undefined; at: number } = { obstacle: undefined, at: -Infinity };
-
-  /** Says why nothing is done: each reason once, and again from time to time while it lasts. */
-  const noteObstacle = (obstacle: Obstacle | undefined, fields: EventFields = {}): void => {
-    const now = clock.monotonic();
-    // All agents of a group that starts coordinate for a moment, and each knows but few ranks.
-    if (now - leadSince < LINKING_MS) return;
-    const isNews = obstacle !== told.obstacle || now - told.at > BLOCKED_AGAIN_MS;
-    if (isNews && obstacle) log.event('group-left', { obstacle, ...fields });
-    if (isNews) told = { obstacle, at: now };
-  };
+  // All agents of a group that starts coordinate for a moment, and each knows but few ranks.
+  const isLinking = (): boolean => clock.monotonic() - leadSince < LINKING_MS;
+  const noteObstacle = createObstacles(isLinking, clock, log);
 
   const onUpdate = ({ report, picks }: RankUpdate): void => {
     known.note(report);
@@ -143,7 +132,7 @@
 
   /** Ranks whose agents are silent are read from here: their counts are missed, not their state. */
   const readSilent = async (): Promise<void> => {
-    if (clock.monotonic() - leadSince < LINKING_MS) return;
+    if (isLinking()) return;
     const silent = known.olderThan(allRanks(port), validMs());
     if (silent.length === 0) return;
     (await port.reports(silent)).forEach((report) => onUpdate({ report, picks: [] }));
@@ -205,7 +194,17 @@
     planned = version;
     const { before, after, copies, mostCopies } = plan;
     const slowest = Math.max(...allRanks(port).map((rank) => known.of(rank)?.pace ?? 1));
-    log.event('map-planned', { epoch, version, before, after, copies, slowest });
+    const newsMs = Math.round(options.newsEveryMs());
+    log.event('map-planned', {
+      epoch,
+      version,
+      before,
+      after,
+      copies,
+      slowest,
+      planningMs,
+      newsMs,
+    });
     const copyMs = mostCopies * shape.copyMs;
     const outcome = await switchMap({ epoch, version, placement: plan.placement, current, copyMs });
     // The last report of the own rank may be of the time in which it held the pass.
@@ -234,7 +233,8 @@
     const mayGoOn = (): boolean => clock.monotonic() - began < PLANNING_MS;
     const plan = planChange(current, shares, shape, options.weighs, paces, mayGoOn);
     const now = clock.monotonic();
-    if (!plan) planAgainAt = now + (now - began) * REST_PER_PLANNING;
+    planningMs = Math.round(now - began);
+    if (!plan) planAgainAt = now + planningMs * REST_PER_PLANNING;
     return plan;
   };
 
