Reverted: all who won't be back waiting for a group, and three refusals that tell of it

Cause: a pass reads what it is given; prompts of those that waited make passes longer than the pause that all streams in flight may have. Three refusals were never measured alone.

--- a/packages/gateway/src/admission/reopening.ts
+++ b/packages/gateway/src/admission/reopening.ts
@@ -1,12 +1,11 @@
 /**
  * Callers that wait while the group behind a service forms anew.
  *
- * The pattern: after a loss of power all ranks refuse for one or two seconds, and the callers whose streams were
- * cut are back within that time, all in the same fifth of a second. They come back once: refused then, they are
- * lost. So those who won't be back wait here, as many as the group has places; the others are told to come later.
- * One caller asks now and then, and when it is served those that wait go on in turns, the most urgent and the
- * longest waiting first: they are late already, and all at once, with the uneven map that a group forms with, they
- * would make those late that come new.
+ * The pattern: after a loss of power all ranks refuse for some 0.7 s, and the callers whose streams were
+ * cut are back within that time. They come back once: refused then, they are lost. So a few of those who
+ * won't be back wait here; the others are told to come later, or all would begin at once with the uneven
+ * map that a group forms with, and those that come new would be late with them. One caller asks now and
+ * then, and when it is served those that wait go on, the most urgent and the longest waiting first.
  */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
@@ -42,9 +41,8 @@
   until: number;
   /** Rank among callers, 0 first. */
   urgency: number;
-  /** Most callers that may wait for the service at this entry, and that go on at once when it opens. */
+  /** Most callers that may wait for the service at this entry. */
   room: number;
-  turn: number;
 }
 
 /** Options of `createReopening`. */
@@ -61,10 +59,6 @@
  * is not refused until the next would ask has found it open.
  */
 const ASK_MS = 120;
-/** Pause between two turns of those that waited, in ms: about a pass in which each engine reads a prompt. */
-const TURN_MS = 150;
-/** Those that waited go on in so many turns at the most: they leave when they have seen nothing for two seconds. */
-const MOST_TURNS = 4;
 /** A refusal says something about the next request for this long, in ms. */
 const KNOWN_MS = 1_000;
 
@@ -92,24 +86,13 @@
   const isOver = ({ refusedAt, waiters }: Closure): boolean =>
     waiters.length === 0 && clock.monotonic() - refusedAt > KNOWN_MS;
 
-  const releaseTurn = (waiters: readonly Waiter[], turn: number): void => {
-    waiters.slice(0, turn).forEach(({ settle }) => settle('open'));
-    const left = waiters.slice(turn);
-    if (left.length > 0) clock.after(TURN_MS, () => releaseTurn(left, turn));
-  };
-
-  const releaseInTurns = (waiters: readonly Waiter[]): void => {
-    const least = Math.ceil(waiters.length / MOST_TURNS);
-    releaseTurn(waiters, Math.max(1, least, ...waiters.map(({ turn }) => turn)));
-  };
-
   const open = (service: string, closure: Closure): void => {
     closures.delete(service);
     closure.stopTimer();
     const waiters = closure.waiters.sort(byTurn);
     const ms = Math.round(clock.monotonic() - closure.since);
     log.event('service-open', { service, ms, waiting: waiters.length });
-    releaseInTurns(waiters);
+    waiters.forEach(({ settle }) => settle('open'));
   };
 
   /** Ends waits that are over and lets the next caller ask. */
--- a/packages/gateway/src/serving/await-open.ts
+++ b/packages/gateway/src/serving/await-open.ts
@@ -19,16 +19,13 @@
   const { reopening, directory } = deps;
   const { service } = request;
   if (!reopening.isClosed(service)) return true;
-  const upstreams = directory.usable(service);
-  const places = upstreams.reduce((sum, { record }) => sum + record.slots, 0);
   const outcome = await reopening.wait(service, {
     isLastTry: request.isReturn || request.fields.lastEventId !== undefined,
     until: Math.min(from + LONGEST_WAIT_MS, request.deadlineAt),
     urgency: urgencyOf(request),
-    room: Math.ceil(places / deps.entries()),
     // One prompt for each engine, over all entries, is read within one pass. More of them at once, with
     // the uneven map that a group forms with, made passes of 200 ms for three seconds.
-    turn: Math.ceil(upstreams.length / deps.entries()),
+    room: Math.ceil(directory.usable(service).length / deps.entries()),
   });
   return outcome === 'open' || outcome === 'ask';
 };
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -104,14 +104,13 @@
     return true;
   };
 
-  const isRefusing = (): boolean =>
-    directory.isRefusing(service, deps.admission.pace(service).silence());
-
   /** What an attempt says of a service that is closed, or closes it. */
   const noteClosure = (hasAnswered: boolean, upstream: Upstream): void => {
     if (hasAnswered) reopening.noteAnswer(service);
     else if (!upstream.isRefusing()) reopening.noteNothing(service);
-    else if (reopening.isClosed(service) || isRefusing()) reopening.noteRefusing(service);
+    else if (reopening.isClosed(service) || directory.isRefusing(service)) {
+      reopening.noteRefusing(service);
+    }
   };
 
   const attemptAt = async (
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -27,8 +27,8 @@
   onPaceChange(listener: () => void): () => void;
   /** One of the least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
-  /** A service's upstreams have just refused to run requests; `silenceMs` is the time without an event of any. */
-  isRefusing(service: string, silenceMs: number): boolean;
+  /** Most of a service's upstreams have just refused to run a request. */
+  isRefusing(service: string): boolean;
   /** The agent beside the upstream at this address tells its pace. */
   notePace(pace: EnginePace): void;
   /** Another entry tells its requests at the upstreams. */
@@ -77,13 +77,6 @@
 /** Share of a service's upstreams that refuse when the others will, too; not told of a few. */
 const MOST_REFUSING = 0.2;
 const FEW_UPSTREAMS = 6;
-/**
- * Where no stream of the service has had an event for a while, so many refusals tell the same. An entry that has just
- * started meets a group that forms anew with its first requests: a fifth of 63 upstreams took it 0.3 s and all of
- * its retries to hear from.
- */
-const FIRST_REFUSING = 3;
-const SILENT_MS = 300;
 
 const addressOf = ({ host, port }: UpstreamRecord): string => `${host}:${port}`;
 
@@ -241,12 +234,10 @@
       const those = [sound, quick, fresh].find(({ length }) => length > 0) ?? [];
       return cheapest(service, those);
     },
-    isRefusing: (service, silenceMs) => {
+    isRefusing: (service) => {
       const all = usable(service);
       const refusing = all.filter((upstream) => upstream.isRefusing()).length;
-      if (all.length < FEW_UPSTREAMS) return false;
-      const isSilent = silenceMs > SILENT_MS;
-      return refusing > all.length * MOST_REFUSING || (isSilent && refusing >= FIRST_REFUSING);
+      return all.length >= FEW_UPSTREAMS && refusing > all.length * MOST_REFUSING;
     },
     notePace: ({ host, port, startedAt, pace }) => {
       [...listed.values()]
