--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './event-log.js';
 export * from './http-fields.js';
 export * from './in-turns.js';
+export * from './json-bytes.js';
 export * from './logger.js';
 export * from './metric-help.js';
 export * from './metrics-snapshot.js';
--- a/packages/gateway/src/quarantine/record.ts
+++ b/packages/gateway/src/quarantine/record.ts
@@ -1,6 +1,6 @@
 /** A request in quarantine as it is kept on the platform, for entries that start or were cut off. */
 
-import { isNumber, isObject } from '@plantaindrum/common';
+import { decodeJson, encodeJson, isNumber, isObject } from '@plantaindrum/common';
 
 /** What is kept under a request's fingerprint. Unix times in milliseconds: the record outlives processes. */
 export interface QuarantineRecord {
@@ -8,21 +8,12 @@
   until: number;
 }
 
-const encoder = new TextEncoder();
-const decoder = new TextDecoder();
-
 /** A record as bytes. */
-export const encodeRecord = (record: QuarantineRecord): Uint8Array =>
-  encoder.encode(JSON.stringify(record));
+export const encodeRecord = (record: QuarantineRecord): Uint8Array => encodeJson(record);
 
 /** Reads a record; undefined when it isn't one. */
 export const decodeRecord = (bytes: Uint8Array): QuarantineRecord | undefined => {
-  let value: unknown;
-  try {
-    value = JSON.parse(decoder.decode(bytes));
-  } catch {
-    return undefined;
-  }
+  const value = decodeJson(bytes);
   if (!isObject(value)) return undefined;
   const { since, until } = value;
   return isNumber(since) && isNumber(until) && since <= until ? { since, until } : undefined;
--- a/packages/mirror/src/roster.ts
+++ b/packages/mirror/src/roster.ts
@@ -1,6 +1,6 @@
 /** Nodes of this system as they have published themselves in the platform's log. */
 
-import { isObject } from '@plantaindrum/common';
+import { decodeJson, encodeJson, isObject } from '@plantaindrum/common';
 
 /** What a node publishes of itself. */
 export interface NodeRecord {
@@ -24,12 +24,8 @@
   enginePort: number;
 }
 
-const encoder = new TextEncoder();
-const decoder = new TextDecoder();
-
 /** A node's record as the bytes that are kept in the log. */
-export const encodeNode = (record: NodeRecord): Uint8Array =>
-  encoder.encode(JSON.stringify(record));
+export const encodeNode = (record: NodeRecord): Uint8Array => encodeJson(record);
 
 const decodePlace = (value: unknown): RankPlace | undefined => {
   if (!isObject(value)) return undefined;
@@ -44,12 +40,7 @@
 
 /** Reads a node's record; undefined when it isn't one. */
 export const decodeNode = (bytes: Uint8Array): NodeRecord | undefined => {
-  let value: unknown;
-  try {
-    value = JSON.parse(decoder.decode(bytes));
-  } catch {
-    return undefined;
-  }
+  const value = decodeJson(bytes);
   if (!isObject(value)) return undefined;
   const { node, instance, role, dataCentre, host, port } = value;
   const isSound =
--- a/packages/rank-groups/src/links/group-shape.ts
+++ b/packages/rank-groups/src/links/group-shape.ts
@@ -1,8 +1,8 @@
 /**
  * Where an agent learns its group's shape. The pattern: all agents of a group start together and need the same few
- * numbers, which only the one that coordinates uses. Read by each of 63 agents from the platform until the operators
- * have written them, they were a third of a day's calls. So those that coordinate next read them, and the others ask
- * over their links; only where nobody below is linked they read for themselves.
+ * numbers, which only the one that coordinates uses; each would ask the platform for them until the operators have
+ * written them, and each call is paid for. So those that coordinate next read them, and the others ask over their
+ * links; only where nobody below is linked they read for themselves.
  */
 
 import { isNumber, isObject, sleep } from '@plantaindrum/common';
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -62,7 +62,7 @@
 
 /**
  * Agents come and go seldom; the list is read again after each change, but not more often. While the store refuses,
- * a list that is known serves on: asked each 0.8 s by 63 agents, eight seconds of refusals were 700 calls.
+ * a list that is known serves on, and each refusal that all agents of a group ask for is paid for.
  */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000, retryMaxMs: 4_000 };
 /**
