A quarantine that an entry counts out from its peers' words is written by it, too

Cause: the record was written from a peer only where it was told of the quarantine itself; told of each crash in time it comes to the quarantine by itself, and where the entry that saw the last crash can't write, nobody did. The test told all at once, which hid it. Red with notes that come in time.

--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -76,6 +76,7 @@
 const TRIED_BY_ONE = 2;
 /** A quarantine that another entry told of is written from here when it isn't on the platform by then, in ms. */
 const RECORD_DUE_MS = 3_000;
+
 const startId = ({ instance, startedAt }: UpstreamStart): string => `${instance}@${startedAt}`;
 
 /** Creates the quarantine of one entry; it writes its record until `close`. */
@@ -132,6 +133,16 @@
     if (recorded.has(fingerprint)) writer.write(fingerprint);
   };
 
+  /** What a peer's word has brought about; the record is written from here where that peer can't. */
+  const notePeerVerdict = (fingerprint: string, verdict: Verdict): void => {
+    noteVerdict(fingerprint, verdict, 'peer');
+    if (verdict !== 'quarantined') return;
+    clock.after(RECORD_DUE_MS, () => {
+      const isHeld = evidence.verdict(fingerprint) === 'quarantined';
+      if (isHeld && !recorded.has(fingerprint)) writer.write(fingerprint);
+    });
+  };
+
   const takePeerNews = (peer: string, told: News): void => {
     const now = clock.monotonic();
     told.sound.forEach(({ fingerprint, agoMs }) => {
@@ -141,16 +152,11 @@
     told.crashes.forEach(({ fingerprint, instance, sentAgoMs, endedAgoMs }) => {
       const crash = { instance, sentAt: now - sentAgoMs, endedAt: now - endedAgoMs };
       const { verdict, isNews } = evidence.noteCrash(fingerprint, crash);
-      if (isNews) noteVerdict(fingerprint, verdict, 'peer');
+      if (isNews) notePeerVerdict(fingerprint, verdict);
     });
     told.quarantined.forEach(({ fingerprint, sinceAgoMs, leftMs }) => {
       const change = evidence.noteQuarantine(fingerprint, now - sinceAgoMs, now + leftMs);
-      if (!change.isNews) return;
-      noteVerdict(fingerprint, change.verdict, 'peer');
-      clock.after(RECORD_DUE_MS, () => {
-        const isHeld = evidence.verdict(fingerprint) === 'quarantined';
-        if (isHeld && !recorded.has(fingerprint)) writer.write(fingerprint);
-      });
+      if (change.isNews) notePeerVerdict(fingerprint, change.verdict);
     });
     tried.notePeer(peer, told.tried);
   };
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -269,8 +269,10 @@
     const clock = clockForNodes();
     let isUp = false;
     const [dead, peer] = [startNode(clock, () => false), startNode(clock, () => isUp)];
-    for (const instance of ['a', 'b', 'c']) await crashAt(dead, clock, instance);
-    dead.news.forEach((told) => peer.quarantine.takeNews('dead', told));
+    for (const instance of ['a', 'b', 'c']) {
+      await crashAt(dead, clock, instance);
+      dead.news.splice(0).forEach((told) => peer.quarantine.takeNews('dead', told));
+    }
     await clock.advance(5_000);
     expect(peer.records.size).to.equal(0);
     isUp = true;
