A stopped node takes nothing more from the log, and dials nobody

Cause: a read that waited at the log was answered after its node had stopped; the node's record in the answer made the closed links dial it for ever. Red first: an answer that comes after the close.

--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -146,9 +146,10 @@
 
   const server: LinkServer = await createLinkServer({ ...linkOptions, listen });
 
+  let isClosed = false;
   const dial = (address: ListenAddress): void => {
     const key = addressKey(address);
-    if (key === addressKey(self) || clients.has(key)) return;
+    if (isClosed || key === addressKey(self) || clients.has(key)) return;
     clients.set(
       key,
       createLinkClient({ ...linkOptions, connect: address, backoff: BACKOFF, random }),
@@ -199,6 +200,7 @@
       return reply.outcome === 'answered' ? readRecords(reply.value) : undefined;
     },
     close: async () => {
+      isClosed = true;
       await Promise.all([...clients.values()].map((client) => client.close()));
       await server.close();
     },
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -130,6 +130,8 @@
   };
 
   const takeAnswer = (apply: () => void): void => {
+    // A read that waited at the log is answered after the node has stopped: its links would be dialled anew.
+    if (stopped) return;
     const after = mirror.end();
     apply();
     noteAnswer();
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -128,6 +128,33 @@
     follower.close();
   });
 
+  // A node stops while its read waits at the log, and the answer comes afterwards: it dialled the node that the
+  // answer named, for ever.
+  it('takes nothing after it was closed', async () => {
+    let answer: (outcome: LogReadOutcome) => void = () => {};
+    const topic: KeyedTopic = {
+      name: 't',
+      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 0 }),
+      read: () =>
+        new Promise((resolve) => {
+          answer = resolve;
+        }),
+    };
+    const clock = createManualClock();
+    const mirror = createKeyedMirror(() => {});
+    const common = { clock, metrics: createMetrics(), log: silentEventLog };
+    const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
+    const follower = followTopic({ topic, mirror, ...reading, ...common });
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    await clock.advance(200);
+    follower.close();
+    answer({ outcome: 'records', records: [record('k', 0, '1')], end: 1 });
+    await clock.advance(200);
+    expect(mirror.items()).to.deep.equal([]);
+  });
+
   // The store turns this node away and serves the others. A key that was taken away would still be
   // served here; a peer that hears the store passes the change on.
   it('learns from a peer while the log refuses', async () => {
