--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -4,9 +4,9 @@
 import type { KeyedChange } from '@plantaindrum/mirror';
 import type { UpstreamStart } from '../types.js';
 import { createCrashEvidence } from './crash-evidence.js';
-import type { Verdict } from './crash-evidence.js';
+import type { Crash, Verdict } from './crash-evidence.js';
 import { MOST_IN_NOTE, readNews } from './news.js';
-import type { News } from './news.js';
+import type { CrashNews, News } from './news.js';
 import { createNewsTeller, noNews } from './news-teller.js';
 import { createRecordWriter } from './record-writer.js';
 import { decodeRecord, encodeRecord } from './record.js';
@@ -89,6 +89,13 @@
 
   const ago = (at: number): number => Math.max(0, clock.monotonic() - at);
 
+  const toNews = (fingerprint: string, { instance, sentAt, endedAt }: Crash): CrashNews => ({
+    fingerprint,
+    instance,
+    sentAgoMs: ago(sentAt),
+    endedAgoMs: Math.min(ago(sentAt), ago(endedAt)),
+  });
+
   const quarantineOf = (fingerprint: string): News['quarantined'] => {
     const { quarantine } = evidence.caseOf(fingerprint) ?? {};
     if (!quarantine || evidence.verdict(fingerprint) !== 'quarantined') return [];
@@ -116,9 +123,7 @@
     if (!isNews) return;
     metrics.count('gateway_crashes_seen');
     noteVerdict(fingerprint, verdict, 'own');
-    const { instance, sentAt, endedAt } = crash;
-    const ages = { sentAgoMs: ago(sentAt), endedAgoMs: Math.min(ago(sentAt), ago(endedAt)) };
-    teller.add('crashes', { fingerprint, instance, ...ages });
+    teller.add('crashes', toNews(fingerprint, crash));
     if (verdict !== 'quarantined') return;
     quarantineOf(fingerprint).forEach((entry) => teller.add('quarantined', entry));
     writer.write(fingerprint);
@@ -222,15 +227,9 @@
     },
     forgetPeer: tried.forgetPeer,
     whole: () => {
-      const now = clock.monotonic();
       const held = evidence.all().slice(-MOST_IN_NOTE);
       const crashes = held.flatMap((fingerprint) =>
-        (evidence.caseOf(fingerprint)?.crashes ?? []).map(({ instance, sentAt, endedAt }) => ({
-          fingerprint,
-          instance,
-          sentAgoMs: now - sentAt,
-          endedAgoMs: now - endedAt,
-        })),
+        (evidence.caseOf(fingerprint)?.crashes ?? []).map((crash) => toNews(fingerprint, crash)),
       );
       const quarantined = held.flatMap(quarantineOf);
       return { ...noNews(), crashes: crashes.slice(-MOST_IN_NOTE), quarantined };
