--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -145,6 +145,7 @@
       id: request.id,
       upstream: upstream.record.instance,
       load: upstream.load(),
+      rateLimit: upstream.rateLimit(),
       outcome: outcome.outcome,
       why: 'why' in outcome ? outcome.why : undefined,
       status: outcome.outcome === 'whole' ? outcome.status : undefined,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -135,6 +135,8 @@
   hasReceipt: boolean;
   /** Requests running and waiting at the upstream; undefined when it doesn't tell. */
   load: { running: number; waiting: number } | undefined;
+  /** Most requests a second that the upstream takes from all entries together; undefined when it names none. */
+  rateLimit: number | undefined;
 }
 
 /** Names and values of a header's fields, flat, as they came. */
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -25,6 +25,9 @@
   costOfNext(): number;
   /** Running and waiting requests as the upstream reports them. */
   noteLoad(running: number, waiting: number): void;
+  /** Requests a second that the upstream says it takes from all entries together; undefined where it names none. */
+  noteRateLimit(perSecond: number | undefined): void;
+  rateLimit(): number | undefined;
   /** Outcome of an attempt, for its health. */
   noteSuccess(): void;
   noteFailure(kind: 'unreachable' | 'failed' | 'refused'): void;
@@ -62,6 +65,7 @@
   let suspectMs = SUSPECT_MS;
   let refusedAt = -Infinity;
   const paceRecord = createPaceRecord(clock);
+  let rateLimit: number | undefined;
   let reportedLoad = { at: -Infinity, excess: 0 };
 
   const total = (): number => own + ofPeers;
@@ -112,6 +116,10 @@
     noteLoad: (running, waiting) => {
       reportedLoad = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
     },
+    noteRateLimit: (perSecond) => {
+      rateLimit = perSecond;
+    },
+    rateLimit: () => rateLimit,
     noteRefusal: () => {
       refusedAt = clock.monotonic();
     },
--- a/packages/gateway/test/support/test-dialect.ts
+++ b/packages/gateway/test/support/test-dialect.ts
@@ -29,5 +29,6 @@
     notRun: headers['x-not-run'] !== undefined,
     hasReceipt: headers['x-receipt'] !== undefined,
     load: undefined,
+    rateLimit: number(headers['x-rate-limit']),
   }),
 };
