A limit that an upstream names is kept by all entries together

What callers saw: nothing. What the upstream in need saw: as many requests as before it named its limit.

Cause: an answer's field for it was passed on to the caller and read by nobody. The class: what an upstream says to one entry and means for all is taken, if at all, by that entry alone.

Change: each entry keeps a count for each upstream that names a limit, tells the others each request it sends there and takes off what they tell; nobody sends while the count is used up, no retry, resumed stream or move either. Limits are told when they begin and end, and whole to entries that link. An answer without the field ends a limit only if its request was sent after the limit was last named and the upstream ran it. A part of the entries that is cut off from the others draws its part only. Where all upstreams of a service have used up their limits, callers are refused at once and told when a request may be sent.

--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -26,7 +26,12 @@
 
 /** Admission of one entry. */
 export interface Admission {
-  decide(request: AdmissionRequest, upstreams: readonly Upstream[]): AdmissionDecision;
+  /** Decides by the upstreams that new work goes to, and by those of them that may be sent a request now. */
+  decide(
+    request: AdmissionRequest,
+    upstreams: readonly Upstream[],
+    open?: readonly Upstream[],
+  ): AdmissionDecision;
   pace(service: string): PaceMeter;
   /** Limit on streams that are in flight at all entries together; for the metrics. */
   limit(service: string): number | undefined;
@@ -110,12 +115,10 @@
   };
 
   return {
-    decide: (request, upstreams) => {
+    decide: (request, upstreams, open = upstreams) => {
       const full = request.targetPauseMs === undefined ? FULL_PLAIN : FULL_STREAMS;
-      const least = Math.min(...upstreams.map((upstream) => upstream.load()));
-      const isBudgetSpent = upstreams.every(
-        (upstream) => upstream.total() >= request.maxConnections,
-      );
+      const least = Math.min(...open.map((upstream) => upstream.load()));
+      const isBudgetSpent = open.every((upstream) => upstream.total() >= request.maxConnections);
       if (least >= full || isBudgetSpent) return { admitted: false, reason: 'upstreams-full' };
       return request.targetPauseMs === undefined
         ? { admitted: true }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
 import type { DecodeUpstream } from './upstreams/directory.js';
+import { createRateLimits } from './upstreams/rate-limits.js';
 
 /** Where an entry listens. */
 export interface GatewayAddresses {
@@ -116,12 +117,19 @@
     decode: options.decodeUpstream,
     dataCentre: self.dataCentre,
     onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
+    linkedShare: () => mesh?.linkedShare() ?? 1,
     logBackAt: () => followed.follower(topics.upstreams.name)?.logBackAt() ?? -Infinity,
     clock,
     random,
     metrics,
     log,
   });
+  const rateLimits = createRateLimits({
+    upstreams: directory.all,
+    tell: (news) => mesh?.tellRates(news),
+    metrics,
+    log,
+  });
   const admission = createAdmission(clock, log);
   const entries = (): number => (mesh?.peers() ?? 0) + 1;
   const budget = createRetryBudget({ limits: () => bounds.retries, entries, clock });
@@ -137,6 +145,7 @@
     directory,
     admission,
     budget,
+    rateLimits,
     reopening,
     quarantine,
     checkEnd,
@@ -214,6 +223,8 @@
     onPeerAhead: () => intentFollower.hurry(),
     onShare: directory.notePeerLoad,
     wholeShare: loadTeller.whole,
+    onRateNews: rateLimits.takeNews,
+    wholeRateNews: rateLimits.whole,
     onCrashNews: quarantine.takeNews,
     wholeCrashNews: quarantine.whole,
     onPush: (topic, push) => followed.follower(topic)?.takePush(push),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,5 +5,6 @@
 export * from './intent/shortest-pause.js';
 export * from './quarantine/index.js';
 export * from './types.js';
+export * from './upstreams/rate-limit.js';
 export * from './upstreams/slow-upstreams.js';
 export * from './upstreams/upstream.js';
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -10,8 +10,11 @@
 import type { News } from '../quarantine/news.js';
 import { readEnginePace } from './engine-pace.js';
 import type { EnginePace } from './engine-pace.js';
+import { createLinkedShare } from './linked-share.js';
 import { readShare } from './load-share.js';
 import type { LoadShare } from './load-share.js';
+import { readRateNews } from './rate-news.js';
+import type { RateNews } from './rate-news.js';
 
 /** The entries that this one is linked with. */
 export interface Mesh {
@@ -22,6 +25,10 @@
   /** Whether a linked entry comes before this one; the first reads the log for all. */
   hasEarlierPeer(): boolean;
   shareLoad(share: LoadShare): void;
+  /** Part of the entries that may be at work that is linked with this one, itself counted. */
+  linkedShare(): number;
+  /** Tells all linked entries of limits that upstreams name, and of requests sent to those. */
+  tellRates(news: RateNews): void;
   /** Tells all linked entries of requests that crash upstreams. */
   tellCrashes(news: News): void;
   /** Passes on what the log has just answered. */
@@ -45,6 +52,9 @@
   onShare: (peer: string, share: LoadShare) => void;
   /** The whole of this entry's load, for a peer that is newly linked. */
   wholeShare: () => LoadShare;
+  onRateNews: (peer: string, news: RateNews) => void;
+  /** All limits of upstreams, for a peer that is newly linked. */
+  wholeRateNews: () => RateNews;
   /** A peer's note on requests that crash upstreams, not yet checked. */
   onCrashNews: (peer: string, value: unknown) => void;
   /** All that is known of them, for a peer that is newly linked. */
@@ -66,6 +76,7 @@
 /** Time for a connection and its hello, in ms. */
 const HELLO_MS = 1_000;
 const CRASH_NOTE = 'request.crashes';
+const RATE_NOTE = 'upstream.rates';
 const BACKOFF = { firstMs: 100, maxMs: 1_500 };
 
 const readRecords = (value: unknown): PeerRecords | undefined => {
@@ -88,6 +99,7 @@
 export const createMesh = async (options: MeshOptions): Promise<Mesh> => {
   const { self, listen, clock, random, metrics, log } = options;
   const links = new Set<Link>();
+  const linkedEntries = createLinkedShare(clock);
   const clients = new Map<string, LinkClient>();
 
   const answerRecords = async (args: unknown): Promise<unknown> => {
@@ -107,6 +119,8 @@
       if (pushed) options.onPush(pushed.topic, pushed.push);
       const pace = frame.method === 'engine.pace' ? readEnginePace(frame.args) : undefined;
       if (pace) options.onPace(pace);
+      const rates = frame.method === RATE_NOTE ? readRateNews(frame.args) : undefined;
+      if (rates) options.onRateNews(peer, rates);
       if (frame.method === CRASH_NOTE) options.onCrashNews(peer, frame.args);
     };
 
@@ -114,14 +128,19 @@
     const { node } = link.peer;
     links.add(link);
     log.event('peer-linked', { peer: node, role: link.peer.role });
-    if (link.peer.role === 'entry') {
+    const isEntry = link.peer.role === 'entry';
+    if (isEntry) {
+      linkedEntries.noteLinked(node);
       link.send({ t: 'note', method: 'load.share', args: options.wholeShare() });
       link.send({ t: 'note', method: CRASH_NOTE, args: options.wholeCrashNews() });
+      link.send({ t: 'note', method: RATE_NOTE, args: options.wholeRateNews() });
     }
     void link.closed.then((why) => {
       links.delete(link);
       log.event('peer-lost', { peer: node, why });
-      if (![...links].some(({ peer }) => peer.node === node)) options.onPeerGone(node);
+      if ([...links].some(({ peer }) => peer.node === node)) return;
+      if (isEntry) linkedEntries.noteLost(node);
+      options.onPeerGone(node);
     });
     return onFrame(node);
   };
@@ -184,6 +203,10 @@
     shareLoad: (share) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: 'load.share', args: share }));
     },
+    linkedShare: linkedEntries.share,
+    tellRates: (news) => {
+      byPeer().forEach((link) => link.send({ t: 'note', method: RATE_NOTE, args: news }));
+    },
     tellCrashes: (news) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: CRASH_NOTE, args: news }));
     },
--- /dev/null
+++ b/packages/gateway/src/mesh/rate-news.ts
@@ -0,0 +1,55 @@
+/** What entries tell each other of the limits that upstreams name on their requests. */
+
+import { isNumber, isObject } from '@plantaindrum/common';
+
+/** An upstream has named a limit, or ended it. */
+export interface NamedRate {
+  instance: string;
+  /** Which of its starts; see `UpstreamStart`. */
+  startedAt: number;
+  /** Requests a second from all entries together; null: it names none any more. */
+  perSecond: number | null;
+}
+
+/** Requests that were sent to an upstream with a limit. */
+export interface SentRequests {
+  instance: string;
+  startedAt: number;
+  requests: number;
+}
+
+/** One note to a peer. */
+export interface RateNews {
+  named: NamedRate[];
+  sent: SentRequests[];
+}
+
+/** Most entries of each kind in one note: a bound on what a peer can make this entry do. */
+const MOST_IN_NOTE = 1_024;
+
+const isAmount = (value: unknown): boolean => isNumber(value) && value >= 0;
+
+const isOfStart = ({ instance, startedAt }: Record<string, unknown>): boolean =>
+  typeof instance === 'string' && isAmount(startedAt);
+
+const listOf = <Entry>(
+  value: unknown,
+  isSound: (entry: Record<string, unknown>) => boolean,
+): Entry[] | undefined => {
+  if (!Array.isArray(value) || value.length > MOST_IN_NOTE) return undefined;
+  const all = value as unknown[];
+  return all.every((entry) => isObject(entry) && isOfStart(entry) && isSound(entry))
+    ? (value as Entry[])
+    : undefined;
+};
+
+/** Reads a note; undefined when it isn't one. */
+export const readRateNews = (value: unknown): RateNews | undefined => {
+  if (!isObject(value)) return undefined;
+  const named = listOf<NamedRate>(
+    value.named,
+    ({ perSecond }) => perSecond === null || isAmount(perSecond),
+  );
+  const sent = listOf<SentRequests>(value.sent, ({ requests }) => isAmount(requests));
+  return named && sent && { named, sent };
+};
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -56,7 +56,7 @@
   lastEventId: number | undefined,
   deps: ServingDeps,
 ): Attempt => {
-  const { clock, dialect, metrics, log } = deps;
+  const { clock, dialect, metrics, rateLimits } = deps;
   const { record } = upstream;
   const startedAt = clock.monotonic();
   const attemptFields = {
@@ -79,11 +79,9 @@
     clock,
   );
   upstream.begin();
+  rateLimits.noteSent(upstream);
   const watched = deps.quarantine.begin(request.fingerprint, record);
   metrics.count('gateway_attempts', { service: record.service });
-  if (upstream.rateLimit() !== undefined) {
-    metrics.count('gateway_attempts_rate_limited', { service: record.service });
-  }
   let ended = false;
 
   const settle = (failure: AttemptFailure): AttemptFailure => {
@@ -94,27 +92,19 @@
     return failure;
   };
 
-  /** Takes the limit that an answer names, or that it names none any more. */
-  const noteRateLimit = (perSecond: number | undefined): void => {
-    const before = upstream.rateLimit();
-    if (perSecond === before) return;
-    upstream.noteRateLimit(perSecond);
-    const change = perSecond === undefined ? 'ended' : 'named';
-    metrics.count('gateway_rate_limits', { change });
-    log.event('upstream-rate-limit', {
-      upstream: record.instance,
-      service: record.service,
-      id: request.id,
-      perSecond,
-      before,
-    });
-  };
-
   const judge = (res: IncomingMessage): AttemptAnswer | AttemptFailure => {
     const fields = dialect.readAnswer(res.headers);
     const status = res.statusCode ?? 0;
     // Another instance at the address says nothing of this one.
-    if (status !== 421) noteRateLimit(fields.rateLimit);
+    if (status !== 421) {
+      const { rateLimit: perSecond, hasReceipt: hasRun } = fields;
+      rateLimits.noteAnswer(upstream, {
+        requestId: request.id,
+        perSecond,
+        sentAt: startedAt,
+        hasRun,
+      });
+    }
     if (fields.load) upstream.noteLoad(fields.load.running, fields.load.waiting);
     if (fields.notRun || status === 421) {
       res.resume();
--- a/packages/gateway/src/serving/final-answer.ts
+++ b/packages/gateway/src/serving/final-answer.ts
@@ -72,7 +72,10 @@
       deliver(failedAnswer);
       return;
     }
-    const refusal = runs > 0 ? mayHaveRun(reason) : notRun(reason, deps.random);
+    const refusal =
+      runs > 0
+        ? mayHaveRun(reason)
+        : notRun(reason, deps.random, deps.directory.waitMs(request.service));
     const context = { id: request.id, route: route.name, heldMs: held(), attempts: runs + notRuns };
     refuse(res, refusal, { ...context, inputs: { lastWhy, unsent } }, deps);
   };
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -35,11 +35,14 @@
   return FORMING_REASONS.has(reason) ? FORMING_PAUSE : FULL_PAUSE;
 };
 
-/** A refusal of a request that has not run and won't: the caller may come back. */
-export const notRun = (reason: RefusalReason, random: () => number): Refusal => {
+/**
+ * A refusal of a request that has not run and won't: the caller may come back, in vain within `waitMs`
+ * milliseconds.
+ */
+export const notRun = (reason: RefusalReason, random: () => number, waitMs = 0): Refusal => {
   const { leastMs, spreadMs } = pauseAfter(reason);
   // Spread over the interval, so that those refused together do not come back together.
-  return { reason, status: 503, retryAfterMs: leastMs + random() * spreadMs };
+  return { reason, status: 503, retryAfterMs: Math.max(leastMs, waitMs) + random() * spreadMs };
 };
 
 /** A refusal of a request that may have crashed upstreams. */
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -145,7 +145,7 @@
       id: request.id,
       upstream: upstream.record.instance,
       load: upstream.load(),
-      rateLimit: upstream.rateLimit(),
+      rateLimit: upstream.rate.perSecond(),
       outcome: outcome.outcome,
       why: 'why' in outcome ? outcome.why : undefined,
       status: outcome.outcome === 'whole' ? outcome.status : undefined,
@@ -215,7 +215,7 @@
       }
       const upstream = directory.choose(service, tried);
       if (!upstream) {
-        giveUp('no-upstream');
+        giveUp(directory.waitMs(service, tried) > 0 ? 'upstreams-rate-limited' : 'no-upstream');
         return;
       }
       const outcome = await attemptAt(rounds, upstream, take);
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -98,13 +98,17 @@
     const { route, service } = request;
     const upstreams = directory.preferred(service);
     if (upstreams.length === 0) return notRun('no-upstream', random);
+    const open = directory.open(service);
+    if (open.length === 0) {
+      return notRun('upstreams-rate-limited', random, directory.waitMs(service));
+    }
     const targetPauseMs = route.kind === 'stream' ? (route.targetPauseMs ?? Infinity) : undefined;
     const { isReturn, table } = request;
     const declared = table.service(service);
     const maxConnections = declared?.maxConnections ?? Infinity;
     const passTimes = declared?.engine?.passTimes;
     const asked = { service, targetPauseMs, passTimes, maxConnections, isReturn };
-    const decision = admission.decide(asked, upstreams);
+    const decision = admission.decide(asked, upstreams, open);
     return decision.admitted ? undefined : notRun(decision.reason, random);
   };
 
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -7,6 +7,7 @@
 import type { RetryBudget } from '../retry/budget.js';
 import type { CallerFields, HeaderDialect, Organisation, Route, UpstreamRecord } from '../types.js';
 import type { Directory } from '../upstreams/directory.js';
+import type { RateLimits } from '../upstreams/rate-limits.js';
 
 /** What serving a request needs from its entry. */
 export interface ServingDeps {
@@ -14,6 +15,7 @@
   directory: Directory;
   admission: Admission;
   budget: RetryBudget;
+  rateLimits: RateLimits;
   reopening: Reopening;
   quarantine: RequestQuarantine;
   /** An attempt at this upstream was lost: finds out whether its process has ended. */
@@ -59,6 +61,8 @@
   | 'body-too-large'
   | 'no-upstream'
   | 'upstreams-full'
+  /** All of them have named limits on their requests, which are used up. */
+  | 'upstreams-rate-limited'
   | 'pace-too-slow'
   | 'upstreams-refusing'
   | 'attempts-spent'
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -25,6 +25,16 @@
   isHoldingUp(upstream: Upstream): boolean;
   /** Told of each change in who holds up others; the result ends that. */
   onPaceChange(listener: () => void): () => void;
+  /**
+   * Of the preferred upstreams, or else of the usable ones, those that may be sent a request now. The others have
+   * named a limit on their requests that is used up.
+   */
+  open(service: string): Upstream[];
+  /**
+   * Milliseconds until one of a service's upstreams, apart from those already tried, may be sent a request; 0 where one
+   * may be now, or there is none.
+   */
+  waitMs(service: string, tried?: ReadonlySet<string>): number;
   /** One of the least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
   /** Most of a service's upstreams have just refused to run a request. */
@@ -50,6 +60,8 @@
   dataCentre: string;
   /** An upstream's process has ended: it has started again, or another one is listed at its address. */
   onEnded: (upstream: UpstreamRecord) => void;
+  /** Part of the entries that this one hears of, for limits that hold for all entries together. */
+  linkedShare: () => number;
   /** When the platform's log came back after an outage (monotonic, ms). */
   logBackAt: () => number;
   clock: Clock;
@@ -152,7 +164,7 @@
       log.event('upstream-listed', { upstream: record.instance, service: record.service });
     }
     notePredecessor(settled);
-    const upstream = known ?? createUpstream(settled, clock);
+    const upstream = known ?? createUpstream(settled, clock, options.linkedShare);
     upstream.update(settled);
     listed.set(record.instance, upstream);
   };
@@ -190,6 +202,8 @@
 
   const preferred = (service: string): Upstream[] => withoutSlow(usable(service));
 
+  const isOpen = ({ rate }: Upstream): boolean => rate.waitMs() === 0;
+
   const cost = (upstream: Upstream): number => {
     const { record } = upstream;
     const away = record.dataCentre === dataCentre ? 0 : ELSEWHERE_COST;
@@ -225,8 +239,18 @@
       paceListeners.add(listener);
       return () => paceListeners.delete(listener);
     },
+    open: (service) => {
+      const quick = preferred(service).filter(isOpen);
+      return quick.length > 0 ? quick : usable(service).filter(isOpen);
+    },
+    waitMs: (service, tried = new Set()) => {
+      const fresh = usable(service).filter(({ record }) => !tried.has(record.instance));
+      const waits = fresh.map(({ rate }) => rate.waitMs());
+      return waits.length === 0 ? 0 : Math.min(...waits);
+    },
     choose: (service, tried) => {
-      const isFresh = ({ record }: Upstream): boolean => !tried.has(record.instance);
+      const isFresh = (upstream: Upstream): boolean =>
+        !tried.has(upstream.record.instance) && isOpen(upstream);
       const fresh = usable(service).filter(isFresh);
       const quick = preferred(service).filter(isFresh);
       const sound = quick.filter((upstream) => !upstream.isSuspect());
@@ -262,6 +286,6 @@
       present = undefined;
       log.event('upstream-replaced', { upstream: upstream.record.instance });
     },
-    all: () => [...listed.values()],
+    all: () => [...listed.values(), ...[...lapsed.values()].map(({ upstream }) => upstream)],
   };
 };
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@plantaindrum/common';
 import type { UpstreamRecord } from '../types.js';
 import { createPaceRecord } from './pace-record.js';
+import { createRateLimit } from './rate-limit.js';
+import type { RateLimit } from './rate-limit.js';
 
 /** One upstream as this entry sees it. */
 export interface Upstream {
@@ -25,9 +27,8 @@
   costOfNext(): number;
   /** Running and waiting requests as the upstream reports them. */
   noteLoad(running: number, waiting: number): void;
-  /** Requests a second that the upstream says it takes from all entries together; undefined where it names none. */
-  noteRateLimit(perSecond: number | undefined): void;
-  rateLimit(): number | undefined;
+  /** The limit that it names on the requests of all entries together. */
+  readonly rate: RateLimit;
   /** Outcome of an attempt, for its health. */
   noteSuccess(): void;
   noteFailure(kind: 'unreachable' | 'failed' | 'refused'): void;
@@ -53,8 +54,12 @@
 /** An upstream's report of its load counts this long, in ms: later its queue has changed. */
 const LOAD_VALID_MS = 250;
 
-/** Creates the view of one upstream. */
-export const createUpstream = (first: UpstreamRecord, clock: Clock): Upstream => {
+/** Creates the view of one upstream; `linkedShare` is the part of the entries that this one hears of. */
+export const createUpstream = (
+  first: UpstreamRecord,
+  clock: Clock,
+  linkedShare: () => number = () => 1,
+): Upstream => {
   let record = first;
   let own = 0;
   const peers = new Map<string, number>();
@@ -65,7 +70,7 @@
   let suspectMs = SUSPECT_MS;
   let refusedAt = -Infinity;
   const paceRecord = createPaceRecord(clock);
-  let rateLimit: number | undefined;
+  const rate = createRateLimit(clock, linkedShare);
   let reportedLoad = { at: -Infinity, excess: 0 };
 
   const total = (): number => own + ofPeers;
@@ -116,10 +121,7 @@
     noteLoad: (running, waiting) => {
       reportedLoad = { at: clock.monotonic(), excess: Math.max(0, running + waiting - total()) };
     },
-    noteRateLimit: (perSecond) => {
-      rateLimit = perSecond;
-    },
-    rateLimit: () => rateLimit,
+    rate,
     noteRefusal: () => {
       refusedAt = clock.monotonic();
     },
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -36,6 +36,7 @@
     },
     dataCentre: 'd',
     onEnded: ({ instance, startedAt }) => ended.push([instance, startedAt]),
+    linkedShare: () => 1,
     logBackAt: () => -Infinity,
     clock,
     random: createSeededRandom(1),
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -18,7 +18,9 @@
 import type { News } from '../../src/quarantine/news.js';
 import { createRetryBudget } from '../../src/retry/budget.js';
 import { createRequestHandler } from '../../src/serving/serve-request.js';
+import type { RateNews } from '../../src/mesh/rate-news.js';
 import { createDirectory } from '../../src/upstreams/directory.js';
+import { createRateLimits } from '../../src/upstreams/rate-limits.js';
 import type { FakeUpstream } from './fake-upstream.js';
 import { testDialect } from './test-dialect.js';
 
@@ -46,6 +48,8 @@
   isClosing?: boolean;
   /** Takes what the entry tells others of requests that crash upstreams. */
   tell?: (news: News) => void;
+  /** Takes what the entry tells others of limits that upstreams name. */
+  tellRates?: (news: RateNews) => void;
   /** Takes what the entry writes to the platform of requests in quarantine. */
   publish?: (key: string, value: Uint8Array | undefined) => void;
 }
@@ -92,6 +96,7 @@
     decode: (key, value) => ok({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
     dataCentre: 'd',
     onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
+    linkedShare: () => 1,
     logBackAt: () => -Infinity,
     clock,
     random,
@@ -103,6 +108,12 @@
     const state = { state: 'ready', warmupLeftMs: 0, sequence: 1, startedAt: 0 };
     directory.apply({ key: `i${at}`, value: encode({ ...fields, ...state }) });
   });
+  const rateLimits = createRateLimits({
+    upstreams: directory.all,
+    tell: (news) => options.tellRates?.(news),
+    metrics,
+    log,
+  });
   const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
   const table = createRouteTable({
     version: 1,
@@ -115,6 +126,7 @@
   const handle = createRequestHandler({
     dialect: testDialect,
     directory,
+    rateLimits,
     admission: createAdmission(clock, log),
     budget: createRetryBudget({
       limits: () => ({
@@ -177,6 +189,7 @@
     ask,
     metrics,
     directory,
+    rateLimits,
     quarantine,
     close: async (): Promise<void> => {
       server.closeAllConnections();
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -28,6 +28,7 @@
   'overload-processes',
   'path',
   'quarantine',
+  'rate-limit',
   'rank-balance',
   'recovery',
   'routing',
