Retries of entries behind a partition stay within the operators' bound

Cause: each entry takes the allowance over the entries that are linked. Behind a partition each part counts itself alone and takes the whole allowance, and both reach the same upstreams.

Change: an entry whose link was lost counts for 60 s more. An entry that is ended for good takes its share with it until then. Open: an entry that starts in an outage of the store knows the seeds only, and shares with those.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,7 +131,7 @@
     log,
   });
   const admission = createAdmission(clock, log);
-  const entries = (): number => (mesh?.peers() ?? 0) + 1;
+  const entries = (): number => mesh?.entries() ?? 1;
   const budget = createRetryBudget({ limits: () => bounds.retries, entries, clock });
   const reopening = createReopening({ clock, metrics, log });
 
--- a/packages/gateway/src/mesh/linked-share.ts
+++ b/packages/gateway/src/mesh/linked-share.ts
@@ -6,6 +6,8 @@
 export interface LinkedShare {
   noteLinked(node: string): void;
   noteLost(node: string): void;
+  /** Entries that may be at work, this one counted: the linked ones, and those lost lately. */
+  entries(): number;
   /** Part of them that this one hears of, itself included, above 0 and at most 1. */
   share(): number;
 }
@@ -29,6 +31,8 @@
     return lost.size;
   };
 
+  const entries = (): number => linked.size + lostLately() + 1;
+
   return {
     noteLinked: (node) => {
       linked.add(node);
@@ -37,6 +41,7 @@
     noteLost: (node) => {
       if (linked.delete(node)) lost.set(node, clock.monotonic());
     },
-    share: () => (linked.size + 1) / (linked.size + lostLately() + 1),
+    entries,
+    share: () => (linked.size + 1) / entries(),
   };
 };
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -20,12 +20,11 @@
 export interface Mesh {
   /** Takes the published nodes; dials entries that are new. */
   setNodes(nodes: readonly NodeRecord[]): void;
-  /** Linked entries, this one not counted. */
-  peers(): number;
   /** Whether a linked entry comes before this one; the first reads the log for all. */
   hasEarlierPeer(): boolean;
   shareLoad(share: LoadShare): void;
-  /** Part of the entries that may be at work that is linked with this one, itself counted. */
+  /** Entries that may be at work, this one counted, and the part of them that is linked with it. */
+  entries(): number;
   linkedShare(): number;
   /** Tells all linked entries of limits that upstreams name, and of requests sent to those. */
   tellRates(news: RateNews): void;
@@ -198,11 +197,11 @@
       entries.filter((entry) => addressKey(self) < addressKey(entry)).forEach(dial);
       forget(new Set([...entries, ...options.seeds].map(addressKey)));
     },
-    peers: () => byPeer().length,
     hasEarlierPeer: () => byPeer().some(({ peer }) => peer.node < self.node),
     shareLoad: (share) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: 'load.share', args: share }));
     },
+    entries: linkedEntries.entries,
     linkedShare: linkedEntries.share,
     tellRates: (news) => {
       byPeer().forEach((link) => link.send({ t: 'note', method: RATE_NOTE, args: news }));
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -20,7 +20,7 @@
   quarantine: RequestQuarantine;
   /** An attempt at this upstream was lost: finds out whether its process has ended. */
   checkEnd: (upstream: UpstreamRecord) => Promise<void>;
-  /** Entries that are linked, this one counted. */
+  /** Entries that may be at work, this one counted. */
   entries: () => number;
   clock: Clock;
   random: Random;
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -2,6 +2,7 @@
 import { createManualClock, silentEventLog } from '@plantaindrum/common';
 import { createAdmission } from '../src/admission/admission.js';
 import type { AdmissionRequest } from '../src/admission/admission.js';
+import { createLinkedShare } from '../src/mesh/linked-share.js';
 import { createRetryBudget } from '../src/retry/budget.js';
 import type { UpstreamRecord } from '../src/index.js';
 import { createUpstream } from '../src/upstreams/upstream.js';
@@ -46,6 +47,21 @@
     expect(takeAll(create(4).budget)).to.equal(14);
   });
 
+  // A partition leaves two pairs of four entries. Each pair would give itself the whole allowance, and the retries of
+  // both reach the same upstreams.
+  it('keeps the share of entries behind a partition free', async () => {
+    const clock = createManualClock();
+    const linked = createLinkedShare(clock);
+    ['b', 'c', 'd'].forEach(linked.noteLinked);
+    ['c', 'd'].forEach(linked.noteLost);
+    const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
+    const { entries } = linked;
+    expect(takeAll(createRetryBudget({ limits: () => limits, entries, clock }))).to.equal(14);
+    linked.noteLinked('c');
+    await clock.advance(60_001);
+    expect(takeAll(createRetryBudget({ limits: () => limits, entries, clock }))).to.equal(18);
+  });
+
   it('takes over what the operators change', () => {
     const { limits, budget } = create(1);
     expect(takeAll(budget)).to.equal(56);
