An upstream gets no more connections than it accepts, from retries either

What callers saw: a request that followed a failed attempt could be sent to an upstream that was at its limit of connections; it is reset there, and the caller hears 502, as nobody knows whether it ran. Cause: admission looked at the limit only where all upstreams had reached it, and the choice not at all. Evidence: test red first (502, two connections at an upstream that accepts one).

Change: the choice leaves out upstreams without a connection left, by all entries' requests as far as they are known; a request for which nobody is left is refused at once (upstreams-full). The cost of a choice is a module of its own, as directory.ts had grown. Conclusion: test green.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -117,6 +117,7 @@
     decode: options.decodeUpstream,
     dataCentre: self.dataCentre,
     onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
+    maxConnections: (service) => table?.service(service)?.maxConnections ?? Infinity,
     linkedShare: () => mesh?.linkedShare() ?? 1,
     logBackAt: () => followed.follower(topics.upstreams.name)?.logBackAt() ?? -Infinity,
     clock,
--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -215,7 +215,7 @@
       }
       const upstream = directory.choose(service, tried);
       if (!upstream) {
-        giveUp(directory.waitMs(service, tried) > 0 ? 'upstreams-rate-limited' : 'no-upstream');
+        giveUp(directory.obstacle(service, tried));
         return;
       }
       const outcome = await attemptAt(rounds, upstream, take);
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -100,7 +100,7 @@
     if (upstreams.length === 0) return notRun('no-upstream', random);
     const open = directory.open(service);
     if (open.length === 0) {
-      return notRun('upstreams-rate-limited', random, directory.waitMs(service));
+      return notRun(directory.obstacle(service), random, directory.waitMs(service));
     }
     const targetPauseMs = route.kind === 'stream' ? (route.targetPauseMs ?? Infinity) : undefined;
     const { isReturn, table } = request;
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -7,12 +7,16 @@
 import type { UpstreamFault, UpstreamRecord } from '../types.js';
 import { createArrivals } from './arrivals.js';
 import { pickOffer } from './choice.js';
+import { costOf } from './cost.js';
 import { createForeignEntries } from './foreign-entries.js';
 import { createKnownStarts } from './known-starts.js';
 import { withoutSlow } from './slow-upstreams.js';
 import { createUpstream } from './upstream.js';
 import type { Upstream } from './upstream.js';
 
+/** Why no upstream may be sent a request. */
+export type Obstacle = 'no-upstream' | 'upstreams-full' | 'upstreams-rate-limited';
+
 /** Upstreams by service. */
 export interface Directory {
   /** Takes a change of the platform's list. */
@@ -26,15 +30,14 @@
   /** Told of each change in who holds up others; the result ends that. */
   onPaceChange(listener: () => void): () => void;
   /**
-   * Of the preferred upstreams, or else of the usable ones, those that may be sent a request now. The others have
-   * named a limit on their requests that is used up.
+   * Of the preferred upstreams, or else of the usable ones, those that may be sent a request now: they have
+   * connections left, and where they have named a limit on their requests, it is not used up.
    */
   open(service: string): Upstream[];
-  /**
-   * Milliseconds until one of a service's upstreams, apart from those already tried, may be sent a request; 0 where one
-   * may be now, or there is none.
-   */
-  waitMs(service: string, tried?: ReadonlySet<string>): number;
+  /** Why none of a service's upstreams, apart from those already tried, may be sent a request now. */
+  obstacle(service: string, tried?: ReadonlySet<string>): Obstacle;
+  /** Milliseconds until the limits that a service's upstreams have named allow a request; 0 where one does now. */
+  waitMs(service: string): number;
   /** One of the least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
   /** Most of a service's upstreams have just refused to run a request. */
@@ -60,6 +63,8 @@
   dataCentre: string;
   /** An upstream's process has ended: it has started again, or another one is listed at its address. */
   onEnded: (upstream: UpstreamRecord) => void;
+  /** Most connections that one upstream of a service accepts from all entries together. */
+  maxConnections: (service: string) => number;
   /** Part of the entries that this one hears of, for limits that hold for all entries together. */
   linkedShare: () => number;
   /** When the platform's log came back after an outage (monotonic, ms). */
@@ -75,17 +80,6 @@
  * the log is, if it lives. So long it serves on where no other upstream of its service is listed.
  */
 const LAPSED_GRACE_MS = 2_000;
-/**
- * Load that an upstream elsewhere must be below one nearby to be chosen, in slots over slots: about one
- * request. It halves the bytes between data centres (7 MB to 4 MB a quiet day); at half a request
- * streams went elsewhere as soon as the nearest had one more, which brought nothing.
- */
-const ELSEWHERE_COST = 0.13;
-/** Load that a failing upstream seems to have more, at a failure share of 1. */
-const FAILURE_COST = 4;
-/** Load that an upstream seems to have more while it warms up. */
-const WARMUP_COST = 0.5;
-
 /** Share of a service's upstreams that refuse when the others will, too; not told of a few. */
 const MOST_REFUSING = 0.2;
 const FEW_UPSTREAMS = 6;
@@ -202,18 +196,12 @@
 
   const preferred = (service: string): Upstream[] => withoutSlow(usable(service));
 
-  const isOpen = ({ rate }: Upstream): boolean => rate.waitMs() === 0;
-
-  const cost = (upstream: Upstream): number => {
-    const { record } = upstream;
-    const away = record.dataCentre === dataCentre ? 0 : ELSEWHERE_COST;
-    const warming = record.warmupLeftMs > 0 ? WARMUP_COST : 0;
-    return upstream.costOfNext() + away + warming + upstream.failureShare() * FAILURE_COST;
-  };
+  const isOpen = ({ rate, record, total }: Upstream): boolean =>
+    rate.waitMs() === 0 && total() < options.maxConnections(record.service);
 
   const cheapest = (service: string, upstreams: readonly Upstream[]): Upstream | undefined => {
     const offers = upstreams.map((upstream) => ({
-      cost: cost(upstream),
+      cost: costOf(upstream, dataCentre),
       free: upstream.record.slots - upstream.total(),
     }));
     return upstreams[pickOffer(offers, arrivals.unheard(service), random)];
@@ -243,9 +231,15 @@
       const quick = preferred(service).filter(isOpen);
       return quick.length > 0 ? quick : usable(service).filter(isOpen);
     },
-    waitMs: (service, tried = new Set()) => {
+    obstacle: (service, tried = new Set()) => {
       const fresh = usable(service).filter(({ record }) => !tried.has(record.instance));
-      const waits = fresh.map(({ rate }) => rate.waitMs());
+      if (fresh.length === 0) return 'no-upstream';
+      return fresh.some(({ rate }) => rate.waitMs() > 0)
+        ? 'upstreams-rate-limited'
+        : 'upstreams-full';
+    },
+    waitMs: (service) => {
+      const waits = usable(service).map(({ rate }) => rate.waitMs());
       return waits.length === 0 ? 0 : Math.min(...waits);
     },
     choose: (service, tried) => {
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -36,6 +36,7 @@
     },
     dataCentre: 'd',
     onEnded: ({ instance, startedAt }) => ended.push([instance, startedAt]),
+    maxConnections: () => Infinity,
     linkedShare: () => 1,
     logBackAt: () => -Infinity,
     clock,
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -145,6 +145,30 @@
   });
 });
 
+describe('connections that an upstream accepts from all entries', () => {
+  // One upstream holds its only connection, the other one can't be reached. Sent on to the first one, the request
+  // would be reset there, and nobody could tell whether it ran.
+  it('are not exceeded by an attempt that follows another one', async () => {
+    const services = [{ name: 's', maxConnections: 1, engine: undefined }];
+    await withEntry(
+      [answerOk(), answerOk()],
+      { intent: { services } },
+      async (entry, upstreams) => {
+        const [first, second] = upstreams;
+        first?.act(() => {});
+        second?.act(() => {});
+        const held = entry.ask({ 'x-id': 'held' }, '/p/held');
+        await wait(50);
+        const [holding, other] = first?.seen.length === 1 ? [first, second] : [second, first];
+        await other?.close();
+        expect(await entry.ask()).to.include({ status: 503, body: 'upstreams-full\n' });
+        expect(holding?.seen.map(({ headers }) => headers['x-id'])).to.deep.equal(['held']);
+        await held;
+      },
+    );
+  });
+});
+
 describe('turning a request away', () => {
   const rows: [string, Omit<EntryOptions, 'upstreams'>, string, number][] = [
     ['without an intent: 503', { withoutIntent: true }, '/p/x', 503],
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -92,10 +92,20 @@
     (host, at) => tryConnect(host, at, clock),
     clock,
   );
+  const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
+  const table = createRouteTable({
+    version: 1,
+    routes: [{ ...baseRoute, ...options.route }],
+    services: [],
+    limits,
+    organisations: undefined,
+    ...options.intent,
+  });
   const directory = createDirectory({
     decode: (key, value) => ok({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
     dataCentre: 'd',
     onEnded: (upstream) => quarantine.noteEnded(upstream, 'started-again'),
+    maxConnections: (service) => table.service(service)?.maxConnections ?? Infinity,
     linkedShare: () => 1,
     logBackAt: () => -Infinity,
     clock,
@@ -114,15 +124,6 @@
     metrics,
     log,
   });
-  const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
-  const table = createRouteTable({
-    version: 1,
-    routes: [{ ...baseRoute, ...options.route }],
-    services: [],
-    limits,
-    organisations: undefined,
-    ...options.intent,
-  });
   const handle = createRequestHandler({
     dialect: testDialect,
     directory,
