The soak has a server that names a limit

One of two plain servers names 1 request a second while programs are killed, stopped and frozen and the store fails; from 3 s on no 4 s may bring it more than 11, but from entries that were just harmed.

--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -132,6 +132,10 @@
 export interface ServerStandIn {
   /** Ids of the requests that ran. */
   ran: string[];
+  /** Requests that reached the server, also those that did not run, and when (monotonic, ms). */
+  arrivals: { id: string; at: number }[];
+  /** Names this many requests a second in its answers from now on; undefined: none. */
+  nameLimit(perSecond: number | undefined): void;
   /** The server crashes and starts again under its id: it holds and has counted nothing. */
   startAgain(): void;
   /** Headers of the last request. */
@@ -146,6 +150,8 @@
   group?: { group: GroupStandIn; rank: number },
 ): Promise<ServerStandIn> => {
   const ran: string[] = [];
+  const arrivals: { id: string; at: number }[] = [];
+  let limit: Record<string, string> = {};
   let born = FIRST_BORN_MS;
   let lastHeaders: IncomingMessage['headers'] = {};
   const state = group?.group.ranks[group.rank];
@@ -169,13 +175,14 @@
 
   const run = (req: IncomingMessage, res: ServerResponse): void => {
     const id = String(req.headers['x-request-id']);
+    arrivals.push({ id, at: performance.now() });
     lastHeaders = req.headers;
     if (req.headers['x-expect-instance'] !== instance) {
       res.writeHead(421, { 'X-Instance-Id': instance }).end();
       return;
     }
     ran.push(id);
-    const sound = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}` };
+    const sound = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}`, ...limit };
     if (!group) {
       res.writeHead(200, { ...sound, 'X-Server-Load': '1,0,6' }).end('done');
       return;
@@ -204,6 +211,10 @@
   });
   return {
     ran,
+    arrivals,
+    nameLimit: (perSecond) => {
+      limit = perSecond === undefined ? {} : { 'Server-Limit': String(perSecond) };
+    },
     startAgain: () => {
       born += RESTART_MS;
       group?.group.formAnew(group.rank);
