--- a/packages/rank-groups/src/tree/packing.ts
+++ b/packages/rank-groups/src/tree/packing.ts
@@ -7,8 +7,9 @@
 
 const PAYLOAD_BITS = 7;
 const MORE = 0x80;
-/** Values up to 2^53 take at most eight bytes of seven bits. */
 const BASE = 2 ** PAYLOAD_BITS;
+/** Values up to 2^53 take at most eight bytes of seven bits. */
+const MOST_BYTES = 8;
 /** Fastest level: maps shrink to half with it, and the better levels win a few per cent more. */
 const DEFLATE = { level: 1 };
 /** Largest list that is unpacked, in bytes: a peer's frame must not fill this process's memory. */
@@ -16,16 +17,19 @@
 
 /** Packs whole numbers from 0, seven bits a byte, the lowest first. */
 export const packNumbers = (numbers: readonly number[]): Uint8Array => {
-  const bytes: number[] = [];
-  numbers.forEach((number) => {
+  const bytes = new Uint8Array(numbers.length * MOST_BYTES);
+  let length = 0;
+  for (const number of numbers) {
     let rest = number;
     while (rest >= BASE) {
-      bytes.push((rest % BASE) + MORE);
+      bytes[length] = (rest % BASE) + MORE;
+      length += 1;
       rest = Math.floor(rest / BASE);
     }
-    bytes.push(rest);
-  });
-  return Uint8Array.from(bytes);
+    bytes[length] = rest;
+    length += 1;
+  }
+  return bytes.slice(0, length);
 };
 
 /** Unpacks what `packNumbers` made; undefined when the bytes end within a number. */
@@ -33,16 +37,16 @@
   const numbers: number[] = [];
   let number = 0;
   let factor = 1;
-  bytes.forEach((byte) => {
+  for (const byte of bytes) {
     number += (byte % MORE) * factor;
     if (byte >= MORE) {
       factor *= BASE;
-      return;
+    } else {
+      numbers.push(number);
+      number = 0;
+      factor = 1;
     }
-    numbers.push(number);
-    number = 0;
-    factor = 1;
-  });
+  }
   return factor === 1 ? numbers : undefined;
 };
 
