--- a/packages/gateway/src/mesh/rate-news.ts
+++ b/packages/gateway/src/mesh/rate-news.ts
@@ -1,6 +1,7 @@
 /** What entries tell each other of the limits that upstreams name on their requests. */
 
 import { isNumber, isObject } from '@plantaindrum/common';
+import { readList } from './read-list.js';
 
 /** An upstream has named a limit, or ended it. */
 export interface NamedRate {
@@ -35,13 +36,8 @@
 const listOf = <Entry>(
   value: unknown,
   isSound: (entry: Record<string, unknown>) => boolean,
-): Entry[] | undefined => {
-  if (!Array.isArray(value) || value.length > MOST_IN_NOTE) return undefined;
-  const all = value as unknown[];
-  return all.every((entry) => isObject(entry) && isOfStart(entry) && isSound(entry))
-    ? (value as Entry[])
-    : undefined;
-};
+): Entry[] | undefined =>
+  readList(value, MOST_IN_NOTE, (entry) => isOfStart(entry) && isSound(entry));
 
 /** Reads a note; undefined when it isn't one. */
 export const readRateNews = (value: unknown): RateNews | undefined => {
--- a/packages/gateway/src/quarantine/news.ts
+++ b/packages/gateway/src/quarantine/news.ts
@@ -1,6 +1,7 @@
 /** What entries tell each other of requests that crash upstreams. Times are ages: clocks of VMs differ. */
 
 import { isNumber, isObject } from '@plantaindrum/common';
+import { readList } from '../mesh/read-list.js';
 import { FINGERPRINT_CHARS } from './fingerprint.js';
 
 /** A request was under way at an upstream that ended. */
@@ -46,13 +47,8 @@
 const listOf = <Entry>(
   value: unknown,
   isSound: (entry: Record<string, unknown>) => boolean,
-): Entry[] | undefined => {
-  if (!Array.isArray(value) || value.length > MOST_IN_NOTE) return undefined;
-  const all = value as unknown[];
-  return all.every((entry) => isObject(entry) && isFingerprint(entry.fingerprint) && isSound(entry))
-    ? (value as Entry[])
-    : undefined;
-};
+): Entry[] | undefined =>
+  readList(value, MOST_IN_NOTE, (entry) => isFingerprint(entry.fingerprint) && isSound(entry));
 
 /** Whether a value is a crash as entries and records tell it. */
 const isCrash = ({ instance, sentAgoMs, endedAgoMs }: Record<string, unknown>): boolean =>
