A peer's note of limits that can't be read is counted and logged

It was dropped without a line. Now gateway_rate_news_unreadable counts it and rate-news-unreadable names the peer.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -37,6 +37,7 @@
     "Peers' notes and records of requests in quarantine that could not be read.",
   gateway_quarantined: 'Requests put into quarantine, by where that was learnt.',
   gateway_rate_limits: 'Limits on requests that upstreams named or ended, by change.',
+  gateway_rate_news_unreadable: "Peers' notes of upstreams' limits that could not be read.",
   gateway_refused: 'Requests that the entry answered in its own name, by reason.',
   gateway_requests: 'Requests whose head was read.',
   gateway_waited_for_group: 'Requests that waited while the group behind a service formed anew.',
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -108,6 +108,16 @@
     return options.recordsAfter(args.topic, args.after);
   };
 
+  const takeRateNews = (peer: string, value: unknown): void => {
+    const news = readRateNews(value);
+    if (news) {
+      options.onRateNews(peer, news);
+      return;
+    }
+    metrics.count('gateway_rate_news_unreadable');
+    log.event('rate-news-unreadable', { peer });
+  };
+
   const onFrame =
     (peer: string): FrameHandler =>
     (frame) => {
@@ -118,8 +128,7 @@
       if (pushed) options.onPush(pushed.topic, pushed.push);
       const pace = frame.method === 'engine.pace' ? readEnginePace(frame.args) : undefined;
       if (pace) options.onPace(pace);
-      const rates = frame.method === RATE_NOTE ? readRateNews(frame.args) : undefined;
-      if (rates) options.onRateNews(peer, rates);
+      if (frame.method === RATE_NOTE) takeRateNews(peer, frame.args);
       if (frame.method === CRASH_NOTE) options.onCrashNews(peer, frame.args);
     };
 
