Rate limits are named in the field's terms

Now an upstream advertises a rate limit, entries set and clear it and draw from a token bucket; the metric's label change is set or cleared.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -18,8 +18,7 @@
   // Requests, at an entry before upstreams that are reached directly.
   gateway_answer_ms: 'Milliseconds from arrival to the end of the answer, by kind of route.',
   gateway_attempts: 'Attempts sent to an upstream, by service.',
-  gateway_attempts_rate_limited:
-    'Attempts at upstreams that had named a limit on requests, by service.',
+  gateway_attempts_rate_limited: 'Attempts at upstreams that advertise a rate limit, by service.',
   gateway_connections_dropped: 'Connections of callers refused because too many were open.',
   gateway_crashes_seen: 'Requests that were under way at an upstream when its process ended.',
   gateway_events_repeated: 'Events of resumed streams that the caller had already; left out.',
@@ -36,8 +35,8 @@
   gateway_quarantine_news_unreadable:
     "Peers' notes and records of requests in quarantine that could not be read.",
   gateway_quarantined: 'Requests put into quarantine, by where that was learnt.',
-  gateway_rate_limits: 'Limits on requests that upstreams named or ended, by change.',
-  gateway_rate_news_unreadable: "Peers' notes of upstreams' limits that could not be read.",
+  gateway_rate_limits: 'Rate limits that upstreams advertised or cleared, by change.',
+  gateway_rate_news_unreadable: "Peers' notes of rate limits that could not be read.",
   gateway_refused: 'Requests that the entry answered in its own name, by reason.',
   gateway_requests: 'Requests whose head was read.',
   gateway_waited_for_group: 'Requests that waited while the group behind a service formed anew.',
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -26,7 +26,7 @@
   /** Entries that may be at work, this one counted, and the part of them that is linked with it. */
   entries(): number;
   linkedShare(): number;
-  /** Tells all linked entries of limits that upstreams name, and of requests sent to those. */
+  /** Tells all linked entries of upstreams' rate limits, and of requests sent to those. */
   tellRates(news: RateNews): void;
   /** Tells all linked entries of requests that crash upstreams. */
   tellCrashes(news: News): void;
@@ -52,7 +52,7 @@
   /** The whole of this entry's load, for a peer that is newly linked. */
   wholeShare: () => LoadShare;
   onRateNews: (peer: string, news: RateNews) => void;
-  /** All limits of upstreams, for a peer that is newly linked. */
+  /** All rate limits of upstreams, for a peer that is newly linked. */
   wholeRateNews: () => RateNews;
   /** A peer's note on requests that crash upstreams, not yet checked. */
   onCrashNews: (peer: string, value: unknown) => void;
--- a/packages/gateway/src/mesh/rate-news.ts
+++ b/packages/gateway/src/mesh/rate-news.ts
@@ -1,14 +1,14 @@
-/** What entries tell each other of the limits that upstreams name on their requests. */
+/** What entries tell each other of the rate limits that upstreams advertise. */
 
 import { isNumber, isObject } from '@plantaindrum/common';
 import { readList } from './read-list.js';
 
-/** An upstream has named a limit, or ended it. */
-export interface NamedRate {
+/** An upstream has advertised a limit, or cleared it. */
+export interface AdvertisedLimit {
   instance: string;
   /** Which of its starts; see `UpstreamStart`. */
   startedAt: number;
-  /** Requests a second from all entries together; null: it names none any more. */
+  /** Requests a second from all entries together; null: none any more. */
   perSecond: number | null;
 }
 
@@ -21,7 +21,7 @@
 
 /** One note to a peer. */
 export interface RateNews {
-  named: NamedRate[];
+  limits: AdvertisedLimit[];
   sent: SentRequests[];
 }
 
@@ -42,10 +42,10 @@
 /** Reads a note; undefined when it isn't one. */
 export const readRateNews = (value: unknown): RateNews | undefined => {
   if (!isObject(value)) return undefined;
-  const named = listOf<NamedRate>(
-    value.named,
+  const limits = listOf<AdvertisedLimit>(
+    value.limits,
     ({ perSecond }) => perSecond === null || isAmount(perSecond),
   );
   const sent = listOf<SentRequests>(value.sent, ({ requests }) => isAmount(requests));
-  return named && sent && { named, sent };
+  return limits && sent && { limits, sent };
 };
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -61,7 +61,7 @@
   | 'body-too-large'
   | 'no-upstream'
   | 'upstreams-full'
-  /** All of them have named limits on their requests, which are used up. */
+  /** All of them advertise rate limits, which are used up. */
   | 'upstreams-rate-limited'
   | 'pace-too-slow'
   | 'upstreams-refusing'
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -135,7 +135,7 @@
   hasReceipt: boolean;
   /** Requests running and waiting at the upstream; undefined when it doesn't tell. */
   load: { running: number; waiting: number } | undefined;
-  /** Most requests a second that the upstream takes from all entries together; undefined when it names none. */
+  /** Most requests a second that the upstream takes from all entries together; undefined when it advertises none. */
   rateLimit: number | undefined;
 }
 
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -31,12 +31,12 @@
   onPaceChange(listener: () => void): () => void;
   /**
    * Of the preferred upstreams, or else of the usable ones, those that may be sent a request now: they have
-   * connections left, and where they have named a limit on their requests, it is not used up.
+   * connections left, and their rate limit, where they advertise one, is not used up.
    */
   open(service: string): Upstream[];
   /** Why none of a service's upstreams, apart from those already tried, may be sent a request now. */
   obstacle(service: string, tried?: ReadonlySet<string>): Obstacle;
-  /** Milliseconds until the limits that a service's upstreams have named allow a request; 0 where one does now. */
+  /** Milliseconds until the rate limits of a service's upstreams allow a request; 0 where one does now. */
   waitMs(service: string): number;
   /** One of the least loaded of a service's upstreams, apart from those already tried. */
   choose(service: string, tried: ReadonlySet<string>): Upstream | undefined;
--- a/packages/gateway/src/upstreams/rate-limits.ts
+++ b/packages/gateway/src/upstreams/rate-limits.ts
@@ -1,4 +1,4 @@
-/** Limits that upstreams name on their requests: what this entry learns and sends, and what others tell of it. */
+/** Rate limits that upstreams advertise: what this entry learns and sends, and what others tell of it. */
 
 import type { EventLog, Metrics } from '@plantaindrum/common';
 import type { RateNews } from '../mesh/rate-news.js';
@@ -7,11 +7,11 @@
 /** What an answer says of its upstream's limit. */
 export interface AnsweredLimit {
   requestId: string;
-  /** Requests a second from all entries together; undefined: it names none. */
+  /** Requests a second from all entries together; undefined: it advertises none. */
   perSecond: number | undefined;
   /** When its request was sent (monotonic, ms). */
   sentAt: number;
-  /** The upstream ran the request: only such an answer without a limit ends one. */
+  /** The upstream ran the request: only such an answer without a limit clears one. */
   hasRun: boolean;
 }
 
@@ -44,7 +44,7 @@
     learnt: { requestId: string } | { peer: string },
   ): void => {
     const perSecond = rate.perSecond();
-    const change = perSecond === undefined ? 'ended' : 'named';
+    const change = perSecond === undefined ? 'cleared' : 'set';
     metrics.count('gateway_rate_limits', { change });
     const { instance, service } = record;
     log.event('upstream-rate-limit', { upstream: instance, service, perSecond, before, ...learnt });
@@ -64,34 +64,34 @@
       const { rate, record } = upstream;
       if (perSecond === undefined && !hasRun) return;
       const before = rate.perSecond();
-      const isNews = perSecond === undefined ? rate.end(sentAt) : rate.name(perSecond);
+      const isNews = perSecond === undefined ? rate.clear(sentAt) : rate.set(perSecond);
       if (!isNews) return;
       logChange(upstream, before, { requestId });
       const { instance, startedAt } = record;
-      tell({ named: [{ instance, startedAt, perSecond: perSecond ?? null }], sent: [] });
+      tell({ limits: [{ instance, startedAt, perSecond: perSecond ?? null }], sent: [] });
     },
     noteSent: ({ rate, record }) => {
       if (rate.perSecond() === undefined) return;
       rate.spend(1);
       metrics.count('gateway_attempts_rate_limited', { service: record.service });
       const { instance, startedAt } = record;
-      tell({ named: [], sent: [{ instance, startedAt, requests: 1 }] });
+      tell({ limits: [], sent: [{ instance, startedAt, requests: 1 }] });
     },
-    takeNews: (peer, { named, sent }) => {
-      named.forEach((news) => {
+    takeNews: (peer, { limits, sent }) => {
+      limits.forEach((news) => {
         withUpstream(news, (upstream) => {
           const before = upstream.rate.perSecond();
           const isNews =
             news.perSecond === null
-              ? upstream.rate.end(Infinity)
-              : upstream.rate.name(news.perSecond);
+              ? upstream.rate.clear(Infinity)
+              : upstream.rate.set(news.perSecond);
           if (isNews) logChange(upstream, before, { peer });
         });
       });
       sent.forEach((news) => withUpstream(news, ({ rate }) => rate.spend(news.requests)));
     },
     whole: () => ({
-      named: upstreams().flatMap(({ rate, record: { instance, startedAt } }) => {
+      limits: upstreams().flatMap(({ rate, record: { instance, startedAt } }) => {
         const perSecond = rate.perSecond();
         return perSecond === undefined ? [] : [{ instance, startedAt, perSecond }];
       }),
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -27,7 +27,7 @@
   costOfNext(): number;
   /** Running and waiting requests as the upstream reports them. */
   noteLoad(running: number, waiting: number): void;
-  /** The limit that it names on the requests of all entries together. */
+  /** The rate limit that it advertises for all entries together. */
   readonly rate: RateLimit;
   /** Outcome of an attempt, for its health. */
   noteSuccess(): void;
--- a/packages/gateway/test/rate-limit.test.ts
+++ b/packages/gateway/test/rate-limit.test.ts
@@ -18,7 +18,7 @@
   it('is paid off by waiting when entries have sent too many', async () => {
     const clock = createManualClock();
     const limit = createRateLimit(clock, whole);
-    limit.name(2);
+    limit.set(2);
     expect(limit.waitMs()).to.equal(500);
     await clock.advance(500);
     expect(limit.waitMs()).to.equal(0);
@@ -30,29 +30,29 @@
   it('allows no more than a quarter of a second at once after a pause', async () => {
     const clock = createManualClock();
     const limit = createRateLimit(clock, whole);
-    limit.name(20);
+    limit.set(20);
     await clock.advance(60_000);
     limit.spend(5);
     expect(limit.waitMs()).to.equal(50);
   });
 
-  // An answer that was made before the upstream was in need comes after the one that names the limit; taken for the
-  // end of the need, it would let everything through again.
+  // An answer that was made before the upstream was overloaded comes after the one that bears the limit; taken for the
+  // end of the limit, it would let everything through again.
   it('is not ended by the answer to a request that was sent before it was named', async () => {
     const clock = createManualClock(1_000);
     const limit = createRateLimit(clock, whole);
-    expect(limit.name(1)).to.equal(true);
-    expect(limit.end(900)).to.equal(false);
+    expect(limit.set(1)).to.equal(true);
+    expect(limit.clear(900)).to.equal(false);
     expect(limit.perSecond()).to.equal(1);
-    expect(limit.end(1_000)).to.equal(true);
+    expect(limit.clear(1_000)).to.equal(true);
     expect(limit.waitMs()).to.equal(0);
   });
 
-  // An upstream that names 0 gets no request and so has no answer in which to say that its need is over.
+  // An upstream that names 0 gets no request and so has no answer in which to clear it.
   it('lets a request through now and then when it is 0', async () => {
     const clock = createManualClock();
     const limit = createRateLimit(clock, whole);
-    limit.name(0);
+    limit.set(0);
     expect(limit.waitMs()).to.equal(10_000);
     await clock.advance(10_000);
     expect(limit.waitMs()).to.equal(0);
@@ -65,7 +65,7 @@
     ['b', 'c', 'd'].forEach(share.noteLinked);
     expect(share.share()).to.equal(1);
     const limit = createRateLimit(clock, share.share);
-    limit.name(1);
+    limit.set(1);
     ['c', 'd'].forEach(share.noteLost);
     expect(limit.waitMs()).to.equal(2_000);
     share.noteLinked('c');
@@ -119,26 +119,26 @@
   // one down for as long as nobody asks it.
   it('hold for the start of the upstream that they were told of', () => {
     const { upstream, limits } = start();
-    limits.takeNews('e2', { named: [{ instance: 'i', startedAt: 4, perSecond: 1 }], sent: [] });
+    limits.takeNews('e2', { limits: [{ instance: 'i', startedAt: 4, perSecond: 1 }], sent: [] });
     expect(upstream.rate.perSecond()).to.equal(undefined);
     limits.takeNews('e2', {
-      named: [{ instance: 'i', startedAt: 5, perSecond: 1 }],
+      limits: [{ instance: 'i', startedAt: 5, perSecond: 1 }],
       sent: [{ instance: 'i', startedAt: 5, requests: 2 }],
     });
     expect(upstream.rate.waitMs()).to.equal(3_000);
-    limits.takeNews('e2', { named: [{ instance: 'i', startedAt: 5, perSecond: null }], sent: [] });
+    limits.takeNews('e2', { limits: [{ instance: 'i', startedAt: 5, perSecond: null }], sent: [] });
     expect(upstream.rate.waitMs()).to.equal(0);
   });
 
   it('are read from sound notes only', () => {
-    const named = { instance: 'i', startedAt: 0, perSecond: 1.5 };
+    const limit = { instance: 'i', startedAt: 0, perSecond: 1.5 };
     const sent = { instance: 'i', startedAt: 0, requests: 1 };
-    expect(readRateNews({ named: [named], sent: [sent] })).to.not.equal(undefined);
+    expect(readRateNews({ limits: [limit], sent: [sent] })).to.not.equal(undefined);
     [
-      ...[undefined, 1, {}, { named: [] }, { named: [named], sent: [{ ...sent, requests: -1 }] }],
-      { named: [{ ...named, perSecond: 'x' }], sent: [] },
-      { named: [{ ...named, perSecond: NaN }], sent: [] },
-      { named: new Array(5_000).fill(named), sent: [] },
+      ...[undefined, 1, {}, { limits: [] }, { limits: [limit], sent: [{ ...sent, requests: -1 }] }],
+      { limits: [{ ...limit, perSecond: 'x' }], sent: [] },
+      { limits: [{ ...limit, perSecond: NaN }], sent: [] },
+      { limits: new Array(5_000).fill(limit), sent: [] },
     ].forEach((value) => expect(readRateNews(value)).to.equal(undefined));
   });
 });
@@ -151,7 +151,7 @@
     };
 
   // Both upstreams have named limits that are used up. Held until its deadline the caller would learn nothing; sent on
-  // all the same, it would be the request that an upstream in need can't take.
+  // all the same, it would be the request that an overloaded upstream can't take.
   it('refuses at once, with the time until a request may be sent, when all limits are used up', async () => {
     await withEntry([limited(0.5), limited(0.25)], {}, async (entry, upstreams) => {
       expect((await entry.ask()).status).to.equal(200);
@@ -164,7 +164,7 @@
     });
   });
 
-  // A retry has to go where there is room as well: the first upstream refuses, the second one is in need.
+  // A retry has to go where there is room as well: the first upstream refuses, the second one is at its limit.
   it('does not retry at an upstream whose limit is used up', async () => {
     await withEntry([answerOk(), limited(0.5)], {}, async (entry, [first, second]) => {
       while (second?.seen.length === 0) await entry.ask();
--- a/packages/lab/src/experiments/rate-limit.ts
+++ b/packages/lab/src/experiments/rate-limit.ts
@@ -1,5 +1,5 @@
 /**
- * Ways to keep a limit that one upstream names on the requests of all entries together: each entry for itself, an equal
+ * Ways to enforce a rate limit that one upstream advertises for all entries together: each entry for itself, an equal
  * part for each, or one count that all draw from. Entries are the product's limits before callers that come at random,
  * each of whom would be sent to this upstream; what is counted is what it gets.
  */
@@ -44,7 +44,7 @@
   { name: '36 entries', entries: 36, callersPerS: 370, linkMs: 3, toFirst: 0.03 },
 ];
 const LIMITS_PER_S: readonly number[] = [0.5, 1, 5, 20];
-/** An upstream may get this many times what it named, and some more, in a window. */
+/** An upstream may get this many times its limit, and some more, in a window. */
 const ALLOWED = { times: 1.5, more: 5, windowMs: 4_000 };
 const MS_PER_S = 1_000;
 
@@ -68,7 +68,7 @@
 ): Promise<LimitFigures> => {
   const clock = createManualClock();
   const entries = startEntries(way, fleet, clock);
-  entries.forEach((entry) => entry.name(perSecond));
+  entries.forEach((entry) => entry.set(perSecond));
   const sentAt: number[] = [];
 
   const send = (from: number): void => {
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -32,9 +32,9 @@
 const FAULT_EVERY_MS = 900;
 /** Part of the way at which a key is taken away. */
 const REVOKE_AT = 0.4;
-/** Part of the way at which one server names a limit on its requests, and that limit a second. */
-const NEED_AT = 0.15;
-const NEEDED_PER_S = 1;
+/** Part of the way at which one server advertises a rate limit, in requests a second. */
+const LIMIT_AT = 0.15;
+const LIMIT_PER_S = 1;
 /** Time for the programs to link up, and to be whole again after the last fault, in ms. */
 const SETTLE_MS = 2_500;
 const HEALED_WITHIN_MS = 8_000;
@@ -68,10 +68,10 @@
     const keys = [KEPT_KEY, REVOKED_KEY];
     const callers = startCallers(world, createSeededRandom(seed), CALLS_PER_SECOND, keys);
     const faults = startFaults(world, createSeededRandom(seed + 1), FAULT_EVERY_MS);
-    await delay(lengthMs * NEED_AT);
-    const namedAt = performance.now();
-    world.needy.nameLimit(NEEDED_PER_S);
-    await delay(lengthMs * (REVOKE_AT - NEED_AT));
+    await delay(lengthMs * LIMIT_AT);
+    const advertisedAt = performance.now();
+    world.limited.advertiseLimit(LIMIT_PER_S);
+    await delay(lengthMs * (REVOKE_AT - LIMIT_AT));
     world.putIntent(2, [KEPT_KEY]);
     // The store may hand an old version out again; it must not come into force.
     await delay(lengthMs * (1 - REVOKE_AT) * 0.5);
@@ -84,7 +84,7 @@
     const violations = [
       ...findSoakViolations(world, callers.calls, faults.played),
       ...findLimitViolations(
-        { arrivals: world.needy.arrivals, limitPerS: NEEDED_PER_S, namedAt },
+        { arrivals: world.limited.arrivals, limitPerS: LIMIT_PER_S, advertisedAt },
         callers.calls,
         faults.played,
       ),
--- a/packages/lab/src/soak/world.ts
+++ b/packages/lab/src/soak/world.ts
@@ -32,7 +32,7 @@
   group: GroupStandIn;
   servers: readonly ServerStandIn[];
   /** A plain server, for faults of its own. */
-  needy: ServerStandIn;
+  limited: ServerStandIn;
   vms: readonly Vm[];
   /** Starts a VM's program again after it has ended. */
   restart(vm: Vm): Promise<void>;
@@ -81,9 +81,9 @@
     listServer(store, instance, service, `${ip}:${SOAK_PORTS.engine}`);
     return server;
   };
-  const needy = await startServer('book-0', 'book', bookIp(0));
+  const limited = await startServer('book-0', 'book', bookIp(0));
   const servers = await Promise.all([
-    needy,
+    limited,
     ...Array.from({ length: RANKS }, (_, n) => startServer(`rank-${n}`, 'llm', rankIp(n), n)),
     ...Array.from({ length: BOOKS - 1 }, (_, n) =>
       startServer(`book-${n + 1}`, 'book', bookIp(n + 1)),
@@ -128,7 +128,7 @@
     store,
     group,
     servers,
-    needy,
+    limited,
     vms,
     restart: async (vm) => {
       // Before the program starts: it serves callers before this process has read its first line.
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -134,8 +134,8 @@
   ran: string[];
   /** Requests that reached the server, also those that did not run, and when (monotonic, ms). */
   arrivals: { id: string; at: number }[];
-  /** Names this many requests a second in its answers from now on; undefined: none. */
-  nameLimit(perSecond: number | undefined): void;
+  /** Advertises this many requests a second in its answers from now on; undefined: none. */
+  advertiseLimit(perSecond: number | undefined): void;
   /** The server crashes and starts again under its id: it holds and has counted nothing. */
   startAgain(): void;
   /** Headers of the last request. */
@@ -212,7 +212,7 @@
   return {
     ran,
     arrivals,
-    nameLimit: (perSecond) => {
+    advertiseLimit: (perSecond) => {
       limit = perSecond === undefined ? {} : { 'Server-Limit': String(perSecond) };
     },
     startAgain: () => {
