The choice among upstreams looks only at those that may be picked

Change: offers too costly to be picked are left out before the sort; the picks are the same, as the loop ended at the first of them. The bound stays. A wall-clock bound can still be missed on a machine that is busier yet.

--- a/packages/gateway/src/upstreams/choice.ts
+++ b/packages/gateway/src/upstreams/choice.ts
@@ -32,7 +32,13 @@
 
 /** Picks one of the offers by its index, -1 where there is none; `meanwhile` requests come from others. */
 export const pickOffer = (offers: readonly Offer[], meanwhile: number, random: Random): number => {
-  const order = offers.map(({ cost }, at) => ({ cost, at })).sort((a, b) => a.cost - b.cost);
+  let least = Infinity;
+  for (const { cost } of offers) least = Math.min(least, cost);
+  const order: { cost: number; at: number }[] = [];
+  offers.forEach(({ cost }, at) => {
+    if (cost <= least + MOST_APART) order.push({ cost, at });
+  });
+  order.sort((a, b) => a.cost - b.cost);
   const [best] = order;
   if (!best) return -1;
   const picked: { at: number; weight: number }[] = [];
