--- a/packages/lab/src/experiments/rate-limit.ts
+++ b/packages/lab/src/experiments/rate-limit.ts
@@ -8,6 +8,7 @@
 import type { ManualClock, Random } from '@plantaindrum/common';
 import { createRateLimit } from '@plantaindrum/gateway';
 import type { RateLimit } from '@plantaindrum/gateway';
+import { mostInWindow } from '@plantaindrum/stand-ins';
 import type { ExperimentOptions } from './table.js';
 
 /** How entries keep the limit. */
@@ -53,12 +54,6 @@
   return Array.from({ length: fleet.entries }, () => createRateLimit(clock, () => part));
 };
 
-const mostInWindow = (times: readonly number[]): number =>
-  times.reduce((most, from, at) => {
-    const next = times.findIndex((time) => time >= from + ALLOWED.windowMs);
-    return Math.max(most, (next === -1 ? times.length : next) - at);
-  }, 0);
-
 const playOne = async (
   way: LimitWay,
   fleet: Fleet,
@@ -93,7 +88,7 @@
     way,
     fleet: fleet.name,
     perSecond,
-    mostInWindow: mostInWindow(sentAt),
+    mostInWindow: mostInWindow(sentAt, ALLOWED.windowMs),
     allowed: (times * perSecond * windowMs) / MS_PER_S + more,
     sent: sentAt.length,
     due: (perSecond * lengthMs) / MS_PER_S,
--- a/packages/lab/src/soak/limit-check.ts
+++ b/packages/lab/src/soak/limit-check.ts
@@ -1,5 +1,6 @@
 /** The promise that an upstream's rate limit holds for all entries together, checked against what it got. */
 
+import { mostInWindow } from '@plantaindrum/stand-ins';
 import type { SoakCall } from './callers.js';
 import type { Violation } from './checks.js';
 import type { PlayedFault } from './faults.js';
@@ -38,9 +39,7 @@
   const counted = arrivals
     .filter((arrival) => arrival.at >= advertisedAt + COUNTS_AFTER_MS && !isExcused(arrival))
     .map(({ at }) => at);
-  const inWindowFrom = (from: number): number =>
-    counted.filter((at) => at >= from && at < from + WINDOW_MS).length;
-  const most = Math.max(0, ...counted.map(inWindowFrom));
+  const most = mostInWindow(counted, WINDOW_MS);
   const allowed = (ALLOWED.times * limitPerS * WINDOW_MS) / MS_PER_S + ALLOWED.more;
   if (most <= allowed) return [];
   const what = `${most} requests in ${WINDOW_MS} ms, ${limitPerS} a second named; ${allowed} allowed`;
