The log's generation is read at the boundary, and what is left out after a restore is logged and counted

Callers saw requests handled by an intent that had been replaced.

Change: the boundary reads Store-Era into a generation that every outcome of a read bears. log-restored and picture-left-out say generation, end and what was held; gateway_log_restored and gateway_pictures_left_out count. intent-older says when a version older than the one in force is offered. No decision is changed.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -28,8 +28,10 @@
     "Entries of the platform's list that name no upstream, by what is unsound.",
   gateway_intent_unreadable: 'Records of the intent that could not be read.',
   gateway_log_read_failed: "Reads of the platform's log that failed, by topic and reason.",
+  gateway_log_restored: "Restores of the platform's log from an older copy, by topic.",
   gateway_malformed: 'Requests refused before they were read whole, by status.',
   gateway_mirror_from_peer: "Times at which a peer knew more of the platform's log, by topic.",
+  gateway_pictures_left_out: 'Whole pictures of a topic that were left out as too old, by topic.',
   gateway_outdated_entries: "Late entries of the platform's list that were left out.",
   gateway_pause_ms: 'Milliseconds between two events of a stream.',
   gateway_quarantine_news_unreadable:
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -178,6 +178,9 @@
       return;
     }
     // Never back: an older version from a store or a peer that lags is left out.
+    if (table && intent.version < table.intent.version) {
+      log.event('intent-older', { version: intent.version, inForce: table.intent.version });
+    }
     if (table && intent.version <= table.intent.version) return;
     table = createRouteTable(intent);
     door.limit(intent.limits);
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -7,16 +7,19 @@
 /** Why a call to the platform's log brought nothing. */
 export type LogFailure = 'refused' | 'no-answer' | 'malformed';
 
-/** Outcome of reading records. */
+/**
+ * Outcome of reading records. The generation of the log rises each time that it is restored from an older copy;
+ * offsets of different generations can't be compared.
+ */
 export type LogReadOutcome =
-  | { outcome: 'records'; records: KeyedRecord[]; end: number }
-  /** The records asked for have been deleted. */
-  | { outcome: 'expired' }
+  | { outcome: 'records'; records: KeyedRecord[]; end: number; generation: number }
+  /** The log doesn't have the records asked for: it has deleted them, or doesn't reach so far. */
+  | { outcome: 'expired'; generation: number }
   | { outcome: 'failed'; why: LogFailure };
 
 /** Outcome of reading one page of the newest values. */
 export type LogNewestOutcome =
-  | { outcome: 'items'; items: KeyedItem[]; hasMore: boolean; end: number }
+  | { outcome: 'items'; items: KeyedItem[]; hasMore: boolean; end: number; generation: number }
   | { outcome: 'failed'; why: LogFailure };
 
 /** A keyed topic of the platform's log. */
@@ -109,6 +112,7 @@
   let backAt = -Infinity;
   let pushedAt = -Infinity;
   let failures = 0;
+  let generation: number | undefined;
 
   const since = (at: number): number => clock.monotonic() - at;
 
@@ -129,6 +133,26 @@
     metrics.count('gateway_log_read_failed', { topic: topic.name, why });
   };
 
+  const noteGeneration = (told: number, end?: number): void => {
+    const before = generation;
+    generation = told;
+    if (before === undefined || told === before) return;
+    metrics.count('gateway_log_restored', { topic: topic.name });
+    log.event('log-restored', {
+      topic: topic.name,
+      before,
+      generation: told,
+      ...(end === undefined ? {} : { end }),
+      held: mirror.end(),
+    });
+  };
+
+  const notePicture = (end: number): void => {
+    if (end >= mirror.end()) return;
+    metrics.count('gateway_pictures_left_out', { topic: topic.name });
+    log.event('picture-left-out', { topic: topic.name, generation, end, held: mirror.end() });
+  };
+
   const takeAnswer = (apply: () => void): void => {
     // A read that waited at the log is answered after the node has stopped: its links would be dialled anew.
     if (stopped) return;
@@ -150,12 +174,14 @@
         noteFailure(read.why);
         return false;
       }
+      noteGeneration(read.generation, read.end);
       items.push(...read.items);
       // Pages are read one after the other; what changed meanwhile is read again from the first end.
       end ??= read.end;
       after = read.items.at(-1)?.key;
       if (!read.hasMore || after === undefined) break;
     }
+    notePicture(end ?? 0);
     takeAnswer(() => mirror.replace(items, end ?? 0));
     return true;
   };
@@ -166,6 +192,7 @@
       noteFailure(read.why);
       return false;
     }
+    noteGeneration(read.generation);
     if (read.outcome === 'expired') {
       log.event('log-history-gone', { topic: topic.name, from: mirror.end() });
       return readAll();
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -22,8 +22,8 @@
   };
   const read = (from: number): LogReadOutcome =>
     from < first
-      ? { outcome: 'expired' }
-      : { outcome: 'records', records: records.slice(from), end: records.length };
+      ? { outcome: 'expired', generation: 0 }
+      : { outcome: 'records', records: records.slice(from), end: records.length, generation: 0 };
   const topic: KeyedTopic = {
     name: 't',
     read: (from) => answer(() => read(from)),
@@ -35,6 +35,7 @@
         ),
         hasMore: false,
         end: records.length,
+        generation: 0,
       })),
   };
   return {
@@ -134,7 +135,7 @@
     let answer: (outcome: LogReadOutcome) => void = () => {};
     const topic: KeyedTopic = {
       name: 't',
-      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 0 }),
+      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 0, generation: 0 }),
       read: () =>
         new Promise((resolve) => {
           answer = resolve;
@@ -150,7 +151,7 @@
     });
     await clock.advance(200);
     follower.close();
-    answer({ outcome: 'records', records: [record('k', 0, '1')], end: 1 });
+    answer({ outcome: 'records', records: [record('k', 0, '1')], end: 1, generation: 0 });
     await clock.advance(200);
     expect(mirror.items()).to.deep.equal([]);
   });
