--- a/packages/stand-ins/src/users-platform/store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -36,11 +36,16 @@
   setMode(mode: StoreMode): void;
   /** Deletes all records but the newest of each key. */
   forgetHistory(): void;
+  /** Remembers what is stored now, as a backup does. */
+  takeBackup(): void;
+  /** Comes back from the last backup: records since then are gone, and their offsets are given out again. */
+  restoreBackup(): void;
   calls(): number;
   close(): Promise<void>;
 }
 
 const LENGTH_BYTES = 4;
+const GENERATION_FIELD = 'Store-Era';
 const PAGE = 500;
 
 const keyedRecord = ({ key, value }: StoredRecord): Buffer => {
@@ -78,6 +83,8 @@
   const topics = new Map<string, Topic>();
   let mode: StoreMode = 'up';
   let calls = 0;
+  let generation = 1;
+  let backup = new Map<string, number>();
 
   const topicOf = (name: string): Topic => {
     const topic = topics.get(name) ?? { records: [], first: 0, waiting: new Set() };
@@ -108,7 +115,7 @@
     const from = Number(query.get('from'));
     const waitMs = Number(query.get('wait_ms') ?? 0);
     if (from >= topic.records.length && waitMs > 0) await untilRecord(topic, waitMs);
-    if (from < topic.first) {
+    if (from < topic.first || from > topic.records.length) {
       res.writeHead(410).end(JSON.stringify({ first: topic.first }));
       return;
     }
@@ -136,6 +143,7 @@
     calls += 1;
     const url = new URL(req.url ?? '/', 'http://store');
     const body = await readBody(req);
+    res.setHeader(GENERATION_FIELD, generation);
     if (mode === 'silent') return;
     if (mode === 'busy') {
       res.writeHead(503).end();
@@ -177,6 +185,17 @@
         Object.assign(topic, { first: topic.records.length });
       });
     },
+    takeBackup: () => {
+      backup = new Map([...topics].map(([name, { records }]) => [name, records.length]));
+    },
+    restoreBackup: () => {
+      generation += 1;
+      topics.forEach((topic, name) => {
+        topic.records.splice(backup.get(name) ?? 0);
+        Object.assign(topic, { first: Math.min(topic.first, topic.records.length) });
+        topic.waiting.forEach((wake) => wake());
+      });
+    },
     calls: () => calls,
     close: () =>
       new Promise((resolve) => {
