What is held of the log is placed by generation and offset, so that a restored log is followed

Callers saw: requests on changed routes, or with keys that had been taken away, handled as an older version of the intent allows, more than two seconds after the store had acknowledged the change.

Cause: mirrors compared offsets of different copies of the log. A store that comes back from an older copy gives offsets out again. A read from the end that was held got 410, the whole picture read instead ended earlier and was left out as one from before what the node has seen, and each new record was taken for an old one until the log had grown past that end. The picture that was left out counted as a confirmation, and was read again fifteen times a second.

Change: a place in a topic is a generation and an offset. A mirror moves on to a picture of a later generation whatever its end, and leaves out words of an earlier one, from the log or from peers. What the restored copy lacks is kept: it was not dropped, its writers write it again; upstreams that are not back within two seconds go. Of two versions of the intent the later one counts, whatever their offsets, and heartbeats carry the version in force, so an entry that starts after the restore learns from its peers what the store has lost. Peers pass a restored log on whole.

Conclusion: the comparison was wrong wherever offsets were compared across a restore; it is made in one place now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,11 +3,12 @@
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
 import { createKeyedMirror, createPublisher, decodeNode } from '@plantaindrum/mirror';
-import type { KeyedTopic, NodeRecord, PublishNode } from '@plantaindrum/mirror';
+import type { KeyedChange, KeyedTopic, NodeRecord, PublishNode } from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
 import { createReopening } from './admission/reopening.js';
 import { createDoor } from './door.js';
 import type { ListenAddress } from './door.js';
+import { createIntentReader } from './intent/intent-order.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
 import { createFollowedTopics } from './mesh/followed-topics.js';
@@ -74,8 +75,11 @@
 
 /** Waits at the log and pauses between reads, in ms. A change is due within two seconds. */
 const INTENT_READ = { waitMs: 600, pauseMs: 50 };
-/** The list changes several times a second; reading it seldom saves calls, and two seconds are allowed. */
-const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500 };
+/**
+ * The list changes several times a second; reading it seldom saves calls, and two seconds are allowed. Upstreams that
+ * live are back in a restored list within two seconds.
+ */
+const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500, rewrittenWithinMs: 2_000 };
 /** Nodes come and go seldom, and a refused call is paid for as well. */
 const NODES_READ = { waitMs: 10_000, pauseMs: 1_000, retryMaxMs: 4_000 };
 /** Entries tell each other at once; the log is for those that start. */
@@ -170,8 +174,9 @@
     log,
   });
 
+  const intents = createIntentReader(options.decodeIntent);
   const takeIntent = (value: Uint8Array): void => {
-    const intent = options.decodeIntent(value);
+    const intent = intents.read(value);
     if (!intent) {
       metrics.count('gateway_intent_unreadable');
       log.event('intent-unreadable', { bytes: value.length });
@@ -187,9 +192,10 @@
     log.event('intent-in-force', { version: intent.version, routes: intent.routes.length });
   };
 
-  const intentMirror = createKeyedMirror(({ key, value }) => {
+  const takeIntentChange = ({ key, value }: KeyedChange): void => {
     if (key === options.intentKey && value) takeIntent(value);
-  });
+  };
+  const intentMirror = createKeyedMirror(takeIntentChange, { isNewer: intents.isNewer });
   const upstreamMirror = createKeyedMirror((change) => directory.apply(change));
   const nodes = new Map<string, NodeRecord>();
   const nodeMirror = createKeyedMirror(({ key, value }) => {
@@ -223,7 +229,7 @@
     region: options.region,
     listen: options.addresses.links,
     seeds: options.seeds,
-    intentOffset: () => intentMirror.end(),
+    intentVersion: () => Math.trunc(table?.intent.version ?? -1),
     onPeerAhead: () => intentFollower.hurry(),
     onShare: directory.notePeerLoad,
     wholeShare: loadTeller.whole,
--- a/packages/gateway/src/mesh/followed-topics.ts
+++ b/packages/gateway/src/mesh/followed-topics.ts
@@ -1,13 +1,14 @@
 /** The topics of the platform's log that an entry follows, from the log itself and over its links. */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
-import { followTopic } from '@plantaindrum/mirror';
+import { followTopic, WHOLE } from '@plantaindrum/mirror';
 import type {
   Follower,
   KeyedMirror,
   KeyedTopic,
   PeerPush,
   PeerRecords,
+  TopicPlace,
 } from '@plantaindrum/mirror';
 import type { Mesh } from './mesh.js';
 
@@ -17,6 +18,8 @@
   pauseMs: number;
   /** Longest pause after failed reads once the topic has been read, in ms. */
   retryMaxMs?: number;
+  /** Time after a restore of the log for writers to write again what it lost, in ms; without it, that is kept. */
+  rewrittenWithinMs?: number;
 }
 
 /** Topics with their mirrors. */
@@ -24,8 +27,8 @@
   follow(topic: KeyedTopic, mirror: KeyedMirror, reading: TopicReading): Follower;
   /** The follower of a topic, by the topic's name. */
   follower(name: string): Follower | undefined;
-  /** What a topic's mirror holds beyond an offset, for a peer. */
-  recordsAfter(name: string, after: number): PeerRecords | undefined;
+  /** What a topic's mirror holds beyond a place, for a peer; all of it for one of an earlier generation. */
+  recordsAfter(name: string, after: TopicPlace): PeerRecords | undefined;
   close(): void;
 }
 
@@ -65,7 +68,10 @@
       const held = followed.get(name);
       if (!held || held.mirror.end() < 0) return undefined;
       const { mirror, follower } = held;
-      return { records: mirror.changesAfter(after), end: mirror.end(), ageMs: follower.age() };
+      const generation = mirror.generation();
+      if (after.generation > generation) return undefined;
+      const records = mirror.changesAfter(after.generation < generation ? WHOLE : after.offset);
+      return { records, end: mirror.end(), generation, ageMs: follower.age() };
     },
     close: () => followed.forEach(({ follower }) => follower.close()),
   };
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -1,11 +1,11 @@
 /** Links between the entries: shares of load, and what one of them misses of the platform's log. */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
-import { isObject, silentLogger } from '@plantaindrum/common';
+import { isNumber, isObject, silentLogger } from '@plantaindrum/common';
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
 import { readPush, readRecordList } from '@plantaindrum/mirror';
-import type { NodeRecord, PeerPush, PeerRecords } from '@plantaindrum/mirror';
+import type { AskPeers, NodeRecord, PeerPush, PeerRecords, TopicPlace } from '@plantaindrum/mirror';
 import type { ListenAddress } from '../door.js';
 import type { News } from '../quarantine/news.js';
 import { readEnginePace } from './engine-pace.js';
@@ -32,8 +32,8 @@
   tellCrashes(news: News): void;
   /** Passes on what the log has just answered. */
   passOn(topic: string, push: PeerPush): void;
-  /** Asks a linked entry for records of a topic beyond an offset. */
-  askPeers(topic: string, after: number): Promise<PeerRecords | undefined>;
+  /** Asks a linked entry for records of a topic beyond a place. */
+  askPeers: AskPeers;
   close(): Promise<void>;
 }
 
@@ -44,8 +44,8 @@
   listen: ListenAddress;
   /** Addresses of entries that are known without the log; they may be stale. */
   seeds: readonly ListenAddress[];
-  /** Offset of the intent that this entry holds; rides on heartbeats. */
-  intentOffset: () => number;
+  /** Version of the intent that is in force here, -1 before the first; rides on heartbeats. */
+  intentVersion: () => number;
   /** A peer holds a newer intent. */
   onPeerAhead: () => void;
   onShare: (peer: string, share: LoadShare) => void;
@@ -62,8 +62,8 @@
   onPeerGone: (peer: string) => void;
   /** An agent tells the pace of the engine beside it. */
   onPace: (pace: EnginePace) => void;
-  /** What this entry's mirror of a topic holds beyond an offset. */
-  recordsAfter: (topic: string, after: number) => PeerRecords | undefined;
+  /** What this entry's mirror of a topic holds beyond a place. */
+  recordsAfter: (topic: string, after: TopicPlace) => PeerRecords | undefined;
   clock: Clock;
   random: Random;
   metrics: Metrics;
@@ -80,10 +80,10 @@
 
 const readRecords = (value: unknown): PeerRecords | undefined => {
   if (!isObject(value)) return undefined;
-  const { end, ageMs } = value;
+  const { end, generation, ageMs } = value;
   const records = readRecordList(value.records);
-  if (!records || typeof end !== 'number' || typeof ageMs !== 'number') return undefined;
-  return { records, end, ageMs };
+  if (!records || !isNumber(end) || !isNumber(generation) || !isNumber(ageMs)) return undefined;
+  return { records, end, generation, ageMs };
 };
 
 const readTopicPush = (value: unknown): { topic: string; push: PeerPush } | undefined => {
@@ -102,10 +102,10 @@
   const clients = new Map<string, LinkClient>();
 
   const answerRecords = async (args: unknown): Promise<unknown> => {
-    if (!isObject(args) || typeof args.topic !== 'string' || typeof args.after !== 'number') {
-      return undefined;
-    }
-    return options.recordsAfter(args.topic, args.after);
+    if (!isObject(args) || typeof args.topic !== 'string') return undefined;
+    const { topic, generation, offset } = args;
+    if (!isNumber(generation) || !isNumber(offset)) return undefined;
+    return options.recordsAfter(topic, { generation, offset });
   };
 
   const takeRateNews = (peer: string, value: unknown): void => {
@@ -161,7 +161,7 @@
       dataCentre: self.dataCentre,
       region: options.region,
     },
-    intentOffset: options.intentOffset,
+    intentOffset: options.intentVersion,
     limits: { ...defaultLinkLimits, helloTimeoutMs: HELLO_MS },
     handlers: { 'mirror.records': answerRecords },
     onLink,
@@ -227,7 +227,7 @@
       const start = Math.floor(random() * peers.length);
       const link = peers[start];
       if (!link) return undefined;
-      const reply = await link.call('mirror.records', { topic, after }, ASK_MS);
+      const reply = await link.call('mirror.records', { topic, ...after }, ASK_MS);
       return reply.outcome === 'answered' ? readRecords(reply.value) : undefined;
     },
     close: async () => {
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -3,52 +3,13 @@
 import type { Clock, EventLog, Metrics, Pause } from '@plantaindrum/common';
 import { createPause, sleep } from '@plantaindrum/common';
 import type { KeyedItem, KeyedMirror, KeyedRecord } from './keyed-mirror.js';
+import { readPicture } from './picture.js';
+import type { Picture } from './picture.js';
+import { WHOLE } from './topic.js';
+import type { AskPeers, KeyedTopic, LogFailure, PeerPush, PeerRecords } from './topic.js';
 
-/** Why a call to the platform's log brought nothing. */
-export type LogFailure = 'refused' | 'no-answer' | 'malformed';
-
-/**
- * Outcome of reading records. The generation of the log rises each time that it is restored from an older copy;
- * offsets of different generations can't be compared.
- */
-export type LogReadOutcome =
-  | { outcome: 'records'; records: KeyedRecord[]; end: number; generation: number }
-  /** The log doesn't have the records asked for: it has deleted them, or doesn't reach so far. */
-  | { outcome: 'expired'; generation: number }
-  | { outcome: 'failed'; why: LogFailure };
-
-/** Outcome of reading one page of the newest values. */
-export type LogNewestOutcome =
-  | { outcome: 'items'; items: KeyedItem[]; hasMore: boolean; end: number; generation: number }
-  | { outcome: 'failed'; why: LogFailure };
-
-/** A keyed topic of the platform's log. */
-export interface KeyedTopic {
-  name: string;
-  /** Records from an offset on; waits up to `waitMs` for the first. */
-  read(from: number, waitMs: number): Promise<LogReadOutcome>;
-  /** Newest values of keys after `after`. */
-  newest(after: string | undefined): Promise<LogNewestOutcome>;
-}
-
-/** What a peer's mirror holds beyond an offset. */
-export interface PeerRecords {
-  records: KeyedRecord[];
-  end: number;
-  /** Milliseconds since that peer's mirror was last confirmed. */
-  ageMs: number;
-}
-
-/** What a peer passes on when the log has just answered it. */
-export interface PeerPush {
-  /** The peer's end before that answer; a mirror that ends earlier has a gap. */
-  after: number;
-  records: readonly KeyedRecord[];
-  end: number;
-}
-
-/** Records that a peer holds beyond an offset; undefined when no peer answered. */
-export type AskPeers = (topic: string, after: number) => Promise<PeerRecords | undefined>;
+/** How a node learnt that the log was restored from an older copy. */
+export type RestoreSource = 'log' | 'peer';
 
 /** Options of `followTopic`. */
 export interface FollowOptions {
@@ -59,6 +20,10 @@
   isReadByPeer?: () => boolean;
   /** Told of each answer of the log, to be passed on. */
   onAnswer?: (push: PeerPush) => void;
+  /** Told when the mirror has moved on to a log that was restored from an older copy. */
+  onRestored?: (source: RestoreSource) => void;
+  /** Time after a restore for writers to write again what was lost, in ms; then it is dropped. Without it, it is kept. */
+  rewrittenWithinMs?: number;
   /** How long one read waits at the log, and the pause after each read, in milliseconds. */
   waitMs: number;
   pauseMs: number;
@@ -88,8 +53,6 @@
 const RETRY_MS = 200;
 /** Longest pause after failed reads, in ms: refused calls are paid for as well. */
 const RETRY_MAX_MS = 800;
-/** Pages of the newest values that are read at the most: a bound on a store that never ends. */
-const MAX_PAGES = 1_000;
 /** Peers are asked this often while the log doesn't answer, in ms. */
 const PEER_MS = 250;
 /** Without an answer for this long beyond what a read waits, the log counts as lost, in ms. */
@@ -102,6 +65,9 @@
 /** How often a node that leaves reading to a peer looks whether the peer still does, in ms. */
 const LEFT_MS = 100;
 
+const withValue = ({ key, value, offset }: KeyedRecord): KeyedItem[] =>
+  value === undefined ? [] : [{ key, value, offset }];
+
 /** Starts to follow a topic; runs until `close`. */
 export const followTopic = (options: FollowOptions): Follower => {
   const { topic, mirror, askPeers, waitMs, pauseMs, clock, metrics, log } = options;
@@ -112,11 +78,12 @@
   let backAt = -Infinity;
   let pushedAt = -Infinity;
   let failures = 0;
-  let generation: number | undefined;
+  /** A peer has moved on to a restored log, and what it holds there isn't known yet. */
+  let needsPicture = false;
 
   const since = (at: number): number => clock.monotonic() - at;
 
-  const noteAnswer = (): void => {
+  const noteAnswer = (isNews: boolean): void => {
     const now = clock.monotonic();
     if (failures > 0) {
       backAt = now;
@@ -124,7 +91,7 @@
     }
     failures = 0;
     logAnsweredAt = now;
-    confirmedAt = now;
+    if (isNews) confirmedAt = now;
   };
 
   const noteFailure = (why: LogFailure): void => {
@@ -133,56 +100,63 @@
     metrics.count('gateway_log_read_failed', { topic: topic.name, why });
   };
 
-  const noteGeneration = (told: number, end?: number): void => {
-    const before = generation;
-    generation = told;
-    if (before === undefined || told === before) return;
+  const dropLost = (generation: number): void => {
+    if (stopped || mirror.generation() !== generation) return;
+    const keys = mirror.unconfirmed();
+    if (keys.length === 0) return;
+    mirror.dropUnconfirmed();
+    log.event('lost-in-restore', { topic: topic.name, generation, keys: keys.length });
+  };
+
+  const noteRestored = (held: { generation: number; end: number }, source: RestoreSource): void => {
+    const generation = mirror.generation();
+    if (held.generation < 0 || held.generation === generation) return;
+    backAt = clock.monotonic();
     metrics.count('gateway_log_restored', { topic: topic.name });
-    log.event('log-restored', {
-      topic: topic.name,
-      before,
-      generation: told,
-      ...(end === undefined ? {} : { end }),
-      held: mirror.end(),
-    });
+    const at = { generation, end: mirror.end(), unconfirmed: mirror.unconfirmed().length };
+    const before = { beforeGeneration: held.generation, beforeEnd: held.end };
+    log.event('log-restored', { topic: topic.name, source, ...before, ...at });
+    const { rewrittenWithinMs } = options;
+    if (rewrittenWithinMs !== undefined) clock.after(rewrittenWithinMs, () => dropLost(generation));
+    options.onRestored?.(source);
   };
 
-  const notePicture = (end: number): void => {
-    if (end >= mirror.end()) return;
+  /** Takes a whole picture, also one of a log that was restored; false for one that is too old. */
+  const takePicture = (picture: Picture, source: RestoreSource): boolean => {
+    const { items, end, generation } = picture;
+    const held = { generation: mirror.generation(), end: mirror.end() };
+    const isTaken = mirror.replace(items, end, generation);
+    if (isTaken) {
+      needsPicture = false;
+      noteRestored(held, source);
+      return true;
+    }
     metrics.count('gateway_pictures_left_out', { topic: topic.name });
-    log.event('picture-left-out', { topic: topic.name, generation, end, held: mirror.end() });
+    const place = { beforeGeneration: held.generation, beforeEnd: held.end };
+    log.event('picture-left-out', { topic: topic.name, generation, end, ...place });
+    return false;
   };
 
-  const takeAnswer = (apply: () => void): void => {
-    // A read that waited at the log is answered after the node has stopped: its links would be dialled anew.
-    if (stopped) return;
-    const after = mirror.end();
-    apply();
-    noteAnswer();
-    options.onAnswer?.({ after, records: mirror.changesAfter(after), end: mirror.end() });
+  const passOn = (after: number): void => {
+    const place = { end: mirror.end(), generation: mirror.generation() };
+    options.onAnswer?.({ after, records: mirror.changesAfter(after), ...place });
   };
 
   const hasWord = (): boolean => since(pushedAt) < waitMs + pauseMs + WORD_SLACK_MS;
 
   const readAll = async (): Promise<boolean> => {
-    const items: KeyedItem[] = [];
-    let after: string | undefined;
-    let end: number | undefined;
-    for (let page = 0; page < MAX_PAGES; page += 1) {
-      const read = await topic.newest(after);
-      if (read.outcome === 'failed') {
-        noteFailure(read.why);
-        return false;
-      }
-      noteGeneration(read.generation, read.end);
-      items.push(...read.items);
-      // Pages are read one after the other; what changed meanwhile is read again from the first end.
-      end ??= read.end;
-      after = read.items.at(-1)?.key;
-      if (!read.hasMore || after === undefined) break;
+    const read = await readPicture(topic);
+    if (read.outcome === 'failed') {
+      noteFailure(read.why);
+      return false;
     }
-    notePicture(end ?? 0);
-    takeAnswer(() => mirror.replace(items, end ?? 0));
+    if (read.outcome === 'restored') return false;
+    // A read that waited at the log is answered after the node has stopped: its links would be dialled anew.
+    if (stopped) return true;
+    const held = { generation: mirror.generation(), end: mirror.end() };
+    const isTaken = takePicture(read.picture, 'log');
+    noteAnswer(isTaken);
+    passOn(held.generation === mirror.generation() ? held.end : WHOLE);
     return true;
   };
 
@@ -192,23 +166,29 @@
       noteFailure(read.why);
       return false;
     }
-    noteGeneration(read.generation);
+    if (stopped) return true;
+    // An answer from before a restore that a peer has told of meanwhile.
+    if (read.generation < mirror.generation()) return true;
+    if (read.generation > mirror.generation()) return readAll();
     if (read.outcome === 'expired') {
       log.event('log-history-gone', { topic: topic.name, from: mirror.end() });
       return readAll();
     }
-    takeAnswer(() => mirror.apply(read.records, read.end));
+    const after = mirror.end();
+    mirror.apply(read.records, read.end, read.generation);
+    noteAnswer(true);
+    passOn(after);
     return true;
   };
 
   const followLog = async (): Promise<void> => {
     let isWhole = false;
     while (!stopped) {
-      if (isWhole && options.isReadByPeer?.() && hasWord()) {
+      if (isWhole && !needsPicture && options.isReadByPeer?.() && hasWord()) {
         await pause.wait(LEFT_MS);
         continue;
       }
-      const done: boolean = isWhole ? await readOn() : await readAll();
+      const done: boolean = isWhole && !needsPicture ? await readOn() : await readAll();
       isWhole = isWhole || done;
       if (stopped) return;
       const mostMs = isWhole ? (options.retryMaxMs ?? RETRY_MAX_MS) : RETRY_MAX_MS;
@@ -217,15 +197,23 @@
     }
   };
 
-  const askOnce = async (): Promise<void> => {
-    const answer = await askPeers(topic.name, mirror.end());
-    if (!answer || stopped) return;
-    const before = mirror.end();
-    mirror.apply(answer.records, answer.end);
+  const takeFromPeer = ({ records, end, generation }: Omit<PeerRecords, 'ageMs'>): void => {
+    if (generation === mirror.generation() || mirror.generation() < 0) {
+      mirror.apply(records, end, generation);
+      return;
+    }
+    takePicture({ items: records.flatMap(withValue), end, generation }, 'peer');
+  };
+
+  const askOnce = async (offset: number): Promise<void> => {
+    const answer = await askPeers(topic.name, { generation: mirror.generation(), offset });
+    if (!answer || stopped || answer.generation < mirror.generation()) return;
+    const before = { generation: mirror.generation(), end: mirror.end() };
+    takeFromPeer(answer);
     confirmedAt = Math.max(confirmedAt, clock.monotonic() - answer.ageMs);
-    if (mirror.end() > before) {
+    if (mirror.generation() > before.generation || mirror.end() > before.end) {
       metrics.count('gateway_mirror_from_peer', { topic: topic.name });
-      log.event('learnt-from-peer', { topic: topic.name, from: before, end: mirror.end() });
+      log.event('learnt-from-peer', { topic: topic.name, from: before.end, end: mirror.end() });
     }
   };
 
@@ -233,8 +221,29 @@
     while (!stopped) {
       await sleep(clock, PEER_MS);
       const isLost = since(logAnsweredAt) > waitMs + pauseMs + LOST_MS;
-      if (!stopped && (isLost || failures > 0) && !hasWord()) await askOnce();
+      if (!stopped && (isLost || failures > 0) && !hasWord()) await askOnce(mirror.end());
+    }
+  };
+
+  const takePush = (push: PeerPush): void => {
+    const { after, end, generation } = push;
+    if (stopped || generation < mirror.generation()) return;
+    const isOfLaterLog = generation > mirror.generation() && mirror.generation() >= 0;
+    if (isOfLaterLog && after !== WHOLE) {
+      needsPicture = true;
+      pause.end();
+      void askOnce(WHOLE);
+      return;
+    }
+    // One that is behind this mirror, as of a store that lags for it, confirms nothing.
+    if (!isOfLaterLog && end < mirror.end()) return;
+    if (!isOfLaterLog && after > mirror.end()) {
+      void askOnce(mirror.end());
+      return;
     }
+    takeFromPeer({ records: [...push.records], end, generation });
+    pushedAt = clock.monotonic();
+    confirmedAt = pushedAt;
   };
 
   void followLog();
@@ -245,19 +254,9 @@
     logAge: () => since(logAnsweredAt),
     logBackAt: () => backAt,
     hurry: () => {
-      void askOnce();
-    },
-    takePush: ({ after, records, end }) => {
-      // One that is behind this mirror, as of a store that lags for it, confirms nothing.
-      if (stopped || end < mirror.end()) return;
-      if (after > mirror.end()) {
-        void askOnce();
-        return;
-      }
-      mirror.apply(records, end);
-      pushedAt = clock.monotonic();
-      confirmedAt = pushedAt;
+      void askOnce(WHOLE);
     },
+    takePush,
     close: () => {
       stopped = true;
       pause.end();
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -3,3 +3,4 @@
 export * from './peer-push.js';
 export * from './publisher.js';
 export * from './roster.js';
+export * from './topic.js';
--- a/packages/mirror/src/peer-push.ts
+++ b/packages/mirror/src/peer-push.ts
@@ -1,8 +1,8 @@
 /** Checks what peers pass on of the log before any code relies on its type. */
 
-import { isObject } from '@plantaindrum/common';
-import type { PeerPush } from './follow.js';
+import { isNumber, isObject } from '@plantaindrum/common';
 import type { KeyedRecord } from './keyed-mirror.js';
+import type { PeerPush } from './topic.js';
 
 const isRecord = (value: unknown): value is KeyedRecord =>
   isObject(value) &&
@@ -19,8 +19,8 @@
 /** What a peer passes on; undefined when it isn't that. */
 export const readPush = (value: unknown): PeerPush | undefined => {
   if (!isObject(value)) return undefined;
-  const { after, end, records } = value;
-  if (typeof after !== 'number' || typeof end !== 'number') return undefined;
+  const { after, end, generation, records } = value;
+  if (!isNumber(after) || !isNumber(end) || !isNumber(generation)) return undefined;
   const read = readRecordList(records);
-  return read && { after, end, records: read };
+  return read && { after, end, generation, records: read };
 };
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
-import { createKeyedMirror, followTopic } from '../src/index.js';
+import { createKeyedMirror, followTopic, WHOLE } from '../src/index.js';
 import type { KeyedRecord, KeyedTopic, LogReadOutcome, PeerRecords } from '../src/index.js';
 
 const record = (key: string, offset: number, value: string): KeyedRecord => ({
@@ -9,10 +9,17 @@
   value: Buffer.from(value),
 });
 
+/** Lets what has been resolved go on, without a timer of the clock. */
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
 /** A log that tests fill, cut off and shorten. */
 const createFakeLog = () => {
   const records: KeyedRecord[] = [];
   let first = 0;
+  let generation = 0;
   let mode: 'up' | 'refusing' | 'silent' = 'up';
   let reads = 0;
   const answer = async <T>(value: () => T): Promise<T | { outcome: 'failed'; why: 'refused' }> => {
@@ -21,9 +28,9 @@
     return mode === 'refusing' ? { outcome: 'failed', why: 'refused' } : value();
   };
   const read = (from: number): LogReadOutcome =>
-    from < first
-      ? { outcome: 'expired', generation: 0 }
-      : { outcome: 'records', records: records.slice(from), end: records.length, generation: 0 };
+    from < first || from > records.length
+      ? { outcome: 'expired', generation }
+      : { outcome: 'records', records: records.slice(from), end: records.length, generation };
   const topic: KeyedTopic = {
     name: 't',
     read: (from) => answer(() => read(from)),
@@ -35,7 +42,7 @@
         ),
         hasMore: false,
         end: records.length,
-        generation: 0,
+        generation,
       })),
   };
   return {
@@ -47,6 +54,12 @@
     forget: () => {
       first = records.length;
     },
+    /** Comes back from a copy that holds this many records. */
+    restore: (kept: number) => {
+      records.splice(kept);
+      first = Math.min(first, kept);
+      generation += 1;
+    },
     reads: () => reads,
   };
 };
@@ -76,9 +89,7 @@
     return item && Buffer.from(item.value).toString();
   };
   // The first read begins with the follower; its answer is there after a turn of the event loop.
-  await new Promise((resolve) => {
-    setImmediate(resolve);
-  });
+  await settle();
   return { clock, log, mirror, follower, value };
 };
 
@@ -146,9 +157,7 @@
     const common = { clock, metrics: createMetrics(), log: silentEventLog };
     const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
     const follower = followTopic({ topic, mirror, ...reading, ...common });
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
+    await settle();
     await clock.advance(200);
     follower.close();
     answer({ outcome: 'records', records: [record('k', 0, '1')], end: 1, generation: 0 });
@@ -165,7 +174,7 @@
     await clock.advance(150);
     log.set('refusing');
     await clock.advance(300);
-    peer = { records: [record('k', 1, '2')], end: 2, ageMs: 40 };
+    peer = { records: [record('k', 1, '2')], end: 2, generation: 0, ageMs: 40 };
     await clock.advance(600);
     expect(value()).to.equal('2');
     expect(follower.age()).to.be.below(400);
@@ -175,7 +184,7 @@
 
   // The same when the store accepts the call and never answers.
   it('learns from a peer while the log is silent', async () => {
-    const peer: PeerRecords = { records: [record('k', 1, '2')], end: 2, ageMs: 0 };
+    const peer: PeerRecords = { records: [record('k', 1, '2')], end: 2, generation: 0, ageMs: 0 };
     const { clock, log, follower, value } = await start(() => peer);
     log.add('k', '1');
     await clock.advance(50);
@@ -188,7 +197,7 @@
   // A peer that is cut off as well confirms nothing, or two of them would keep each other in the
   // belief that what they hold is current.
   it('does not grow younger by a peer that is as old', async () => {
-    const peer: PeerRecords = { records: [], end: 1, ageMs: 10_000 };
+    const peer: PeerRecords = { records: [], end: 1, generation: 0, ageMs: 10_000 };
     const { clock, log, follower } = await start(() => peer);
     log.add('k', '1');
     await clock.advance(50);
@@ -218,11 +227,16 @@
 
   it('reads nothing while the peer passes on what it hears', async () => {
     const { clock, log, mirror, follower } = await startLeft();
-    follower.takePush({ after: 1, records: [], end: 1 });
+    follower.takePush({ after: 1, records: [], end: 1, generation: 0 });
     const reads = log.reads();
     for (let n = 2; n < 12; n += 1) {
       await clock.advance(200);
-      follower.takePush({ after: n - 1, records: [record('k', n - 1, `${n}`)], end: n });
+      follower.takePush({
+        after: n - 1,
+        records: [record('k', n - 1, `${n}`)],
+        end: n,
+        generation: 0,
+      });
     }
     expect(log.reads() - reads).to.be.at.most(1);
     expect(mirror.end()).to.equal(11);
@@ -234,7 +248,7 @@
   // operators' would not be heard; each node reads the log itself again.
   it('reads again when the peer says nothing more', async () => {
     const { clock, log, mirror, follower } = await startLeft();
-    follower.takePush({ after: 1, records: [], end: 1 });
+    follower.takePush({ after: 1, records: [], end: 1, generation: 0 });
     await clock.advance(200);
     log.add('k', '2');
     await clock.advance(700);
@@ -245,9 +259,9 @@
   // A node that was cut off for a moment missed what was passed on. Taking the next piece would
   // leave a gap for good.
   it('asks for what it missed', async () => {
-    const missed = { records: [record('k', 4, '5')], end: 5, ageMs: 0 };
+    const missed = { records: [record('k', 4, '5')], end: 5, generation: 0, ageMs: 0 };
     const { clock, mirror, follower } = await startLeft(() => missed);
-    follower.takePush({ after: 4, records: [record('x', 4, '1')], end: 5 });
+    follower.takePush({ after: 4, records: [record('x', 4, '1')], end: 5, generation: 0 });
     await clock.advance(10);
     expect(mirror.items().map(({ key }) => key)).to.deep.equal(['k']);
     expect(mirror.end()).to.equal(5);
@@ -258,8 +272,79 @@
     const { clock, follower } = await startLeft();
     await clock.advance(60);
     const age = follower.age();
-    follower.takePush({ after: 0, records: [], end: 0 });
+    follower.takePush({ after: 0, records: [], end: 0, generation: 0 });
     expect(follower.age()).to.equal(age);
     follower.close();
   });
 });
+
+describe('following a topic of a log that is restored from an older copy', () => {
+  const startRestored = async (
+    peer?: () => PeerRecords | undefined,
+    isReadByPeer = () => false,
+  ) => {
+    const started = await start(peer, isReadByPeer);
+    ['1', '2', '3', '4'].forEach((value) => started.log.add('k', value));
+    await started.clock.advance(250);
+    expect(started.mirror.end()).to.equal(4);
+    return started;
+  };
+
+  // The records since the copy are gone, and the next ones get their offsets. Compared by offset alone they would be
+  // taken for those that are held already.
+  it('takes the records that get offsets given out before', async () => {
+    const { clock, log, mirror, follower, value } = await startRestored();
+    log.restore(1);
+    log.add('k', '5');
+    await clock.advance(300);
+    expect(value()).to.equal('5');
+    expect([mirror.generation(), mirror.end()]).to.deep.equal([1, 2]);
+    log.add('k', '6');
+    await clock.advance(300);
+    expect(value()).to.equal('6');
+    follower.close();
+  });
+
+  // The restored log has grown beyond what is held by the time that it is read: nothing of it is refused, and the
+  // records in between would be missed.
+  it('reads all values of a log that has grown past what it held', async () => {
+    const { clock, log, follower, mirror } = await startRestored();
+    log.restore(1);
+    log.add('x', '1');
+    ['5', '6', '7', '8'].forEach((each) => log.add('k', each));
+    await clock.advance(300);
+    expect(mirror.items().map(({ key }) => key)).to.deep.equal(['k', 'x']);
+    follower.close();
+  });
+
+  // A restored copy that is read again and again is a storm of calls, each of them paid for.
+  it('reads it once', async () => {
+    const { clock, log, follower } = await startRestored();
+    log.restore(1);
+    const before = log.reads();
+    await clock.advance(1_000);
+    expect(log.reads() - before).to.be.at.most(12);
+    follower.close();
+  });
+
+  it('moves on with a peer that has moved on, and leaves out the words of one that has not', async () => {
+    const { follower, mirror, value } = await startRestored(undefined, () => true);
+    follower.takePush({ after: WHOLE, records: [record('k', 1, '5')], end: 2, generation: 1 });
+    expect([value(), mirror.generation(), mirror.end()]).to.deep.equal(['5', 1, 2]);
+    follower.takePush({ after: 4, records: [record('k', 4, 'old')], end: 5, generation: 0 });
+    expect([value(), mirror.generation(), mirror.end()]).to.deep.equal(['5', 1, 2]);
+    follower.close();
+  });
+
+  // Its first word after the restore was lost with a link. The next one starts from a place that isn't known here.
+  it('reads the log itself when it has missed that a peer moved on', async () => {
+    const { log, follower, mirror, value } = await startRestored(undefined, () => true);
+    follower.takePush({ after: 4, records: [], end: 4, generation: 0 });
+    log.restore(1);
+    ['5', '6'].forEach((each) => log.add('k', each));
+    follower.takePush({ after: 2, records: [record('k', 2, '6')], end: 3, generation: 1 });
+    await settle();
+    expect([value(), mirror.generation(), mirror.end()]).to.deep.equal(['6', 1, 3]);
+    follower.close();
+  });
+});
--- a/packages/mirror/test/keyed-mirror.test.ts
+++ b/packages/mirror/test/keyed-mirror.test.ts
@@ -98,4 +98,39 @@
       { seed: 11, numRuns: 300 },
     );
   });
+
+  // The log was restored from an older copy: what it lacks has not been dropped, its writers write it again.
+  it('keeps what a restored log lacks until it is told that nobody wrote it again', () => {
+    const { mirror, changes } = create();
+    mirror.apply([record('a', 0, '1'), record('b', 1, '2'), record('c', 2, '3')], 3);
+    mirror.replace([{ key: 'a', offset: 0, value: bytes('1') }], 1, 1);
+    expect(held(mirror)).to.deep.equal({ a: '1', b: '2', c: '3' });
+    mirror.apply([record('b', 1, '2')], 2, 1);
+    expect(mirror.unconfirmed()).to.deep.equal(['c']);
+    mirror.dropUnconfirmed();
+    expect(held(mirror)).to.deep.equal({ a: '1', b: '2' });
+    expect(changes.at(-1)).to.equal('c=gone');
+  });
+
+  it('leaves out records and pictures of an earlier generation', () => {
+    const { mirror } = create();
+    mirror.replace([{ key: 'a', offset: 0, value: bytes('1') }], 1, 1);
+    mirror.apply([record('a', 7, 'old')], 8, 0);
+    expect(mirror.replace([{ key: 'a', offset: 9, value: bytes('old') }], 10, 0)).to.equal(false);
+    expect(held(mirror)).to.deep.equal({ a: '1' });
+  });
+
+  // A restored log hands an older version of a value out; a node that starts then learns the newer one from a peer.
+  it('holds and passes on the newer value where the content tells', () => {
+    const isNewer = (value: Uint8Array, than: Uint8Array): boolean =>
+      Number(text(value)) > Number(text(than));
+    const mirror = createKeyedMirror(() => {}, { isNewer });
+    mirror.apply([record('a', 3, '6')], 4);
+    mirror.replace([{ key: 'a', offset: 1, value: bytes('2') }], 2, 1);
+    expect(held(mirror)).to.deep.equal({ a: '6' });
+    const late = createKeyedMirror(() => {}, { isNewer });
+    late.replace([{ key: 'a', offset: 1, value: bytes('2') }], 2, 1);
+    late.apply(mirror.changesAfter(-1), mirror.end(), 1);
+    expect(held(late)).to.deep.equal({ a: '6' });
+  });
 });
