A node publishes itself again when a restored log lacks its record

Callers saw nothing yet: an entry that comes later and isn't told of the others by its settings would not be linked with those that had published themselves since the copy. It would share limits and quarantines with the entries that it knows.

Cause: what a node writes once was taken for kept, as the store loses nothing that it has acknowledged; a restore does. Change: the mirror that moves on to a restored log tells; the publisher compares what it shows with the node's record and publishes again, entries and agents alike. The first topic that shows a restore has the others of its node read anew: a read that waits at the log for ten seconds may have been lost.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,8 +2,7 @@
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import { createKeyedMirror, createPublisher, decodeNode } from '@plantaindrum/mirror';
-import type { KeyedChange, KeyedTopic, NodeRecord, PublishNode } from '@plantaindrum/mirror';
+import type { NodeRecord, PublishNode } from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
 import { createReopening } from './admission/reopening.js';
 import { createDoor } from './door.js';
@@ -11,6 +10,8 @@
 import { createIntentReader } from './intent/intent-order.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
+import { followEntryTopics } from './mesh/entry-topics.js';
+import type { TopicsOfEntry } from './mesh/entry-topics.js';
 import { createFollowedTopics } from './mesh/followed-topics.js';
 import { createLoadTeller } from './mesh/load-share.js';
 import { createMesh } from './mesh/mesh.js';
@@ -50,8 +51,7 @@
   bounds: GatewayBounds;
   /** Callers' connections that are taken at once. */
   maxConnections: number;
-  /** The platform's log: the operators' intent, the list of upstreams, and this system's nodes. */
-  topics: { intent: KeyedTopic; upstreams: KeyedTopic; nodes: KeyedTopic; quarantine: KeyedTopic };
+  topics: TopicsOfEntry;
   publish: PublishNode;
   /** Writes to the topic of requests in quarantine; without a value the key is dropped. */
   publishQuarantine: (key: string, value: Uint8Array | undefined) => Promise<boolean>;
@@ -73,17 +73,6 @@
   stop(): Promise<void>;
 }
 
-/** Waits at the log and pauses between reads, in ms. A change is due within two seconds. */
-const INTENT_READ = { waitMs: 600, pauseMs: 50 };
-/**
- * The list changes several times a second; reading it seldom saves calls, and two seconds are allowed. Upstreams that
- * live are back in a restored list within two seconds.
- */
-const UPSTREAMS_READ = { waitMs: 0, pauseMs: 500, rewrittenWithinMs: 2_000 };
-/** Nodes come and go seldom, and a refused call is paid for as well. */
-const NODES_READ = { waitMs: 10_000, pauseMs: 1_000, retryMaxMs: 4_000 };
-/** Entries tell each other at once; the log is for those that start. */
-const QUARANTINE_READ = { waitMs: 25_000, pauseMs: 1_000, retryMaxMs: 4_000 };
 /** After the signal to stop the balancer still sends new connections for two of its checks, in ms. */
 const LISTEN_ON_MS = 3_200;
 /** Kept free at the end of the grace, in ms, to end in order. */
@@ -183,34 +172,27 @@
       return;
     }
     // Never back: an older version from a store or a peer that lags is left out.
-    if (table && intent.version < table.intent.version) {
-      log.event('intent-older', { version: intent.version, inForce: table.intent.version });
-    }
     if (table && intent.version <= table.intent.version) return;
     table = createRouteTable(intent);
     door.limit(intent.limits);
     log.event('intent-in-force', { version: intent.version, routes: intent.routes.length });
   };
 
-  const takeIntentChange = ({ key, value }: KeyedChange): void => {
-    if (key === options.intentKey && value) takeIntent(value);
-  };
-  const intentMirror = createKeyedMirror(takeIntentChange, { isNewer: intents.isNewer });
-  const upstreamMirror = createKeyedMirror((change) => directory.apply(change));
-  const nodes = new Map<string, NodeRecord>();
-  const nodeMirror = createKeyedMirror(({ key, value }) => {
-    const record = value && decodeNode(value);
-    if (record) nodes.set(key, record);
-    else nodes.delete(key);
-    mesh?.setNodes([...nodes.values()]);
+  const entryTopics = followEntryTopics({
+    self,
+    topics,
+    followed,
+    publish: options.publish,
+    intentKey: options.intentKey,
+    isNewerIntent: intents.isNewer,
+    onIntent: takeIntent,
+    onUpstream: directory.apply,
+    onNodes: (nodes) => mesh?.setNodes(nodes),
+    onQuarantine: quarantine.takeRecord,
+    clock,
+    log,
   });
 
-  const intentFollower = followed.follow(topics.intent, intentMirror, INTENT_READ);
-  followed.follow(topics.upstreams, upstreamMirror, UPSTREAMS_READ);
-  followed.follow(topics.nodes, nodeMirror, NODES_READ);
-  const quarantineMirror = createKeyedMirror(quarantine.takeRecord);
-  followed.follow(topics.quarantine, quarantineMirror, QUARANTINE_READ);
-
   const ownCounts = (): Map<string, number> =>
     new Map(
       directory
@@ -230,7 +212,7 @@
     listen: options.addresses.links,
     seeds: options.seeds,
     intentVersion: () => Math.trunc(table?.intent.version ?? -1),
-    onPeerAhead: () => intentFollower.hurry(),
+    onPeerAhead: entryTopics.intent.hurry,
     onShare: directory.notePeerLoad,
     wholeShare: loadTeller.whole,
     onRateNews: rateLimits.takeNews,
@@ -249,9 +231,8 @@
     metrics,
     log,
   });
-  const publisher = createPublisher({ record: self, publish: options.publish, clock, log });
 
-  const isReady = (): boolean => !isStopping && table !== undefined && upstreamMirror.end() >= 0;
+  const isReady = (): boolean => !isStopping && table !== undefined && entryTopics.hasUpstreams();
   const readiness = await createReadinessDoor(
     options.addresses.readiness,
     options.addresses.metrics.path,
@@ -288,7 +269,7 @@
     log.event('stopped', { cut: door.open() });
     followed.close();
     quarantine.close();
-    publisher.close();
+    entryTopics.close();
     readiness.close();
     metricsDoor.close();
     loadTeller.close();
--- a/packages/gateway/src/mesh/followed-topics.ts
+++ b/packages/gateway/src/mesh/followed-topics.ts
@@ -8,6 +8,7 @@
   KeyedTopic,
   PeerPush,
   PeerRecords,
+  RestoreSource,
   TopicPlace,
 } from '@plantaindrum/mirror';
 import type { Mesh } from './mesh.js';
@@ -20,6 +21,8 @@
   retryMaxMs?: number;
   /** Time after a restore of the log for writers to write again what it lost, in ms; without it, that is kept. */
   rewrittenWithinMs?: number;
+  /** Told when the mirror has moved on to a log that was restored from an older copy. */
+  onRestored?: (source: RestoreSource) => void;
 }
 
 /** Topics with their mirrors. */
@@ -48,6 +51,10 @@
 
   return {
     follow: (topic, mirror, reading) => {
+      const onRestored = (source: RestoreSource): void => {
+        followed.forEach(({ follower }) => follower.noteGeneration(mirror.generation()));
+        reading.onRestored?.(source);
+      };
       const follower = followTopic({
         topic,
         mirror,
@@ -56,6 +63,7 @@
         isReadByPeer: () => mesh()?.hasEarlierPeer() ?? false,
         onAnswer: (push: PeerPush) => mesh()?.passOn(topic.name, push),
         ...reading,
+        onRestored,
         clock,
         metrics,
         log,
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -44,6 +44,8 @@
   logBackAt(): number;
   /** Asks peers now: one of them is known to be ahead. */
   hurry(): void;
+  /** Another topic has shown that the log was restored: reads what this one holds now. */
+  noteGeneration(generation: number): void;
   /** Takes what a peer passes on. */
   takePush(push: PeerPush): void;
   close(): void;
@@ -256,6 +258,12 @@
     hurry: () => {
       void askOnce(WHOLE);
     },
+    noteGeneration: (generation) => {
+      const isKnown = mirror.generation() < 0 || generation <= mirror.generation();
+      const isPassedOn = options.isReadByPeer?.() === true && hasWord();
+      // A read that waits at the log may have been lost with the log that it was sent to.
+      if (!stopped && !isKnown && !isPassedOn) void readAll();
+    },
     takePush,
     close: () => {
       stopped = true;
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -7,6 +7,7 @@
   Follower,
   KeyedTopic,
   NodeRecord,
+  Publisher,
   PublishNode,
   RankPlace,
 } from '@plantaindrum/mirror';
@@ -85,15 +86,15 @@
   let coordinator: Coordinator | undefined;
   let shape: GroupShape | undefined;
   let stopped = false;
-  let stopPublishing = (): void => {};
+  let publisher: Publisher | undefined;
   const engine = openEngine(engineHost, enginePort);
 
   const takePlace = ({ group, rank }: RankReport): void => {
     if (place?.name === group && place.rank === rank) return;
     place = { name: group, rank, engineHost, enginePort };
-    stopPublishing();
+    publisher?.close();
     const record = { ...self, group: place };
-    stopPublishing = createPublisher({ record, publish: options.publish, clock, log }).close;
+    publisher = createPublisher({ record, publish: options.publish, clock, log });
   };
 
   const orderFor = async (node: string, order: RankOrder): Promise<OrderOutcome> => {
@@ -196,6 +197,7 @@
       const isSmall = push.records.length <= MOST_PASSED_ON;
       if (isSmall && linked.isLowest()) port.passOnNodes(push);
     },
+    onRestored: () => publisher?.confirm(mirror),
     ...NODES_READ,
     clock,
     metrics,
@@ -260,7 +262,7 @@
       coordinator?.close();
       news.close();
       member.close();
-      stopPublishing();
+      publisher?.close();
       follower?.close();
       await pace.close();
       await linked.close();
