Requests in quarantine are written again when a restored log lacks them

Callers would have seen: a request that crashes upstreams, in quarantine and recorded, is sent to three more upstreams by entries that start after the platform's log came back from a copy from before the quarantine; and the other way round, a request that ran well is refused for ten minutes because the copy has its record still.

Cause: a record that was written, or dropped, was taken for lasting. Change: after a restore the entry that reads the log writes what it holds in quarantine and the log lacks, and drops what has run well since; the others do so three seconds later where it could not.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -189,6 +189,7 @@
     onUpstream: directory.apply,
     onNodes: (nodes) => mesh?.setNodes(nodes),
     onQuarantine: quarantine.takeRecord,
+    onQuarantineLost: quarantine.noteRestored,
     clock,
     log,
   });
--- a/packages/gateway/src/mesh/entry-topics.ts
+++ b/packages/gateway/src/mesh/entry-topics.ts
@@ -8,6 +8,7 @@
   KeyedTopic,
   NodeRecord,
   PublishNode,
+  RestoreSource,
 } from '@plantaindrum/mirror';
 import type { FollowedTopics } from './followed-topics.js';
 
@@ -32,6 +33,8 @@
   onUpstream: (change: KeyedChange) => void;
   onNodes: (nodes: readonly NodeRecord[]) => void;
   onQuarantine: (change: KeyedChange) => void;
+  /** The log was restored from an older copy, which lacks these requests in quarantine. */
+  onQuarantineLost: (keys: readonly string[], source: RestoreSource) => void;
   clock: Clock;
   log: EventLog;
 }
@@ -83,7 +86,10 @@
     ...NODES_READ,
     onRestored: () => publisher.confirm(nodeMirror),
   });
-  followed.follow(topics.quarantine, quarantineMirror, QUARANTINE_READ);
+  followed.follow(topics.quarantine, quarantineMirror, {
+    ...QUARANTINE_READ,
+    onRestored: (source) => options.onQuarantineLost(quarantineMirror.unconfirmed(), source),
+  });
 
   return { intent, hasUpstreams: () => upstreamMirror.end() >= 0, close: publisher.close };
 };
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -1,7 +1,7 @@
 /** Keeps requests that crash upstreams away from them, together with the other entries. */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
-import type { KeyedChange } from '@plantaindrum/mirror';
+import type { KeyedChange, RestoreSource } from '@plantaindrum/mirror';
 import type { UpstreamStart } from '../types.js';
 import { createCrashEvidence } from './crash-evidence.js';
 import type { Crash, Verdict } from './crash-evidence.js';
@@ -50,6 +50,8 @@
   whole(): News;
   /** Takes a change of the platform's record. */
   takeRecord(change: KeyedChange): void;
+  /** The platform's log was restored from an older copy, which lacks these records. */
+  noteRestored(lost: readonly string[], source: RestoreSource): void;
   close(): void;
 }
 
@@ -84,6 +86,8 @@
   const { clock, metrics, log } = options;
   const evidence = createCrashEvidence(clock);
   const recorded = new Set<string>();
+  /** Recorded as in quarantine, though they have run well since. */
+  const outdatedRecords = new Set<string>();
   const tried = createTriedSuspects(clock);
   const teller = createNewsTeller({ tell: options.tell, tried: tried.here, clock });
 
@@ -166,6 +170,14 @@
     tried.notePeer(peer, told.tried);
   };
 
+  /** Writes what a restored log lacks, and drops what it has brought back. */
+  const writeRestored = (): void => {
+    const missing = evidence
+      .all()
+      .filter((each) => !recorded.has(each) && evidence.verdict(each) === 'quarantined');
+    [...missing, ...outdatedRecords].forEach(writer.write);
+  };
+
   return {
     refusal: (fingerprint) => {
       const verdict = evidence.verdict(fingerprint);
@@ -237,6 +249,7 @@
     takeRecord: ({ key, value }) => {
       if (value === undefined) {
         recorded.delete(key);
+        outdatedRecords.delete(key);
         // Dropped by an operator, or by an entry at which the request ran well.
         if (evidence.noteSound(key, clock.monotonic())) {
           log.event('request-sound', { fingerprint: key, from: 'record' });
@@ -253,6 +266,15 @@
       const shift = clock.monotonic() - clock.now();
       const change = evidence.noteQuarantine(key, record.since + shift, record.until + shift);
       if (change.isNews) noteVerdict(key, change.verdict, 'record');
+      const isInForce = record.until + shift > clock.monotonic();
+      if (isInForce && change.verdict !== 'quarantined') outdatedRecords.add(key);
+      else outdatedRecords.delete(key);
+    },
+    noteRestored: (lost, source) => {
+      lost.forEach((key) => recorded.delete(key));
+      // The entry that read the restored log writes; the others write where it could not.
+      if (source === 'log') writeRestored();
+      else clock.after(RECORD_DUE_MS, writeRestored);
     },
     close: () => {
       teller.close();
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -296,6 +296,58 @@
     expect(node.quarantine.refusal(HARMFUL)).to.equal(undefined);
   });
 
+  // The platform's log is restored from a copy from before the quarantine. Entries that start later would send the
+  // request to three more upstreams before it is in quarantine again.
+  it('is written again when a restored log lacks its record, by one entry where that one can', async () => {
+    const clock = clockForNodes();
+    const [reader, peer] = [startNode(clock), startNode(clock)];
+    for (const instance of ['a', 'b', 'c']) {
+      await crashAt(reader, clock, instance);
+      reader.news.splice(0).forEach((told) => peer.quarantine.takeNews('reader', told));
+    }
+    const value = reader.records.get(HARMFUL);
+    [reader, peer].forEach(({ quarantine, records }) => {
+      quarantine.takeRecord({ key: HARMFUL, value });
+      records.clear();
+    });
+    reader.quarantine.noteRestored([HARMFUL], 'log');
+    peer.quarantine.noteRestored([HARMFUL], 'peer');
+    await clock.advance(100);
+    expect([...reader.records.keys()]).to.deep.equal([HARMFUL]);
+    peer.quarantine.takeRecord({ key: HARMFUL, value: reader.records.get(HARMFUL) });
+    await clock.advance(5_000);
+    expect([...peer.records.keys()]).to.deep.equal([]);
+  });
+
+  it('is written by another entry where the one that reads the log can not', async () => {
+    const clock = clockForNodes();
+    const peer = startNode(clock);
+    for (const instance of ['a', 'b', 'c']) await crashAt(peer, clock, instance);
+    peer.quarantine.takeRecord({ key: HARMFUL, value: peer.records.get(HARMFUL) });
+    peer.records.clear();
+    peer.quarantine.noteRestored([HARMFUL], 'peer');
+    await clock.advance(5_000);
+    expect([...peer.records.keys()]).to.deep.equal([HARMFUL]);
+  });
+
+  // The request ran well and its record was dropped; the restored log has the record again. Entries that start later
+  // would refuse a sound request for ten minutes.
+  it('is dropped again when a restored log brings back the record of a request that ran well', async () => {
+    const clock = clockForNodes();
+    const node = startNode(clock);
+    for (const instance of ['a', 'b', 'c']) await crashAt(node, clock, instance);
+    const value = node.records.get(HARMFUL);
+    node.quarantine.takeRecord({ key: HARMFUL, value });
+    node.quarantine.takeRecord({ key: HARMFUL, value: undefined });
+    node.records.clear();
+    await clock.advance(1_000);
+    node.quarantine.takeRecord({ key: HARMFUL, value });
+    node.quarantine.noteRestored([], 'log');
+    await clock.advance(100);
+    expect(node.quarantine.refusal(HARMFUL)).to.equal(undefined);
+    expect([...node.records]).to.deep.equal([[HARMFUL, undefined]]);
+  });
+
   it('drops notes and records that are not sound', () => {
     const node = startNode();
     const crash = { fingerprint: HARMFUL, instance: 'a', sentAgoMs: 5, endedAgoMs: 1 };
