Entries of ended upstreams that a restored log hands out again are left out

Callers would have seen: requests sent to an upstream that crashed before the restore, whose entry is in the list again until it lapses a second time; listed last at its address, it hides the upstream that has taken its place there.

Cause: an entry with the sequence of the one that was removed counted as current. Evidence, red first: the upstream chosen is the removed one ('b' expected, 'a' got). Change: a removal is remembered with the start and sequence that it ended; only a later heartbeat brings the upstream back.

--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -168,8 +168,12 @@
     listed.delete(instance);
     if (!upstream) return;
     log.event('upstream-gone', { upstream: instance, service: upstream.record.service });
-    if (leaving.delete(instance)) starts.noteLeft(instance);
-    else lapsed.set(instance, { upstream, at: clock.monotonic() });
+    if (leaving.delete(instance)) {
+      starts.noteLeft(instance);
+      return;
+    }
+    starts.noteRemoved(instance);
+    lapsed.set(instance, { upstream, at: clock.monotonic() });
   };
 
   const isReady = (upstream: Upstream, service: string): boolean =>
--- a/packages/gateway/src/upstreams/known-starts.ts
+++ b/packages/gateway/src/upstreams/known-starts.ts
@@ -10,7 +10,7 @@
   | 'later-start'
   /** The start that is known says something newer, or the same again. */
   | 'current'
-  /** A late word: of an earlier start, of an earlier time, or of a start that has left. */
+  /** A late word: of an earlier start, of an earlier time, or of a start that has left or whose entry was removed. */
   | 'outdated';
 
 /** The latest known start of each instance. */
@@ -19,6 +19,8 @@
   take(record: UpstreamRecord): EntryStanding;
   /** The start that is known has left for good: no later word of it counts. */
   noteLeft(instance: string): void;
+  /** Its entry was removed without an announcement: only a later heartbeat brings it back. */
+  noteRemoved(instance: string): void;
 }
 
 /** Instances that are remembered; the oldest are forgotten first. A bound on memory. */
@@ -28,6 +30,7 @@
   startedAt: number;
   sequence: number;
   hasLeft: boolean;
+  isRemoved: boolean;
 }
 
 /** Creates the memory; it outlives entries, as late words of an upstream come after its removal. */
@@ -38,8 +41,10 @@
     const last = known.get(instance);
     if (!last) return 'first';
     if (startedAt > last.startedAt) return 'later-start';
-    const isOutdated = startedAt < last.startedAt || last.hasLeft || sequence < last.sequence;
-    return isOutdated ? 'outdated' : 'current';
+    const isEarlier = startedAt < last.startedAt || sequence < last.sequence;
+    // A log that was restored from an older copy hands out again what was removed since.
+    const isRemoved = last.isRemoved && sequence === last.sequence;
+    return isEarlier || last.hasLeft || isRemoved ? 'outdated' : 'current';
   };
 
   return {
@@ -48,7 +53,7 @@
       if (found === 'outdated') return found;
       const { instance, startedAt, sequence } = record;
       known.delete(instance);
-      known.set(instance, { startedAt, sequence, hasLeft: false });
+      known.set(instance, { startedAt, sequence, hasLeft: false, isRemoved: false });
       const [oldest] = known.keys();
       if (known.size > MOST_INSTANCES && oldest !== undefined) known.delete(oldest);
       return found;
@@ -57,5 +62,9 @@
       const last = known.get(instance);
       if (last) last.hasLeft = true;
     },
+    noteRemoved: (instance) => {
+      const last = known.get(instance);
+      if (last) last.isRemoved = true;
+    },
   };
 };
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -142,6 +142,30 @@
   });
 });
 
+describe('upstreams whose entry was removed', () => {
+  // The platform's log is restored from a copy from before an upstream crashed. Its entry is in the list again, and
+  // stands there until it lapses once more; at its address it would hide the upstream that has taken its place.
+  it('are not brought back by the entry that a restored log hands out again', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    directory.apply({ key: 'a', value: undefined });
+    take({ ...first, instance: 'b', sequence: 1 });
+    take(first);
+    expect(chosen()).to.include({ instance: 'b' });
+    take({ ...first, sequence: first.sequence - 2 });
+    expect(chosen()).to.include({ instance: 'b' });
+  });
+
+  // Its entry lapsed while the platform's log was away; it lives and writes again.
+  it('are used again with their next heartbeat', () => {
+    const { directory, take, chosen } = start();
+    take(first);
+    directory.apply({ key: 'a', value: undefined });
+    take({ ...first, sequence: first.sequence + 5 });
+    expect(chosen()).to.include({ instance: 'a' });
+  });
+});
+
 describe('upstreams at one address', () => {
   const next: UpstreamRecord = { ...first, instance: 'b' };
 
