Experiment: what the processes of a site spend processor time on

npm run experiment -- processor-time: the programs as processes before stand-ins, profiled by the runtime, self time by role and cause within the span of the load; what the runtime does counts for the code of ours that called it. The soak's world takes its size and arguments of the runtime from its caller.

--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -27,6 +27,7 @@
   'overload',
   'overload-processes',
   'path',
+  'processor-time',
   'quarantine',
   'rate-limit',
   'rank-balance',
--- a/packages/lab/src/harness/child.ts
+++ b/packages/lab/src/harness/child.ts
@@ -33,6 +33,8 @@
   /** Script, relative to the root of the repository. */
   script: string;
   args: string[];
+  /** Arguments of the runtime itself. */
+  nodeArgs?: string[];
   /** Variables beside those of this process. */
   env?: Record<string, string>;
   /** Longest wait for the ready line, in milliseconds. */
@@ -91,7 +93,7 @@
 
 /** Starts a process and waits for its ready line, one JSON object on standard output. */
 export const startChild = async <Ready>(spec: ChildSpec): Promise<Child<Ready>> => {
-  const child = spawn(process.execPath, [spec.script, ...spec.args], {
+  const child = spawn(process.execPath, [...(spec.nodeArgs ?? []), spec.script, ...spec.args], {
     cwd: repositoryRoot,
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, NODE_OPTIONS: '', ...spec.env },
--- a/packages/lab/src/soak/world.ts
+++ b/packages/lab/src/soak/world.ts
@@ -48,12 +48,19 @@
 /** Ports that all programs of the soak use, each on a loopback address of its own. */
 export const SOAK_PORTS = { callers: 19_227, readiness: 19_220, links: 19_340, engine: 19_228 };
 
-const ENTRIES = 2;
-const RANKS = 4;
-const BOOKS = 2;
-const SETS = 2;
-const EXPERTS = 12;
-const PASS_MS = 25;
+/** How much of everything a world has. */
+export interface WorldSize {
+  entries: number;
+  /** Ranks of the one expert group, each with an agent. */
+  ranks: number;
+  /** Plain servers. */
+  books: number;
+  sets: number;
+  experts: number;
+  passMs: number;
+}
+
+const SOAK_SIZE: WorldSize = { entries: 2, ranks: 4, books: 2, sets: 2, experts: 12, passMs: 25 };
 /** What is popular moves on after so many passes. */
 const PASSES_PER_SHIFT = 60;
 const USUAL_ALLOWANCE = 90;
@@ -67,7 +74,11 @@
 const bookIp = (at: number): string => `${block}.3.${at + 1}`;
 
 /** Starts the world; resolves when every process runs, which is before all are linked. */
-export const startWorld = async (): Promise<World> => {
+export const startWorld = async (
+  size: WorldSize = SOAK_SIZE,
+  nodeArgsOf: (vm: Pick<Vm, 'role'>) => string[] = () => [],
+): Promise<World> => {
+  const { entries, ranks, books, sets, experts, passMs } = size;
   const folder = await mkdtemp(join(tmpdir(), 'plantaindrum-soak-'));
   const store = await startStoreStandIn();
   const writers: (() => void)[] = [];
@@ -75,10 +86,10 @@
   let newest: { version: number; keys: readonly string[] } | undefined;
   let passes = 0;
   const picks = (): number[] => {
-    const hot = Math.floor(passes / PASSES_PER_SHIFT) % EXPERTS;
-    return Array.from({ length: SETS * EXPERTS }, (_, at) => (at % EXPERTS === hot ? 6_000 : 300));
+    const hot = Math.floor(passes / PASSES_PER_SHIFT) % experts;
+    return Array.from({ length: sets * experts }, (_, at) => (at % experts === hot ? 6_000 : 300));
   };
-  const group = createGroup({ size: RANKS, sets: SETS, experts: EXPERTS, picks });
+  const group = createGroup({ size: ranks, sets, experts, picks });
   const startServer = async (instance: string, service: string, ip: string, rank?: number) => {
     const listen = { host: ip, port: SOAK_PORTS.engine };
     const place = rank === undefined ? undefined : { group, rank };
@@ -92,21 +103,22 @@
   const limited = await startServer('book-0', 'book', bookIp(0));
   const servers = await Promise.all([
     limited,
-    ...Array.from({ length: RANKS }, (_, n) => startServer(`rank-${n}`, 'llm', rankIp(n), n)),
-    ...Array.from({ length: BOOKS - 1 }, (_, n) =>
+    ...Array.from({ length: ranks }, (_, n) => startServer(`rank-${n}`, 'llm', rankIp(n), n)),
+    ...Array.from({ length: books - 1 }, (_, n) =>
       startServer(`book-${n + 1}`, 'book', bookIp(n + 1)),
     ),
   ]);
   const timer = setInterval(() => {
     passes += 1;
     group.pass();
-  }, PASS_MS);
+  }, passMs);
 
   const pathOf = ({ name }: { name: string }): string => join(folder, `${name}.toml`);
   const startProgram = async (vm: Omit<Vm, 'child' | 'boot'>): Promise<Child<unknown>> =>
     startChild({
       name: vm.name,
       script: PROGRAM,
+      nodeArgs: nodeArgsOf(vm),
       args: [vm.role],
       env: { [SETTINGS_VARIABLE]: pathOf(vm) },
     });
@@ -122,14 +134,14 @@
   };
   const putIntent = (version: number, keys: readonly string[]): void => {
     if (newest === undefined || version > newest.version) newest = { version, keys };
-    putDesiredState(store, version, keys, { sets: SETS, experts: EXPERTS });
+    putDesiredState(store, version, keys, { sets, experts });
   };
   putIntent(1, ['key-a', 'key-b']);
   const vms = await Promise.all([
-    ...Array.from({ length: ENTRIES }, (_, n) =>
+    ...Array.from({ length: entries }, (_, n) =>
       startVm({ name: `entry-${n}`, role: 'entry', ip: entryIp(n) }),
     ),
-    ...Array.from({ length: RANKS }, (_, n) =>
+    ...Array.from({ length: ranks }, (_, n) =>
       startVm({ name: `agent-${n}`, role: 'agent', ip: rankIp(n) }),
     ),
   ]);
