npm run bench: unit costs as ratios to the plainest code that does the same

The benchmark measures both sides by turns in one run: the choice among upstreams, a heartbeat's frame, and the processor time of an entry for a plain request against a pass-through on the same HTTP library before the same server, as the kernel counts it.

--- /dev/null
+++ b/packages/lab/src/cli/bench/main.ts
@@ -0,0 +1,11 @@
+/** `npm run bench`: unit costs as ratios, each against the plainest code that does the same. */
+
+import { measureRequestCost } from '../../bench/request-cost.js';
+import { measureUnitCosts } from '../../bench/unit-costs.js';
+
+const SEED = 1;
+
+const costs = [...measureUnitCosts(SEED), await measureRequestCost(SEED)];
+costs.forEach(({ name, against, ratio }) => {
+  process.stdout.write(`${ratio.toFixed(1).padStart(6)}  ${name}, against ${against}\n`);
+});
