Keys that only peers still hold after a restore are dropped in time, too

Callers would have seen: an entry that starts just after the platform's log was restored hears from a peer of an upstream that has not written again yet. Where that upstream has ended, nothing in the log ever takes it off that entry's list. Cause: the time for writers began with a restore that was seen here. Evidence, red first: the key is held after 2.5 s. Change: it begins whenever a mirror holds keys that the log has not shown; in a module of its own.

--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -3,6 +3,7 @@
 import type { Clock, EventLog, Metrics, Pause } from '@plantaindrum/common';
 import { createPause, sleep } from '@plantaindrum/common';
 import type { KeyedItem, KeyedMirror, KeyedRecord } from './keyed-mirror.js';
+import { createLostKeys } from './lost-keys.js';
 import { readPicture } from './picture.js';
 import type { Picture } from './picture.js';
 import { WHOLE } from './topic.js';
@@ -82,6 +83,13 @@
   let failures = 0;
   /** A peer has moved on to a restored log, and what it holds there isn't known yet. */
   let needsPicture = false;
+  const lostKeys = createLostKeys({
+    topic: topic.name,
+    mirror,
+    withinMs: options.rewrittenWithinMs,
+    clock,
+    log,
+  });
 
   const since = (at: number): number => clock.monotonic() - at;
 
@@ -102,14 +110,6 @@
     metrics.count('gateway_log_read_failed', { topic: topic.name, why });
   };
 
-  const dropLost = (generation: number): void => {
-    if (stopped || mirror.generation() !== generation) return;
-    const keys = mirror.unconfirmed();
-    if (keys.length === 0) return;
-    mirror.dropUnconfirmed();
-    log.event('lost-in-restore', { topic: topic.name, generation, keys: keys.length });
-  };
-
   const noteRestored = (held: { generation: number; end: number }, source: RestoreSource): void => {
     const generation = mirror.generation();
     if (held.generation < 0 || held.generation === generation) return;
@@ -118,8 +118,7 @@
     const at = { generation, end: mirror.end(), unconfirmed: mirror.unconfirmed().length };
     const before = { beforeGeneration: held.generation, beforeEnd: held.end };
     log.event('log-restored', { topic: topic.name, source, ...before, ...at });
-    const { rewrittenWithinMs } = options;
-    if (rewrittenWithinMs !== undefined) clock.after(rewrittenWithinMs, () => dropLost(generation));
+    lostKeys.dropLater();
     options.onRestored?.(source);
   };
 
@@ -202,6 +201,7 @@
   const takeFromPeer = ({ records, end, generation }: Omit<PeerRecords, 'ageMs'>): void => {
     if (generation === mirror.generation() || mirror.generation() < 0) {
       mirror.apply(records, end, generation);
+      lostKeys.dropLater();
       return;
     }
     takePicture({ items: records.flatMap(withValue), end, generation }, 'peer');
@@ -267,6 +267,7 @@
     takePush,
     close: () => {
       stopped = true;
+      lostKeys.close();
       pause.end();
     },
   };
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
-import { createKeyedMirror, followTopic, WHOLE } from '../src/index.js';
+import { createKeyedMirror, followTopic, UNCONFIRMED_OFFSET, WHOLE } from '../src/index.js';
 import type { KeyedRecord, KeyedTopic, LogReadOutcome, PeerRecords } from '../src/index.js';
 
 const record = (key: string, offset: number, value: string): KeyedRecord => ({
@@ -336,6 +336,38 @@
     follower.close();
   });
 
+  // A node that starts just after the restore hears of an upstream from a peer that waits for it to write again. It never
+  // does: nothing in the log would ever take it off the list of the node that started.
+  it('drops what only a peer still held and nobody wrote again', async () => {
+    const clock = createManualClock();
+    const log = createFakeLog();
+    log.set('refusing');
+    const mirror = createKeyedMirror(() => {});
+    const held = {
+      records: [record('gone', UNCONFIRMED_OFFSET, '1')],
+      end: 0,
+      generation: 1,
+      ageMs: 0,
+    };
+    const follower = followTopic({
+      topic: log.topic,
+      mirror,
+      askPeers: async () => held,
+      waitMs: 0,
+      pauseMs: 100,
+      rewrittenWithinMs: 2_000,
+      clock,
+      metrics: createMetrics(),
+      log: silentEventLog,
+    });
+    await clock.advance(600);
+    expect(mirror.items().map(({ key }) => key)).to.deep.equal(['gone']);
+    held.records = [];
+    await clock.advance(2_500);
+    expect(mirror.items()).to.deep.equal([]);
+    follower.close();
+  });
+
   // Its first word after the restore was lost with a link. The next one starts from a place that isn't known here.
   it('reads the log itself when it has missed that a peer moved on', async () => {
     const { log, follower, mirror, value } = await startRestored(undefined, () => true);
