Each soak's store is restored once, and a change after that must come into force

Now each soak plays one restore that loses three writes, and the change after it takes another key away, which every entry must refuse at the end.

--- a/packages/lab/src/soak/faults.ts
+++ b/packages/lab/src/soak/faults.ts
@@ -18,6 +18,8 @@
 /** Faults under way. */
 export interface Faults {
   played: readonly PlayedFault[];
+  /** Plays a restore of the store from an older copy now, beside what is under way. */
+  restoreStore(): Promise<void>;
   /** Draws no more, and waits until all that was harmed is whole again. */
   stop(): Promise<void>;
 }
@@ -60,9 +62,13 @@
 
 const STORE_MODES: readonly StoreMode[] = ['busy', 'silent', 'losing-answers'];
 
+/** Writes that a restored store has lost, so that later ones get offsets which were given out before. */
+const LOST_WRITES = 3;
+
 /** The store comes back from an older copy; the operators and servers write again what they wrote since. */
 const restoreStore = async (world: World, random: Random): Promise<string> => {
   world.store.takeBackup();
+  for (let n = 0; n < LOST_WRITES; n += 1) world.writeAgain();
   await delay(between(random, 300, 2_000));
   world.store.setMode('silent');
   await delay(between(random, 100, 1_000));
@@ -138,6 +144,7 @@
 
   return {
     played,
+    restoreStore: () => note('store', 'store', 0, restoreStore(world, random)),
     stop: async () => {
       stopped = true;
       await running;
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -40,6 +40,8 @@
 const HEALED_WITHIN_MS = 8_000;
 const KEPT_KEY = 'key-a';
 const REVOKED_KEY = 'key-b';
+/** Taken away by the last change, after the store has come back from an older copy. */
+const LAST_REVOKED_KEY = 'key-c';
 
 /** Whether every entry serves each kind of call again, and none a key that was taken away. */
 const isHealed = async (world: World, callers: Callers): Promise<boolean> => {
@@ -50,7 +52,11 @@
   const served = (await Promise.all(asked)).every(
     ({ status, isWhole }) => status === 200 && isWhole,
   );
-  const revoked = await Promise.all(entries.map((vm) => callers.ask(vm, 'safe', REVOKED_KEY)));
+  const revoked = await Promise.all(
+    entries.flatMap((vm) =>
+      [REVOKED_KEY, LAST_REVOKED_KEY].map((key) => callers.ask(vm, 'safe', key)),
+    ),
+  );
   return served && revoked.every(({ status }) => status === 401);
 };
 
@@ -77,11 +83,13 @@
     const advertisedAt = performance.now();
     world.limited.advertiseLimit(LIMIT_PER_S);
     await delay(lengthMs * (REVOKE_AT - LIMIT_AT));
-    world.putIntent(2, [KEPT_KEY]);
+    world.putIntent(2, [KEPT_KEY, LAST_REVOKED_KEY]);
     // The store may hand an old version out again; it must not come into force.
     await delay(lengthMs * (1 - REVOKE_AT) * 0.5);
-    world.putIntent(1, [KEPT_KEY, REVOKED_KEY]);
+    world.putIntent(1, [KEPT_KEY, REVOKED_KEY, LAST_REVOKED_KEY]);
+    const restored = faults.restoreStore();
     await delay(lengthMs * (1 - REVOKE_AT) * 0.5);
+    await restored;
     world.putIntent(3, [KEPT_KEY]);
     await faults.stop();
     const unhealed = await healingViolations(world, callers);
--- a/packages/lab/src/soak/world.ts
+++ b/packages/lab/src/soak/world.ts
@@ -136,7 +136,7 @@
     if (newest === undefined || version > newest.version) newest = { version, keys };
     putDesiredState(store, version, keys, { sets, experts });
   };
-  putIntent(1, ['key-a', 'key-b']);
+  putIntent(1, ['key-a', 'key-b', 'key-c']);
   const vms = await Promise.all([
     ...Array.from({ length: entries }, (_, n) =>
       startVm({ name: `entry-${n}`, role: 'entry', ip: entryIp(n) }),
