--- a/packages/rank-groups/test/rank-methods.test.ts
+++ b/packages/rank-groups/test/rank-methods.test.ts
@@ -60,8 +60,12 @@
 
   it('takes what another agent has read of the list of nodes', async () => {
     const { methods, pushes } = start();
-    const push = { after: 4, end: 5, records: [{ key: 'n', offset: 4, value: Uint8Array.of(1) }] };
+    const records = [{ key: 'n', offset: 4, value: Uint8Array.of(1) }];
+    const push = { after: 4, end: 5, generation: 1, records };
     expect(await methods.nodes.run(push, 100)).to.deep.equal({ done: [3] });
+    expect(await methods.nodes.run({ after: 4, end: 5, records }, 100)).to.deep.equal({
+      refused: [3],
+    });
     expect(await methods.nodes.run({ after: 4 }, 100)).to.deep.equal({ refused: [3] });
     expect(pushes).to.deep.equal([push]);
   });
