An answer to a read that began in a lost log is not placed in the restored one

Callers would have seen a change that is not in force: a read waits at the log for what comes after offset 4, a peer moves the node on to the restored log that ends at 2, the log grows past 4 and answers the read. The records from 2 to 4 were missed for good. Found by reading the change once more. Cause: the answer's generation was compared with the mirror's at the time of the answer, not of the question. Evidence, red first: the mirror's end is 5, 2 expected. Change: the generation is taken with the offset, before the read; an answer to a read of another one is left, and the next read begins at the new place.

--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -93,7 +93,7 @@
 
   const since = (at: number): number => clock.monotonic() - at;
 
-  const noteAnswer = (isNews: boolean): void => {
+  const noteAnswer = (isConfirmed: boolean): void => {
     const now = clock.monotonic();
     if (failures > 0) {
       backAt = now;
@@ -101,7 +101,7 @@
     }
     failures = 0;
     logAnsweredAt = now;
-    if (isNews) confirmedAt = now;
+    if (isConfirmed) confirmedAt = now;
   };
 
   const noteFailure = (why: LogFailure): void => {
@@ -162,15 +162,16 @@
   };
 
   const readOn = async (): Promise<boolean> => {
+    const generation = mirror.generation();
     const read = await topic.read(mirror.end(), failures > 0 ? 0 : waitMs);
     if (read.outcome === 'failed') {
       noteFailure(read.why);
       return false;
     }
     if (stopped) return true;
-    // An answer from before a restore that a peer has told of meanwhile.
-    if (read.generation < mirror.generation()) return true;
-    if (read.generation > mirror.generation()) return readAll();
+    // A peer has moved this mirror on to a restored log meanwhile: the read began at a place of the lost one.
+    if (mirror.generation() !== generation || read.generation < generation) return true;
+    if (read.generation > generation) return readAll();
     if (read.outcome === 'expired') {
       log.event('log-history-gone', { topic: topic.name, from: mirror.end() });
       return readAll();
--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -336,6 +336,37 @@
     follower.close();
   });
 
+  // A read waits at the log for what comes after offset 4; a peer moves this node on to the restored log, which ends at 2;
+  // the log grows past 4 and answers the read. What lies between 2 and 4 would be missed for good.
+  it('takes no answer to a read that began before it moved on', async () => {
+    let answer: (outcome: LogReadOutcome) => void = () => {};
+    const from: number[] = [];
+    const topic: KeyedTopic = {
+      name: 't',
+      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 4, generation: 0 }),
+      read: (offset) => {
+        from.push(offset);
+        return new Promise((resolve) => {
+          answer = resolve;
+        });
+      },
+    };
+    const clock = createManualClock();
+    const mirror = createKeyedMirror(() => {});
+    const common = { clock, metrics: createMetrics(), log: silentEventLog };
+    const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
+    const follower = followTopic({ topic, mirror, ...reading, ...common });
+    await settle();
+    await clock.advance(150);
+    follower.takePush({ after: WHOLE, records: [record('k', 1, '5')], end: 2, generation: 1 });
+    answer({ outcome: 'records', records: [record('x', 4, '1')], end: 5, generation: 1 });
+    await settle();
+    expect(mirror.end()).to.equal(2);
+    await clock.advance(150);
+    expect(from).to.deep.equal([4, 2]);
+    follower.close();
+  });
+
   // A node that starts just after the restore hears of an upstream from a peer that waits for it to write again. It never
   // does: nothing in the log would ever take it off the list of the node that started.
   it('drops what only a peer still held and nobody wrote again', async () => {
