--- a/packages/stand-ins/src/users-platform/operator-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -106,3 +106,8 @@
 /** Whether an answer bears a server's receipt. */
 export const hasReceipt = (headers: Readonly<Record<string, unknown>>): boolean =>
   headers['x-server-stamp'] !== undefined;
+
+/** Fields by which a server refuses a request that is meant for another instance. */
+export const instanceHeaders = (instance: string): Record<string, string> => ({
+  'X-Expect-Instance': instance,
+});
