Two tests of a read that waits at the log share their setup

The fake topic and the follower stood twice, alike but for the topic's end. The tests keep their steps and assertions; 28 tests of followers and mirrors pass, types and lint are clean.

--- a/packages/mirror/test/follow.test.ts
+++ b/packages/mirror/test/follow.test.ts
@@ -93,6 +93,29 @@
   return { clock, log, mirror, follower, value };
 };
 
+/** A follower whose reads wait at the log until the test answers them. */
+const startWaiting = async (end: number) => {
+  let answer: (outcome: LogReadOutcome) => void = () => {};
+  const from: number[] = [];
+  const topic: KeyedTopic = {
+    name: 't',
+    newest: async () => ({ outcome: 'items', items: [], hasMore: false, end, generation: 0 }),
+    read: (offset) => {
+      from.push(offset);
+      return new Promise((resolve) => {
+        answer = resolve;
+      });
+    },
+  };
+  const clock = createManualClock();
+  const mirror = createKeyedMirror(() => {});
+  const common = { clock, metrics: createMetrics(), log: silentEventLog };
+  const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
+  const follower = followTopic({ topic, mirror, ...reading, ...common });
+  await settle();
+  return { clock, mirror, follower, from, answer: (outcome: LogReadOutcome) => answer(outcome) };
+};
+
 describe('following a topic', () => {
   it('reads the newest values first and then what is added', async () => {
     const { clock, log, follower, value } = await start();
@@ -143,21 +166,7 @@
   // A node stops while its read waits at the log, and the answer comes afterwards: it dialled the node that the
   // answer named, for ever.
   it('takes nothing after it was closed', async () => {
-    let answer: (outcome: LogReadOutcome) => void = () => {};
-    const topic: KeyedTopic = {
-      name: 't',
-      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 0, generation: 0 }),
-      read: () =>
-        new Promise((resolve) => {
-          answer = resolve;
-        }),
-    };
-    const clock = createManualClock();
-    const mirror = createKeyedMirror(() => {});
-    const common = { clock, metrics: createMetrics(), log: silentEventLog };
-    const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
-    const follower = followTopic({ topic, mirror, ...reading, ...common });
-    await settle();
+    const { clock, mirror, follower, answer } = await startWaiting(0);
     await clock.advance(200);
     follower.close();
     answer({ outcome: 'records', records: [record('k', 0, '1')], end: 1, generation: 0 });
@@ -339,24 +348,7 @@
   // A read waits at the log for what comes after offset 4; a peer moves this node on to the restored log, which ends at 2;
   // the log grows past 4 and answers the read. What lies between 2 and 4 would be missed for good.
   it('takes no answer to a read that began before it moved on', async () => {
-    let answer: (outcome: LogReadOutcome) => void = () => {};
-    const from: number[] = [];
-    const topic: KeyedTopic = {
-      name: 't',
-      newest: async () => ({ outcome: 'items', items: [], hasMore: false, end: 4, generation: 0 }),
-      read: (offset) => {
-        from.push(offset);
-        return new Promise((resolve) => {
-          answer = resolve;
-        });
-      },
-    };
-    const clock = createManualClock();
-    const mirror = createKeyedMirror(() => {});
-    const common = { clock, metrics: createMetrics(), log: silentEventLog };
-    const reading = { waitMs: 10_000, pauseMs: 100, askPeers: async () => undefined };
-    const follower = followTopic({ topic, mirror, ...reading, ...common });
-    await settle();
+    const { clock, mirror, follower, from, answer } = await startWaiting(4);
     await clock.advance(150);
     follower.takePush({ after: WHOLE, records: [record('k', 1, '5')], end: 2, generation: 1 });
     answer({ outcome: 'records', records: [record('x', 4, '1')], end: 5, generation: 1 });
