A request that ends at its caller's time is always told as late

What callers saw: 502 in place of 504 for a request that may not repeat and whose time limit ran out, now and then.

Cause: two timers stood for one moment. The request's deadline was armed first, the attempt's own patience, "all that is left", a little later. The runtime cuts a delay to whole milliseconds, so that 200.0 and 199.9 become 200 and 199: the attempt's timer then fires a tick sooner, the request is not known to be late, and its end reads as a failure of the upstream.

Change: an attempt that has all the caller's time has no timer of its own; only the deadline ends it.

Before: the new test fails with 502. After: 504; the gateway's tests pass.

--- a/packages/gateway/src/serving/rounds.ts
+++ b/packages/gateway/src/serving/rounds.ts
@@ -44,8 +44,8 @@
 export interface RoundsOptions {
   /** A request that may have run can be sent again. */
   mayRepeat: boolean;
-  /** Time that the next attempt is given, in milliseconds. */
-  patience: (rounds: Rounds) => number;
+  /** Time that the next attempt is given, in milliseconds; undefined for all that the caller has. */
+  patience: (rounds: Rounds) => number | undefined;
   /** Pause before another attempt, in milliseconds. */
   pauseMs: () => number;
   /** Told of each attempt, for watching it; the result ends the watch. */
@@ -122,7 +122,9 @@
     const attempt = startAttempt(request, upstream, rounds.resumeAfter, deps);
     current = attempt;
     const sentAt = clock.monotonic();
-    const stopTimer = clock.after(options.patience(rounds), () => attempt.abort());
+    const patienceMs = options.patience(rounds);
+    const stopTimer =
+      patienceMs === undefined ? () => {} : clock.after(patienceMs, () => attempt.abort());
     const stopWatch = options.watch(attempt, sentAt, moveOn);
     const head = await attempt.head;
     const outcome = head.outcome === 'answered' ? await take(attempt, head) : head;
--- a/packages/gateway/src/serving/serve-plain.ts
+++ b/packages/gateway/src/serving/serve-plain.ts
@@ -12,9 +12,9 @@
   const { route } = request;
   const mayRepeat = route.kind === 'safe';
 
-  const patience = (rounds: Rounds): number => {
+  const patience = (rounds: Rounds): number | undefined => {
     const isLast = !mayRepeat || rounds.sent() + 1 >= route.maxAttempts;
-    return isLast ? rounds.left() : rounds.left() * IMPATIENT_SHARE;
+    return isLast ? undefined : rounds.left() * IMPATIENT_SHARE;
   };
 
   const rounds = createRounds(
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -75,7 +75,7 @@
     request,
     {
       mayRepeat: route.resumable,
-      patience: ({ left }) => left(),
+      patience: () => undefined,
       pauseMs: () => (lastEventAt === undefined ? 0 : RESUME_PAUSE_MS),
       watch,
     },
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { systemClock } from '@plantaindrum/common';
 import { startEntry } from './support/entry.js';
 import type { EntryOptions } from './support/entry.js';
 import {
@@ -124,6 +125,23 @@
     });
   });
 
+  // A timer of the attempt ran out just before that of the caller's time, and the caller was told
+  // of a failed upstream.
+  it('is told as late when the time limit ends its only attempt', async () => {
+    let looks = 0;
+    const clock = {
+      ...systemClock,
+      monotonic: () => {
+        looks += 1;
+        return systemClock.monotonic() + looks;
+      },
+    };
+    const route = { ...unsafe, timeoutMs: 200 };
+    await withEntry([() => {}], { route, clock }, async (entry) => {
+      expect((await entry.ask({}, '/p/x', 'a')).status).to.equal(504);
+    });
+  });
+
   // The upstream would work for nobody. The caller leaves in the middle; the upstream's connection
   // is closed, and no other upstream gets the request.
   it('cancels at the upstream when the caller leaves', async () => {
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -9,6 +9,7 @@
   silentEventLog,
   systemClock,
 } from '@plantaindrum/common';
+import type { Clock } from '@plantaindrum/common';
 import { createAdmission } from '../../src/admission/admission.js';
 import { createReopening } from '../../src/admission/reopening.js';
 import { createEndCheck, tryConnect } from '../../src/attempts/end-check.js';
@@ -52,6 +53,8 @@
   tellRates?: (news: RateNews) => void;
   /** Takes what the entry writes to the platform of requests in quarantine. */
   publish?: (key: string, value: Uint8Array | undefined) => void;
+  /** Time and timers of the entry. */
+  clock?: Clock;
 }
 
 const baseRoute: Route = {
@@ -73,7 +76,7 @@
 
 /** Starts the handling of requests; `ask` makes one. */
 export const startEntry = async (options: EntryOptions) => {
-  const clock = systemClock;
+  const clock = options.clock ?? systemClock;
   const random = createSeededRandom(3);
   const metrics = createMetrics();
   const log = silentEventLog;
