Agents that don't coordinate wait for a change of their links

Cause: the coordinator's loop and the reader of news looked every 40 ms, in each agent of a group, whether theirs is the lowest linked rank: fifty wake-ups a second in each of 72 agents, of which one coordinates.

Change: links say when the lowest linked rank may have changed (`createLead`), and both loops wait for it. A successor begins at once instead of at its next look.

--- a/packages/lab/src/emulator/coordinate.ts
+++ b/packages/lab/src/emulator/coordinate.ts
@@ -70,6 +70,7 @@
     shape: { sets, experts, places, spare, copyMs, targetPauseMs: TARGET_PAUSE_MS },
     weighs: spec.weighs ?? 'skew',
     isLowest: () => true,
+    untilLowest: async () => {},
     knownPlacement: () => undefined,
     newsEveryMs: () => UPDATE_MS,
     orderOwnFromAfar: (given) => order(0, given),
--- a/packages/rank-groups/src/coordinator.ts
+++ b/packages/rank-groups/src/coordinator.ts
@@ -41,6 +41,8 @@
   weighs: Weighs;
   /** Whether this agent is the one to coordinate. */
   isLowest: () => boolean;
+  /** Resolves once it is; at once while it is. */
+  untilLowest: () => Promise<void>;
   /** A map that this agent has been told or has planned; it need not be read from the ranks. */
   knownPlacement: (epoch: number, version: number) => Placement | undefined;
   /** How long apart ranks tell their news, in ms. */
@@ -277,6 +279,7 @@
       }
       wasLowest = isLowest;
       if (isLowest && !stopped) await look();
+      if (!isLowest) await options.untilLowest();
     }
   };
   void run();
--- a/packages/rank-groups/src/links/news-reader.ts
+++ b/packages/rank-groups/src/links/news-reader.ts
@@ -20,6 +20,8 @@
 /** Options of `createNewsReader`. */
 export interface NewsReaderOptions {
   isCoordinating: () => boolean;
+  /** Resolves once it does; at once while it does. */
+  untilCoordinating: () => Promise<void>;
   news: () => Promise<GatheredNews>;
   onReport: (report: RankReport) => void;
   onPicks: (picks: readonly number[]) => void;
@@ -34,12 +36,10 @@
 const MOST_MS = 2_000;
 /** Weight of the last question in what they usually take. */
 const WEIGHT = 0.25;
-/** How often an agent that doesn't coordinate looks whether it does, in ms. */
-const IDLE_MS = 40;
 
 /** Starts to read; runs until `close`. */
 export const createNewsReader = (options: NewsReaderOptions): NewsReader => {
-  const { isCoordinating, news, onReport, onPicks, clock } = options;
+  const { isCoordinating, untilCoordinating, news, onReport, onPicks, clock } = options;
   let usualMs = 0;
   let isClosed = false;
 
@@ -59,10 +59,9 @@
 
   const run = async (): Promise<void> => {
     while (!isClosed) {
-      if (isCoordinating()) {
-        const took = await readOnce();
-        await sleep(clock, Math.max(1, everyMs() - took));
-      } else await sleep(clock, IDLE_MS);
+      await untilCoordinating();
+      const took = isCoordinating() && !isClosed ? await readOnce() : 0;
+      await sleep(clock, Math.max(1, everyMs() - took));
     }
   };
   void run();
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -12,6 +12,7 @@
 import type { GroupShape, OrderOutcome, RankOrder } from '../types.js';
 import { readToldShape } from './group-shape.js';
 import { agentIdentity } from './identity.js';
+import { createLead } from './lead.js';
 import { readOrderFor } from './shapes.js';
 
 /** Links of one agent. */
@@ -26,6 +27,8 @@
   toHighest(): Link | undefined;
   /** Whether no agent of a lower rank is linked. */
   isLowest(): boolean;
+  /** Resolves once no agent of a lower rank is linked. */
+  untilLowest(): Promise<void>;
   /** The group's ranks as calls to all of them are passed on. */
   tree(): GroupTree;
   /** Tells what was counted to the agent that coordinates next, so that it need not begin anew. */
@@ -99,6 +102,27 @@
   let linkedByRank: ReadonlyMap<number, Link> | undefined;
   let ownRank = Infinity;
 
+  const linked = (): ReadonlyMap<number, Link> => {
+    linkedByRank ??= new Map(
+      [...links]
+        .flatMap(([node, link]): [number, Link][] => {
+          const rank = ranks.get(node);
+          return rank === undefined ? [] : [[rank, link]];
+        })
+        .sort(([a], [b]) => a - b),
+    );
+    return linkedByRank;
+  };
+
+  const lead = createLead(() => {
+    const [lowest = Infinity] = linked().keys();
+    return lowest > ownRank;
+  });
+  const noteLinked = (): void => {
+    linkedByRank = undefined;
+    lead.noteChange();
+  };
+
   const handlers = {
     [TREE_CALL]: options.serveTree,
     [SHAPE_CALL]: async () => options.shape(),
@@ -111,11 +135,11 @@
   const onLink = (link: Link): FrameHandler => {
     const { node } = link.peer;
     links.set(node, link);
-    linkedByRank = undefined;
+    noteLinked();
     log.event('rank-linked', { peer: node, rank: ranks.get(node) });
     void link.closed.then((why) => {
       if (links.get(node) === link) links.delete(node);
-      linkedByRank = undefined;
+      noteLinked();
       log.event('rank-lost', { peer: node, rank: ranks.get(node), why });
     });
     return (frame) => {
@@ -174,23 +198,6 @@
     return entry.downSince !== undefined && clock.monotonic() - entry.downSince > DOWN_MS;
   };
 
-  const linked = (): ReadonlyMap<number, Link> => {
-    linkedByRank ??= new Map(
-      [...links]
-        .flatMap(([node, link]): [number, Link][] => {
-          const rank = ranks.get(node);
-          return rank === undefined ? [] : [[rank, link]];
-        })
-        .sort(([a], [b]) => a - b),
-    );
-    return linkedByRank;
-  };
-
-  const isLowest = (): boolean => {
-    const [lowest = Infinity] = linked().keys();
-    return lowest > ownRank;
-  };
-
   /** Ends links that are no longer wanted, once all that are have come about. */
   const endOthers = (wanted: readonly NodeRecord[]): void => {
     const keys = new Set(wanted.map(({ host, port }) => `${host}:${port}`));
@@ -209,7 +216,7 @@
         record.group?.name === group ? [{ record, rank: record.group.rank }] : [],
       );
       ranks = new Map(members.map((entry) => [entry.record.node, entry.rank]));
-      linkedByRank = undefined;
+      noteLinked();
       tree = buildTree(
         members.map((entry) => ({ rank: entry.rank, dataCentre: entry.record.dataCentre })),
       );
@@ -243,7 +250,8 @@
       return reply?.outcome === 'answered' ? readToldShape(reply.value) : undefined;
     },
     toHighest: () => [...linked().values()].at(-1),
-    isLowest,
+    isLowest: lead.isLowest,
+    untilLowest: lead.untilLowest,
     tree: () => tree,
     tellStandby: (picks) => {
       const [, next] = [...linked()].find(([rank]) => rank > ownRank) ?? [];
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -21,6 +21,7 @@
 import { createRankLinks } from './links/rank-links.js';
 import type { RankLinks } from './links/rank-links.js';
 import { createNewsReader } from './links/news-reader.js';
+import type { NewsReader } from './links/news-reader.js';
 import { readOutcome } from './links/shapes.js';
 import { createRankMember } from './member.js';
 import type { RankMember } from './member.js';
@@ -84,6 +85,7 @@
   const nodes = new Map<string, NodeRecord>();
   let place: RankPlace | undefined;
   let coordinator: Coordinator | undefined;
+  let news: NewsReader | undefined;
   let shape: GroupShape | undefined;
   let stopped = false;
   let publisher: Publisher | undefined;
@@ -204,17 +206,6 @@
     log,
   });
 
-  const news = createNewsReader({
-    isCoordinating: () => coordinator !== undefined && linked.isLowest(),
-    news: port.news,
-    onReport: (report) => coordinator?.onUpdate({ report, picks: [] }),
-    onPicks: (picks) => {
-      coordinator?.onPicks(picks);
-      linked.tellStandby(picks);
-    },
-    clock,
-  });
-
   const orderOwnFromAfar = (order: RankOrder): Promise<OrderOutcome> | undefined =>
     linked
       .toHighest()
@@ -238,14 +229,28 @@
     if (!shape) return;
     // Those that may have to coordinate know the engines, should the platform be out of reach by then.
     if (coordinatesSoon(rank)) await finder.prepare();
+    if (stopped) return;
+    const reader = createNewsReader({
+      isCoordinating: linked.isLowest,
+      untilCoordinating: linked.untilLowest,
+      news: port.news,
+      onReport: (report) => coordinator?.onUpdate({ report, picks: [] }),
+      onPicks: (picks) => {
+        coordinator?.onPicks(picks);
+        linked.tellStandby(picks);
+      },
+      clock,
+    });
+    news = reader;
     coordinator = createCoordinator({
       port,
       ownRank: rank,
       shape,
       weighs: options.weighs,
       isLowest: linked.isLowest,
+      untilLowest: linked.untilLowest,
       knownPlacement: book.find,
-      newsEveryMs: news.everyMs,
+      newsEveryMs: reader.everyMs,
       orderOwnFromAfar,
       clock,
       random,
@@ -260,7 +265,7 @@
       stopped = true;
       log.event('stopping', {});
       coordinator?.close();
-      news.close();
+      news?.close();
       member.close();
       publisher?.close();
       follower?.close();
--- a/packages/rank-groups/test/coordinator.test.ts
+++ b/packages/rank-groups/test/coordinator.test.ts
@@ -54,6 +54,7 @@
     shape,
     weighs: 'skew',
     isLowest: () => true,
+    untilLowest: async () => {},
     knownPlacement: () => undefined,
     newsEveryMs: () => 2 * UPDATE_MS,
     orderOwnFromAfar: () => undefined,
--- a/packages/rank-groups/test/fakes/slow-group.ts
+++ b/packages/rank-groups/test/fakes/slow-group.ts
@@ -149,6 +149,7 @@
     shape,
     weighs: 'skew',
     isLowest: () => true,
+    untilLowest: async () => {},
     knownPlacement: first.book.find,
     newsEveryMs: () => newsEveryMs(),
     orderOwnFromAfar: (order) => port.order(0, order),
@@ -157,6 +158,7 @@
   });
   const news: NewsReader = createNewsReader({
     isCoordinating: () => true,
+    untilCoordinating: async () => {},
     news: rankPort.news,
     onReport: (report) => coordinator.onUpdate({ report, picks: [] }),
     onPicks: (picks) => coordinator.onPicks(picks),
