An agent reads its engine when its coordinator asks

Cause: an agent read the report of its engine every 80 ms for itself, and the counts at each question of the coordinator, which it answered with a report of up to 400 ms before.

Change: the question reads the report, unless the last one is of the last two passes. While a coordinator asks, the agent reads for itself only where it coordinates or is telling entries of a slow engine; a coordinator that has not asked for a second may be gone, and the old pace holds again.

A slow rank is noticed up to 150 ms later than before.

--- a/packages/rank-groups/src/links/pace-reporter.ts
+++ b/packages/rank-groups/src/links/pace-reporter.ts
@@ -12,6 +12,8 @@
 export interface PaceReporter {
   /** Takes each reading of the engine's pace. */
   note(report: Pick<RankReport, 'pace' | 'startedAt'>): void;
+  /** Whether entries are being told, which wants fresh readings. */
+  isTelling(): boolean;
   close(): Promise<void>;
 }
 
@@ -79,14 +81,17 @@
       });
   };
 
+  const isTelling = (): boolean => clock.monotonic() - slowAt < WELL_MS;
+
   return {
+    isTelling,
     note: ({ pace, startedAt }) => {
       const now = clock.monotonic();
       last = { pace, startedAt };
       if (pace > SLOW) slowAt = now;
       if (pace > SLOW !== isSlow) log.event('engine-pace', { pace });
       isSlow = pace > SLOW;
-      if (now - slowAt < WELL_MS) tell(pace, startedAt);
+      if (isTelling()) tell(pace, startedAt);
       else if (clients.size > 0) void closeAll();
     },
     close: closeAll,
--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -15,10 +15,10 @@
 export interface RankMember {
   /** The newest report; undefined before the first. */
   lastReport(): RankReport | undefined;
-  /** The newest report unless the engine has been silent since. */
-  recentReport(): RankReport | undefined;
   /** Reads a report now. */
   report(): Promise<RankReport | undefined>;
+  /** A report for others that ask regularly, read now unless the last one will do or the engine has just fallen silent. */
+  newsReport(): Promise<RankReport | undefined>;
   /** Picks of each expert since this was last asked; none the first time, or after a long pause. */
   takePicks(): Promise<number[]>;
   /** Whether the engine has copied a version within this time, in ms. */
@@ -33,13 +33,21 @@
   engine: RankEngine;
   /** Told of each reading of the engine. */
   onReport: (report: RankReport) => void;
+  /** Whether readings are wanted once a pass though a coordinator asks for news. */
+  isWatched: () => boolean;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
 }
 
-/** Readings of the engine, in ms: about one a pass, so that a shift shows within two passes. */
+/** Between readings of the engine, in ms: about a pass, so that a shift shows within two passes. */
 const READ_MS = 80;
+/** The same while a coordinator asks for news, whose questions are readings of their own. */
+const ASKED_READ_MS = 400;
+/** A report of this age tells a coordinator what it needs, in ms: two passes; its counts are read each time. */
+const FRESH_MS = 150;
+/** A coordinator that has not asked for this long may be gone, in ms. */
+const ASKED_MS = 1_000;
 /** Pause between readings while a change waits for the engine to have copied experts, in ms. */
 const COPYING_MS = 15;
 /** An engine that does not answer is asked less often, in ms. */
@@ -58,7 +66,8 @@
 
 /** Starts to read the engine; runs until `close`. */
 export const createRankMember = (options: RankMemberOptions): RankMember => {
-  const { engine, onReport, clock, metrics, log } = options;
+  const { engine, onReport, isWatched, clock, metrics, log } = options;
+  let askedAt = -Infinity;
   let last: { report: RankReport; at: number } | undefined;
   let counted: { counts: ExpertCounts; at: number } | undefined;
   let taking: Promise<unknown> = Promise.resolve();
@@ -92,28 +101,37 @@
     return report;
   };
 
-  const readOnce = async (): Promise<boolean> => {
+  const readOnce = async (): Promise<RankReport | undefined> => {
     const report = await readNow();
-    if (!report) {
-      metrics.count('rank_engine_silent');
-      return false;
-    }
-    onReport(report);
-    return true;
+    if (report) onReport(report);
+    else metrics.count('rank_engine_silent');
+    return report;
+  };
+
+  const readEveryMs = (): number => {
+    const isAsked = clock.monotonic() - askedAt < ASKED_MS;
+    return isAsked && !isWatched() ? ASKED_READ_MS : READ_MS;
   };
 
   const run = async (): Promise<void> => {
     while (!stopped) {
-      const isThere = await readOnce();
-      await sleep(clock, isThere ? READ_MS : SILENT_MS);
+      const restMs = last ? last.at + readEveryMs() - clock.monotonic() : 0;
+      if (restMs > 0) await sleep(clock, restMs);
+      else if (!(await readOnce())) await sleep(clock, SILENT_MS);
     }
   };
   void run();
 
+  const reportWithin = (ms: number): RankReport | undefined =>
+    last && clock.monotonic() - last.at < ms ? last.report : undefined;
+
   return {
     lastReport: () => last?.report,
-    recentReport: () => (last && clock.monotonic() - last.at < RECENT_MS ? last.report : undefined),
     report: readNow,
+    newsReport: async () => {
+      askedAt = clock.monotonic();
+      return reportWithin(FRESH_MS) ?? (await readOnce()) ?? reportWithin(RECENT_MS);
+    },
     // One reading after the other: an older one that came in last would look like an engine that
     // started anew, and all of its counts would pass for new picks.
     takePicks: () => {
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -126,6 +126,8 @@
       pace.note(report);
       coordinator?.onUpdate({ report, picks: [] });
     },
+    // The coordinator tells the passes and the map in use from its own rank, whose report is the newest.
+    isWatched: () => pace.isTelling() || (links?.isLowest() ?? true),
     clock,
     metrics,
     log,
--- a/packages/rank-groups/src/tree/rank-methods.ts
+++ b/packages/rank-groups/src/tree/rank-methods.ts
@@ -102,8 +102,7 @@
   };
 
   const news = async () => {
-    const newest = member()?.recentReport();
-    const picks = (await member()?.takePicks()) ?? [];
+    const [newest, picks = []] = await Promise.all([member()?.newsReport(), member()?.takePicks()]);
     return newest && { reports: [newest], picks };
   };
 
--- a/packages/rank-groups/test/fakes/slow-group.ts
+++ b/packages/rank-groups/test/fakes/slow-group.ts
@@ -122,6 +122,7 @@
     const member = createRankMember({
       engine: engineOf(rank),
       onReport: () => {},
+      isWatched: () => false,
       ...{ clock, metrics, log: rank === 0 ? log : { event: () => {}, flush: () => {} } },
     });
     const book = createPlacementBook();
--- a/packages/rank-groups/test/started-again.test.ts
+++ b/packages/rank-groups/test/started-again.test.ts
@@ -26,6 +26,7 @@
     const member = createRankMember({
       engine,
       onReport: () => {},
+      isWatched: () => false,
       clock,
       metrics: createMetrics(),
       log: silentEventLog,
