A link takes its frames in the turn in which they are read

Cause: bytes of a link went through the stream's async iterator, a generator and a promise a frame.

Change: `startIntake` takes the payloads of a read at once and in order. A handler's promise pauses the socket, as before; what was read before the peer closed is still taken, and the end comes after.

Tests: order while a handler is at work, an end during one, a stop, faults; the tests of links stay.

--- a/packages/link/src/connection.ts
+++ b/packages/link/src/connection.ts
@@ -3,7 +3,8 @@
 import type { Socket } from 'node:net';
 import { createLinkCalls } from './calls.js';
 import { decodeFrame, decodeHello, encodeFrame } from './codec.js';
-import { createFrameSplitter } from './framing.js';
+import { startIntake } from './intake.js';
+import type { Intake } from './intake.js';
 import type { Frame, Hello } from './messages.js';
 import type { FrameHandler, LinkOptions } from './options.js';
 import type { Link, LinkCloseReason } from './types.js';
@@ -23,7 +24,6 @@
 /** Creates the connection that runs over an open socket. */
 export const createConnection = (socket: Socket, options: LinkOptions): Connection => {
   const { clock, limits, metrics, log } = options;
-  const splitter = createFrameSplitter(limits.frameBytes);
   let reason: LinkCloseReason | undefined;
   let settleClosed: (value: LinkCloseReason) => void;
   const closed = new Promise<LinkCloseReason>((resolve) => {
@@ -34,8 +34,10 @@
   let silentHeartbeats = 0;
   /** Something was sent since the peer's last heartbeat, and shows it that this side lives. */
   let hasSent = false;
-  let handlerBusy = false;
   let stopTimer = (): void => {};
+  let opened: { link: Link; onFrame: FrameHandler } | undefined;
+  let intake: Intake | undefined;
+  let isOver = false;
 
   const releaseDrainWaiters = (): void => {
     const waiters = waitingForDrain;
@@ -47,6 +49,8 @@
     if (reason) return;
     reason = why;
     stopTimer();
+    // Frames that were read before this side closed belong to nobody any more.
+    intake?.stop();
     releaseDrainWaiters();
     if (why !== 'closed-here') {
       socket.destroy();
@@ -99,7 +103,7 @@
 
   /** Counts beats, not time: a process that was frozen gives its peer a beat to be heard first. */
   const beat = (): void => {
-    if (!handlerBusy) silentHeartbeats += 1;
+    if (!intake?.isBusy()) silentHeartbeats += 1;
     if (silentHeartbeats > limits.heartbeatsMissed) {
       finish('heartbeat-missed');
       return;
@@ -118,84 +122,85 @@
     hasSent = false;
   };
 
-  const take = async (frame: Frame, link: Link, onFrame: FrameHandler): Promise<void> => {
+  /** Takes one frame; a promise while its handler is at work. */
+  const take = (frame: Frame, link: Link, onFrame: FrameHandler): void | Promise<void> => {
     if (frame.t === 'ping') {
       pong(frame.seq);
       noteOffset(link, frame.intentOffset);
-      return;
+      return undefined;
     }
     if (frame.t === 'call') {
       void calls.serve(frame, link);
-      return;
+      return undefined;
     }
     if (frame.t === 'reply') {
       calls.onReply(frame);
-      return;
+      return undefined;
     }
     if (frame.t === 'pong') noteOffset(link, frame.intentOffset);
-    const pending = onFrame(frame);
-    if (!pending) return;
-    handlerBusy = true;
-    await pending;
-    handlerBusy = false;
+    return onFrame(frame);
   };
 
-  async function* payloads(): AsyncGenerator<Buffer, LinkCloseReason> {
-    try {
-      for await (const bytes of socket as AsyncIterable<Buffer>) {
-        silentHeartbeats = 0;
-        metrics.count('link_bytes_received', {}, bytes.length);
-        const split = splitter.push(bytes);
-        if (!split.ok) return split.err;
-        yield* split.value;
-      }
-    } catch {
-      return 'socket-error';
+  const open = (payload: Buffer): void => {
+    const hello = decodeHello(payload);
+    if (!hello.ok) {
+      finish(hello.err);
+      return;
     }
-    return 'closed-by-peer';
-  }
-
-  const receive = async (): Promise<LinkCloseReason> => {
-    sayHello();
-    stopTimer = clock.after(limits.helloTimeoutMs, () => finish('hello-timeout'));
-    const stream = payloads();
-    const first = await stream.next();
-    if (first.done) return first.value;
-    const hello = decodeHello(first.value);
-    if (!hello.ok) return hello.err;
-    if (reason) return reason;
     stopTimer();
     metrics.count('link_opened', { role: hello.value.role });
     const link = makeLink(hello.value);
     const onFrame = options.onLink(link);
+    opened = { link, onFrame };
     noteOffset(link, hello.value.intentOffset);
     beat();
-    for (let next = await stream.next(); ; next = await stream.next()) {
-      if (next.done) return next.value;
-      // Frames that were read before this side closed belong to nobody any more.
-      if (reason) return reason;
-      const frame = decodeFrame(next.value);
-      if (!frame.ok) return frame.err;
-      await take(frame.value, link, onFrame);
-    }
   };
 
-  const run = async (): Promise<LinkCloseReason> => {
-    socket.setNoDelay(true);
-    socket.on('drain', releaseDrainWaiters);
-    socket.on('error', () => {});
-    try {
-      finish(await receive());
-    } catch (err) {
-      // A fault of this process, brought out by one peer's frame: only that peer's link pays for it.
-      log.error(`a frame could not be handled: ${String(err)}`);
-      finish('handler-failed');
-    }
+  const takePayload = (payload: Buffer): void | Promise<void> => {
+    if (!opened) return open(payload);
+    const frame = decodeFrame(payload);
+    if (frame.ok) return take(frame.value, opened.link, opened.onFrame);
+    finish(frame.err);
+    return undefined;
+  };
+
+  const noteOver = (): void => {
+    if (isOver) return;
+    isOver = true;
     const why = reason ?? 'socket-error';
     calls.end();
     metrics.count('link_closed', { reason: why });
     settleClosed(why);
-    return why;
+  };
+
+  const run = (): Promise<LinkCloseReason> => {
+    socket.setNoDelay(true);
+    socket.on('drain', releaseDrainWaiters);
+    intake = startIntake({
+      socket,
+      frameBytes: limits.frameBytes,
+      onBytes: (length) => {
+        silentHeartbeats = 0;
+        metrics.count('link_bytes_received', {}, length);
+      },
+      take: takePayload,
+      onFault: finish,
+      // A fault of this process, brought out by one peer's frame: only that peer's link pays for it.
+      onTakeFailed: (err) => {
+        log.error(`a frame could not be handled: ${String(err)}`);
+        finish('handler-failed');
+      },
+      onEnd: finish,
+      onOver: noteOver,
+    });
+    if (reason) intake.stop();
+    else {
+      sayHello();
+      stopTimer = clock.after(limits.helloTimeoutMs, () => finish('hello-timeout'));
+    }
+    // A socket that was destroyed before tells nobody any more.
+    if (socket.closed) noteOver();
+    return closed;
   };
 
   return { run, close: () => finish('closed-here') };
