An agent tells its readings on beside those that others ask for

Found by reading: since readings are taken when asked, the agent's own loop counted from the last reading of any kind. While a change of map waits for copies, the engine is read every 15 ms for it, and the loop told nothing on: entries did not hear of a slow engine, and the coordinator not of its own rank's passes, for as long as the change took.

Change: the loop counts from the last report that it told on.

Before: 1 report told on in a second beside readings every 10 ms; after: 13 (test, red first).

--- a/packages/rank-groups/src/member.ts
+++ b/packages/rank-groups/src/member.ts
@@ -69,6 +69,8 @@
   const { engine, onReport, isWatched, clock, metrics, log } = options;
   let askedAt = -Infinity;
   let last: { report: RankReport; at: number } | undefined;
+  /** When a report was last told on; those that are read for a change are not. */
+  let toldAt = -Infinity;
   let counted: { counts: ExpertCounts; at: number } | undefined;
   let taking: Promise<unknown> = Promise.resolve();
   let stopped = false;
@@ -103,8 +105,12 @@
 
   const readOnce = async (): Promise<RankReport | undefined> => {
     const report = await readNow();
-    if (report) onReport(report);
-    else metrics.count('rank_engine_silent');
+    if (!report) {
+      metrics.count('rank_engine_silent');
+      return undefined;
+    }
+    toldAt = clock.monotonic();
+    onReport(report);
     return report;
   };
 
@@ -115,7 +121,7 @@
 
   const run = async (): Promise<void> => {
     while (!stopped) {
-      const restMs = last ? last.at + readEveryMs() - clock.monotonic() : 0;
+      const restMs = toldAt + readEveryMs() - clock.monotonic();
       if (restMs > 0) await sleep(clock, restMs);
       else if (!(await readOnce())) await sleep(clock, SILENT_MS);
     }
--- a/packages/rank-groups/test/member.test.ts
+++ b/packages/rank-groups/test/member.test.ts
@@ -83,6 +83,18 @@
     [alone, watched].forEach(({ member }) => member.close());
   });
 
+  // While a change waited for copies, its readings passed for the agent's own, and entries were not
+  // told of a slow engine.
+  it('tells its own readings on beside those that others ask for', async () => {
+    const { seen, member, advance } = start();
+    for (let ms = 0; ms < 1_000; ms += STEP_MS) {
+      await member.report();
+      await advance(STEP_MS);
+    }
+    expect(seen.reports).to.be.within(12, 14);
+    member.close();
+  });
+
   it('goes on for itself when the coordinator has gone', async () => {
     const { advance, seen, member, askFor } = start();
     await askFor(2_000, 160);
