--- a/packages/link/src/intake.ts
+++ b/packages/link/src/intake.ts
@@ -22,7 +22,7 @@
   onTakeFailed: (err: unknown) => void;
   /** All that came in has been taken, and nothing more will. */
   onEnd: (why: InputEnd) => void;
-  /** Resolves a caller once the socket is closed and nothing is being taken. */
+  /** The socket is closed and nothing is being taken any more. */
   onOver: () => void;
 }
 
