--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -91,6 +91,11 @@
     log,
   });
 
+  const held = (): { generation: number; end: number } => ({
+    generation: mirror.generation(),
+    end: mirror.end(),
+  });
+
   const since = (at: number): number => clock.monotonic() - at;
 
   const noteAnswer = (isConfirmed: boolean): void => {
@@ -110,14 +115,19 @@
     metrics.count('gateway_log_read_failed', { topic: topic.name, why });
   };
 
-  const noteRestored = (held: { generation: number; end: number }, source: RestoreSource): void => {
-    const generation = mirror.generation();
-    if (held.generation < 0 || held.generation === generation) return;
+  const noteRestored = (before: ReturnType<typeof held>, source: RestoreSource): void => {
+    const now = held();
+    if (before.generation < 0 || before.generation === now.generation) return;
     backAt = clock.monotonic();
     metrics.count('gateway_log_restored', { topic: topic.name });
-    const at = { generation, end: mirror.end(), unconfirmed: mirror.unconfirmed().length };
-    const before = { beforeGeneration: held.generation, beforeEnd: held.end };
-    log.event('log-restored', { topic: topic.name, source, ...before, ...at });
+    log.event('log-restored', {
+      topic: topic.name,
+      source,
+      beforeGeneration: before.generation,
+      beforeEnd: before.end,
+      ...now,
+      unconfirmed: mirror.unconfirmed().length,
+    });
     lostKeys.dropLater();
     options.onRestored?.(source);
   };
@@ -125,22 +135,21 @@
   /** Takes a whole picture, also one of a log that was restored; false for one that is too old. */
   const takePicture = (picture: Picture, source: RestoreSource): boolean => {
     const { items, end, generation } = picture;
-    const held = { generation: mirror.generation(), end: mirror.end() };
+    const before = held();
     const isTaken = mirror.replace(items, end, generation);
     if (isTaken) {
       needsPicture = false;
-      noteRestored(held, source);
+      noteRestored(before, source);
       return true;
     }
     metrics.count('gateway_pictures_left_out', { topic: topic.name });
-    const place = { beforeGeneration: held.generation, beforeEnd: held.end };
+    const place = { beforeGeneration: before.generation, beforeEnd: before.end };
     log.event('picture-left-out', { topic: topic.name, generation, end, ...place });
     return false;
   };
 
   const passOn = (after: number): void => {
-    const place = { end: mirror.end(), generation: mirror.generation() };
-    options.onAnswer?.({ after, records: mirror.changesAfter(after), ...place });
+    options.onAnswer?.({ after, records: mirror.changesAfter(after), ...held() });
   };
 
   const hasWord = (): boolean => since(pushedAt) < waitMs + pauseMs + WORD_SLACK_MS;
@@ -154,10 +163,10 @@
     if (read.outcome === 'restored') return false;
     // A read that waited at the log is answered after the node has stopped: its links would be dialled anew.
     if (stopped) return true;
-    const held = { generation: mirror.generation(), end: mirror.end() };
+    const before = held();
     const isTaken = takePicture(read.picture, 'log');
     noteAnswer(isTaken);
-    passOn(held.generation === mirror.generation() ? held.end : WHOLE);
+    passOn(before.generation === mirror.generation() ? before.end : WHOLE);
     return true;
   };
 
@@ -211,7 +220,7 @@
   const askOnce = async (offset: number): Promise<void> => {
     const answer = await askPeers(topic.name, { generation: mirror.generation(), offset });
     if (!answer || stopped || answer.generation < mirror.generation()) return;
-    const before = { generation: mirror.generation(), end: mirror.end() };
+    const before = held();
     takeFromPeer(answer);
     confirmedAt = Math.max(confirmedAt, clock.monotonic() - answer.ageMs);
     if (mirror.generation() > before.generation || mirror.end() > before.end) {
