The reader of news waits to coordinate, and is not asked again whether it does

It had two options for one thing: a function that waits and one that tells. The second is derived from the first but for a change within the turn in which the wait ends, which costs one round of news. Assertions as before; two tests' set-ups lose the option.

--- a/packages/rank-groups/src/links/news-reader.ts
+++ b/packages/rank-groups/src/links/news-reader.ts
@@ -19,8 +19,7 @@
 
 /** Options of `createNewsReader`. */
 export interface NewsReaderOptions {
-  isCoordinating: () => boolean;
-  /** Resolves once it does; at once while it does. */
+  /** Resolves once this agent coordinates; at once while it does. */
   untilCoordinating: () => Promise<void>;
   news: () => Promise<GatheredNews>;
   onReport: (report: RankReport) => void;
@@ -39,7 +38,7 @@
 
 /** Starts to read; runs until `close`. */
 export const createNewsReader = (options: NewsReaderOptions): NewsReader => {
-  const { isCoordinating, untilCoordinating, news, onReport, onPicks, clock } = options;
+  const { untilCoordinating, news, onReport, onPicks, clock } = options;
   let usualMs = 0;
   let isClosed = false;
 
@@ -60,7 +59,8 @@
   const run = async (): Promise<void> => {
     while (!isClosed) {
       await untilCoordinating();
-      const took = isCoordinating() && !isClosed ? await readOnce() : 0;
+      if (isClosed) return;
+      const took = await readOnce();
       await sleep(clock, Math.max(1, everyMs() - took));
     }
   };
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -233,7 +233,6 @@
     if (coordinatesSoon(rank)) await finder.prepare();
     if (stopped) return;
     const reader = createNewsReader({
-      isCoordinating: linked.isLowest,
       untilCoordinating: linked.untilLowest,
       news: port.news,
       onReport: (report) => coordinator?.onUpdate({ report, picks: [] }),
--- a/packages/rank-groups/test/fakes/slow-group.ts
+++ b/packages/rank-groups/test/fakes/slow-group.ts
@@ -158,7 +158,6 @@
     random: createSeededRandom(5),
   });
   const news: NewsReader = createNewsReader({
-    isCoordinating: () => true,
     untilCoordinating: async () => {},
     news: rankPort.news,
     onReport: (report) => coordinator.onUpdate({ report, picks: [] }),
--- a/packages/rank-groups/test/lead.test.ts
+++ b/packages/rank-groups/test/lead.test.ts
@@ -43,7 +43,6 @@
     log: silentEventLog,
   });
   const news = createNewsReader({
-    isCoordinating: lead.isLowest,
     untilCoordinating: lead.untilLowest,
     news: async () => {
       asked += 1;
