--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -158,6 +158,15 @@
   await clock.advance(100);
 };
 
+/** The request crashes three upstreams, and the node sees its record written and dropped again; the record. */
+const recordAndDrop = async (node: Node, clock: ReturnType<typeof clockForNodes>) => {
+  for (const instance of ['a', 'b', 'c']) await crashAt(node, clock, instance);
+  const value = node.records.get(HARMFUL);
+  node.quarantine.takeRecord({ key: HARMFUL, value });
+  node.quarantine.takeRecord({ key: HARMFUL, value: undefined });
+  return value;
+};
+
 describe('the quarantine of one entry', () => {
   // A reset alone proves nothing: upstreams reset connections beyond their limit and break off answers.
   it('does not count a lost attempt whose upstream lives', async () => {
@@ -284,10 +293,7 @@
   it('ends when the record is dropped', async () => {
     const clock = clockForNodes();
     const node = startNode(clock);
-    for (const instance of ['a', 'b', 'c']) await crashAt(node, clock, instance);
-    const value = node.records.get(HARMFUL);
-    node.quarantine.takeRecord({ key: HARMFUL, value });
-    node.quarantine.takeRecord({ key: HARMFUL, value: undefined });
+    await recordAndDrop(node, clock);
     expect(node.quarantine.refusal(HARMFUL)).to.equal(undefined);
     // What a peer tells of the time before is outdated.
     const peer = startNode(clock);
@@ -335,10 +341,7 @@
   it('is dropped again when a restored log brings back the record of a request that ran well', async () => {
     const clock = clockForNodes();
     const node = startNode(clock);
-    for (const instance of ['a', 'b', 'c']) await crashAt(node, clock, instance);
-    const value = node.records.get(HARMFUL);
-    node.quarantine.takeRecord({ key: HARMFUL, value });
-    node.quarantine.takeRecord({ key: HARMFUL, value: undefined });
+    const value = await recordAndDrop(node, clock);
     node.records.clear();
     await clock.advance(1_000);
     node.quarantine.takeRecord({ key: HARMFUL, value });
