--- a/packages/gateway/src/retry/budget.ts
+++ b/packages/gateway/src/retry/budget.ts
@@ -8,6 +8,19 @@
   recordRequest(service: string): void;
   /** Takes one retry from the budget; false when it is exhausted. */
   take(service: string): boolean;
+  /** What the next decision on a retry depends on. */
+  usage(service: string): RetryUsage;
+}
+
+/** State of the budget of one service, for the log. */
+export interface RetryUsage {
+  /** Retries in the current window, and how many are allowed in it. */
+  taken: number;
+  maxRetries: number;
+  /** Number of entries that share the allowance. */
+  entries: number;
+  /** Milliseconds since the budget was created, which is since the entry started. */
+  ageMs: number;
 }
 
 /** Retry limits of the operators, for all entries together. */
@@ -48,6 +61,7 @@
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
   const { limits, entries, clock } = options;
   const services = new Map<string, ServiceUsage>();
+  const createdAt = clock.monotonic();
 
   const usageOf = (service: string): ServiceUsage => {
     const usage = services.get(service) ?? { requests: [], attempts: [] };
@@ -58,18 +72,29 @@
     return usage;
   };
 
+  const maxRetries = ({ requests }: ServiceUsage): number => {
+    const { ratio, allowance } = limits();
+    return USED_FRACTION * (ratio * requests.length + allowance / Math.max(1, entries()));
+  };
+
   return {
     recordRequest: (service) => {
       usageOf(service).requests.push(clock.monotonic());
     },
     take: (service) => {
-      const { requests, attempts } = usageOf(service);
-      const { ratio, allowance } = limits();
-      const maxAttempts =
-        USED_FRACTION * (ratio * requests.length + allowance / Math.max(1, entries()));
-      if (attempts.length + 1 > maxAttempts) return false;
-      attempts.push(clock.monotonic());
+      const recent = usageOf(service);
+      if (recent.attempts.length + 1 > maxRetries(recent)) return false;
+      recent.attempts.push(clock.monotonic());
       return true;
     },
+    usage: (service) => {
+      const recent = usageOf(service);
+      return {
+        taken: recent.attempts.length,
+        maxRetries: Math.floor(maxRetries(recent)),
+        entries: entries(),
+        ageMs: Math.round(clock.monotonic() - createdAt),
+      };
+    },
   };
 };
--- a/packages/gateway/src/serving/request-completion.ts
+++ b/packages/gateway/src/serving/request-completion.ts
@@ -92,7 +92,8 @@
       heldMs: elapsedMs(),
       attempts: runs + notRuns,
     };
-    refuse(res, refusal, { ...context, inputs: { lastWhy, unsent } }, deps);
+    const usage = reason === 'retry-budget-spent' ? deps.budget.usage(request.service) : {};
+    refuse(res, refusal, { ...context, inputs: { lastWhy, unsent, ...usage } }, deps);
   };
 
   return { elapsedMs, recordAnswered, sendResponse, endWithFailure };
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -254,7 +254,9 @@
         endWithFailure(reason);
         return;
       }
-      metrics.count('gateway_retries', { reason: isMoving ? 'moved' : outcome.outcome });
+      const cause = isMoving ? 'moved' : outcome.outcome;
+      metrics.count('gateway_retries', { reason: cause });
+      log.event('retry', { id: request.id, service, reason: cause, ...budget.usage(service) });
       await sleep(clock, isMoving ? 0 : options.retryDelayMs());
       isMoving = false;
     }
