Retry budget: a process that starts adds nothing to what its predecessor may have used

What callers saw: nothing; upstreams got more retries than the operators allow. Cause: each process kept to its share, but each new one began with a full one: 15, 10, 16, 11 and 30 retries in five lives of one entry, none over its own limit. Class: a limit over all entries and a window of time, kept in memory that a process loses with its life. Change: the budget knows when its process started. In the first window the allowance accrues with time, up to the part that shares leave unused; so the full share of the process before and all that follow it in the window stay within the limit, however many they are. The part for each request needs no such care: the rule counts these requests too. Test: 'keeps the limit of all entries when they are killed several times in one window' saw 1,320 retries before, where 194 are allowed. The other tests of the budget and of serving are of entries that have run for long, and now say so (startedAt); their figures are the same.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -128,7 +128,12 @@
   });
   const admission = createAdmission(clock, log);
   const entries = (): number => mesh?.entries() ?? 1;
-  const budget = createRetryBudget({ limits: () => bounds.retries, entries, clock });
+  const budget = createRetryBudget({
+    limits: () => bounds.retries,
+    entries,
+    startedAt: clock.monotonic(),
+    clock,
+  });
   const outages = createServiceOutages({ clock, metrics, log });
 
   const waitForIntent = async (timeoutMs: number): Promise<void> => {
--- a/packages/gateway/src/retry/budget.ts
+++ b/packages/gateway/src/retry/budget.ts
@@ -19,7 +19,7 @@
   maxRetries: number;
   /** Number of entries that share the allowance. */
   entries: number;
-  /** Milliseconds since the budget was created, which is since the entry started. */
+  /** Milliseconds since this process started. */
   ageMs: number;
 }
 
@@ -38,6 +38,8 @@
   limits: () => RetryLimits;
   /** Number of entries that share the allowance. */
   entries: () => number;
+  /** When this process started (monotonic, ms). Retries that an earlier one sent before are unknown. */
+  startedAt: number;
   clock: Clock;
 }
 
@@ -46,11 +48,14 @@
   attempts: number[];
 }
 
+/** Fraction of the limits that an entry uses once it has run for a window. */
+const USED_FRACTION = 0.7;
 /**
- * Fraction of the limits that is used. A killed entry forgets the retries it has sent, and entries see changes of
- * their number with a delay; the unused part makes up for both.
+ * Fraction of the allowance that accrues over the first window of a process. An earlier process of this entry may have
+ * used its full share just before it was killed. As the rest accrues with time, any number of processes that start one
+ * after the other within a window use no more than this rest together.
  */
-const USED_FRACTION = 0.7;
+const START_FRACTION = 1 - USED_FRACTION;
 
 const dropBefore = (times: number[], oldest: number): void => {
   const firstKept = times.findIndex((at) => at >= oldest);
@@ -59,9 +64,8 @@
 
 /** Creates the budget. It needs no messages between entries, as each keeps to its own share. */
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
-  const { limits, entries, clock } = options;
+  const { limits, entries, startedAt, clock } = options;
   const services = new Map<string, ServiceUsage>();
-  const createdAt = clock.monotonic();
 
   const usageOf = (service: string): ServiceUsage => {
     const usage = services.get(service) ?? { requests: [], attempts: [] };
@@ -72,9 +76,15 @@
     return usage;
   };
 
+  const ageMs = (): number => clock.monotonic() - startedAt;
+
+  const allowanceFraction = (windowMs: number): number =>
+    ageMs() < windowMs ? (START_FRACTION * ageMs()) / windowMs : USED_FRACTION;
+
   const maxRetries = ({ requests }: ServiceUsage): number => {
-    const { ratio, allowance } = limits();
-    return USED_FRACTION * (ratio * requests.length + allowance / Math.max(1, entries()));
+    const { ratio, allowance, windowMs } = limits();
+    const share = allowance / Math.max(1, entries());
+    return USED_FRACTION * ratio * requests.length + allowanceFraction(windowMs) * share;
   };
 
   return {
@@ -93,7 +103,7 @@
         taken: recent.attempts.length,
         maxRetries: Math.floor(maxRetries(recent)),
         entries: entries(),
-        ageMs: Math.round(clock.monotonic() - createdAt),
+        ageMs: Math.round(ageMs()),
       };
     },
   };
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -31,7 +31,7 @@
   const create = (entries: number) => {
     const clock = createManualClock();
     const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
-    const options = { limits: () => limits, entries: () => entries, clock };
+    const options = { limits: () => limits, entries: () => entries, startedAt: -Infinity, clock };
     return { clock, limits, budget: createRetryBudget(options) };
   };
   const takeAll = (budget: { take(service: string): boolean }): number => {
@@ -56,10 +56,50 @@
     ['c', 'd'].forEach(connected.recordLost);
     const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
     const { entries } = connected;
-    expect(takeAll(createRetryBudget({ limits: () => limits, entries, clock }))).to.equal(14);
+    const options = { limits: () => limits, entries, startedAt: -Infinity, clock };
+    expect(takeAll(createRetryBudget(options))).to.equal(14);
     connected.recordLinked('c');
     await clock.advance(60_001);
-    expect(takeAll(createRetryBudget({ limits: () => limits, entries, clock }))).to.equal(18);
+    expect(takeAll(createRetryBudget(options))).to.equal(18);
+  });
+
+  // A process that starts again does not know which retries the killed one has sent. If each could use the full share at
+  // once, and all of the allowance until its links are up, kills in a row would multiply the limit.
+  it('keeps the limit of all entries when they are killed several times in one window', async () => {
+    const clock = createManualClock();
+    const limits = { ratio: 0.2, windowMs: 10_000, allowance: 94 };
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    const startEntry = (node: string) => {
+      const connected = createConnectedEntries(clock);
+      const { entries } = connected;
+      const linkAll = (): void =>
+        names.filter((name) => name !== node).forEach(connected.recordLinked);
+      const startedAt = clock.monotonic();
+      const options = { limits: () => limits, entries, startedAt, clock };
+      return { linkAll, budget: createRetryBudget(options) };
+    };
+    const retriesAt: number[] = [];
+    let running = names.map(startEntry);
+    const runFor = async (ms: number, requestsPerS: number): Promise<void> => {
+      for (let elapsed = 0; elapsed < ms; elapsed += 100) {
+        if (elapsed === 300) running.forEach(({ linkAll }) => linkAll());
+        running.forEach(({ budget }) => {
+          for (let n = 0; n < requestsPerS / 10; n += 1) budget.recordRequest('s');
+          for (let n = takeAll(budget); n > 0; n -= 1) retriesAt.push(clock.monotonic());
+        });
+        await clock.advance(100);
+      }
+    };
+    await runFor(20_000, 10);
+    for (let kills = 0; kills < 4; kills += 1) {
+      running = names.map(startEntry);
+      await runFor(2_500, 10);
+    }
+    await runFor(20_000, 10);
+    const mostInWindow = Math.max(
+      ...retriesAt.map((from) => retriesAt.filter((at) => at >= from && at < from + 10_000).length),
+    );
+    expect(mostInWindow).to.be.at.most(0.2 * 10 * 10 * names.length + 94);
   });
 
   it('applies changed limits at once', () => {
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -139,6 +139,7 @@
         allowance: options.retryAllowance ?? 100,
       }),
       entries: () => 1,
+      startedAt: -Infinity,
       clock,
     }),
     clock,
