Limits over all entries: a registered entry counts before its first link

Cause: a limit that holds for all entries is divided by those that are linked or were linked within a minute. Change: an entry that is found registered counts like one whose link was lost, for a minute or until it is linked. Limits of retries, of upstreams that name one, and of connections are divided by it. What remains: records of entries that are gone for good stay in the registry, and cost a new process a part of its share for a minute.

--- a/packages/gateway/src/mesh/connected-entries.ts
+++ b/packages/gateway/src/mesh/connected-entries.ts
@@ -4,42 +4,50 @@
 
 /** The connected entries, and those that were connected until recently. */
 export interface ConnectedEntries {
+  /** Records that an entry is registered; until it is linked it may be running behind a partition. */
+  recordRegistered(node: string): void;
   recordLinked(node: string): void;
   recordLost(node: string): void;
-  /** Number of entries that may be running, including this one: the connected ones and those lost recently. */
+  /** Number of entries that may be running, including this one: the connected ones, and those lost or found recently. */
   entries(): number;
   /** Fraction of these that is connected, including this one; above 0 and at most 1. */
   connectedFraction(): number;
 }
 
 /**
- * Time for which an entry counts after its link was lost, in ms: it may be running behind a partition. The share of an
- * entry that was shut down stays unused for this time.
+ * Time for which an entry counts after its link was lost, or after it was found to be registered, in ms: it may be
+ * running behind a partition. The share of an entry that was shut down stays unused for this time.
  */
-const LOST_ENTRY_TTL_MS = 60_000;
+const UNLINKED_ENTRY_TTL_MS = 60_000;
 
 /** Creates the count of an entry that has no links yet. */
 export const createConnectedEntries = (clock: Clock): ConnectedEntries => {
   const linked = new Set<string>();
-  const lost = new Map<string, number>();
+  const unlinked = new Map<string, number>();
+  const registered = new Set<string>();
 
-  const countRecentlyLost = (): number => {
-    const oldest = clock.monotonic() - LOST_ENTRY_TTL_MS;
-    [...lost].forEach(([node, at]) => {
-      if (at < oldest) lost.delete(node);
+  const countUnlinked = (): number => {
+    const oldest = clock.monotonic() - UNLINKED_ENTRY_TTL_MS;
+    [...unlinked].forEach(([node, at]) => {
+      if (at < oldest) unlinked.delete(node);
     });
-    return lost.size;
+    return unlinked.size;
   };
 
-  const entries = (): number => linked.size + countRecentlyLost() + 1;
+  const entries = (): number => linked.size + countUnlinked() + 1;
 
   return {
+    recordRegistered: (node) => {
+      if (registered.has(node)) return;
+      registered.add(node);
+      if (!linked.has(node)) unlinked.set(node, clock.monotonic());
+    },
     recordLinked: (node) => {
       linked.add(node);
-      lost.delete(node);
+      unlinked.delete(node);
     },
     recordLost: (node) => {
-      if (linked.delete(node)) lost.set(node, clock.monotonic());
+      if (linked.delete(node)) unlinked.set(node, clock.monotonic());
     },
     entries,
     connectedFraction: () => (linked.size + 1) / entries(),
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -211,6 +211,9 @@
   return {
     setNodes: (nodes) => {
       const entries = nodes.filter(({ role }) => role === 'entry');
+      entries
+        .filter(({ node }) => node !== self.node)
+        .forEach(({ node }) => connectedEntries.recordRegistered(node));
       // The entry with the lower address connects to the other one, so that each pair has a single link.
       entries.filter((entry) => addressKey(self) < addressKey(entry)).forEach(dial);
       closeUnlinkedClients(new Set([...entries, ...options.seeds].map(addressKey)));
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -63,6 +63,22 @@
     expect(takeAll(createRetryBudget(options))).to.equal(18);
   });
 
+  // An entry that starts behind a partition has no link to the others, which are running and use their shares. If it
+  // took itself for the only one, it would use the allowance of all of them.
+  it('leaves the share of registered entries that it has not reached unused', async () => {
+    const clock = createManualClock();
+    const connected = createConnectedEntries(clock);
+    ['b', 'c', 'd'].forEach(connected.recordRegistered);
+    const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
+    const { entries } = connected;
+    const budget = createRetryBudget({ limits: () => limits, entries, startedAt: -Infinity, clock });
+    expect(takeAll(budget)).to.equal(14);
+    ['b', 'c', 'd'].forEach(connected.recordRegistered);
+    connected.recordLinked('b');
+    await clock.advance(60_001);
+    expect(entries()).to.equal(2);
+  });
+
   // A process that starts again does not know which retries the killed one has sent. If each could use the full share at
   // once, and all of the allowance until its links are up, kills in a row would multiply the limit.
   it('keeps the limit of all entries when they are killed several times in one window', async () => {
