--- a/packages/stand-ins/src/users-platform/store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -2,7 +2,7 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 /** How the store responds to calls. */
 export type StoreMode =
@@ -34,6 +34,8 @@
   /** Returns the keys of a topic that have a value. */
   keys(topic: string): string[];
   setMode(mode: StoreMode): void;
+  /** Makes all open connections silent for good, without closing them; new connections work. */
+  silenceConnections(): void;
   /**
    * Makes reads of earlier offsets fail, as compaction does; the latest values remain available.
    */
@@ -91,6 +93,8 @@
   const topics = new Map<string, Topic>();
   let mode: StoreMode = 'up';
   let calls = 0;
+  const sockets = new Set<Socket>();
+  const silentSockets = new WeakSet<Socket>();
   let generation = 1;
   let backup = new Map<string, number>();
 
@@ -123,6 +127,7 @@
     const from = Number(query.get('from'));
     const waitMs = Number(query.get('wait_ms') ?? 0);
     if (from >= topic.records.length && waitMs > 0) await awaitRecord(topic, waitMs);
+    if (res.socket && silentSockets.has(res.socket)) return;
     if (from < topic.first || from > topic.records.length) {
       res.writeHead(410).end(JSON.stringify({ first: topic.first }));
       return;
@@ -152,7 +157,7 @@
     const url = new URL(req.url ?? '/', 'http://store');
     const body = await readBody(req);
     res.setHeader(GENERATION_HEADER, generation);
-    if (mode === 'silent') return;
+    if (mode === 'silent' || silentSockets.has(req.socket)) return;
     if (mode === 'busy') {
       res.writeHead(503).end();
       return;
@@ -171,6 +176,10 @@
   const server: Server = createServer((req, res) => {
     void serve(req, res);
   });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -188,6 +197,7 @@
     setMode: (next) => {
       mode = next;
     },
+    silenceConnections: () => sockets.forEach((socket) => silentSockets.add(socket)),
     compact: () => {
       topics.forEach((topic) => {
         Object.assign(topic, { first: topic.records.length });
