Intent: an entry that the store turns away has an agent read it

What callers see: an entry serves an older version of the intent, a key that was revoked among it, for as long as the store turns it away and the entries that the store serves are cut off from it or are down. Cause: the only ways to a change are the entry's own read and the other entries. The store may turn away some VMs and serve others (the users' page on the protocol), and nothing was asked of those others that are no entries. With several disruptions at one moment both ways are gone while agents beside every upstream reach the store and the entry. Class: a way to the log that depends on a few nodes of one kind. Evidence: a model of four entries on a simulated clock, which draws kills, cuts, silent connections, a store that turns some away, is down or is restored, several at one moment. Change: without a confirmation for 1.5 s an entry asks an agent, chosen at random from the registry and on a link of its own, to read the intent; at most once a second. The agent answers with the newest record and its generation. gateway_relayed_reads and relayed-read tell of it; learnt-from-peer tells the source.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -42,6 +42,7 @@
   gateway_rate_limits: 'Rate limits that upstreams advertised or cleared, by change.',
   gateway_rate_news_unreadable: 'Rate limit updates of peers that could not be read.',
   gateway_refused: 'Requests that the entry refused itself, by reason.',
+  gateway_relayed_reads: "Reads of the platform's log by an agent for this entry, by outcome.",
   gateway_requests: 'Requests whose header was read.',
   gateway_waited_for_group: 'Requests that waited while the group of a service formed again.',
   gateway_streams_moved: 'Streams moved from an upstream that slowed down the others.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type { RouteTable } from './intent/route-table.js';
 import { followEntryTopics } from './mesh/entry-topics.js';
 import type { EntryLogTopics } from './mesh/entry-topics.js';
+import { createAgentRelay } from './mesh/agent-relay.js';
 import { createFollowedTopics } from './mesh/followed-topics.js';
 import { createLoadBroadcaster } from './mesh/load-broadcast.js';
 import { createMesh } from './mesh/mesh.js';
@@ -93,7 +94,15 @@
 
   // The followed topics call the mesh, and the mesh reads from their mirrors; the mesh is created last.
   let mesh: Mesh | undefined;
-  const followedTopics = createFollowedTopics({ mesh: () => mesh, clock, metrics, log });
+  const { region } = options;
+  const agentRelay = createAgentRelay({ self, region, clock, random, metrics, log });
+  const followedTopics = createFollowedTopics({
+    mesh: () => mesh,
+    fetchRelayed: agentRelay.fetch,
+    clock,
+    metrics,
+    log,
+  });
 
   const quarantine = createQuarantine({
     broadcast: (update) => mesh?.broadcastQuarantine(update),
@@ -194,7 +203,10 @@
     isNewerIntent: intentReader.isNewer,
     onIntent: applyIntent,
     onUpstream: directory.apply,
-    onNodes: (nodes) => mesh?.setNodes(nodes),
+    onNodes: (nodes) => {
+      mesh?.setNodes(nodes);
+      agentRelay.setNodes(nodes);
+    },
     onQuarantine: quarantine.applyRecord,
     onQuarantineLost: quarantine.handleRestored,
     clock,
@@ -216,7 +228,7 @@
 
   mesh = await createMesh({
     self,
-    region: options.region,
+    region,
     listen: options.addresses.links,
     seeds: options.seeds,
     intentVersion: () => Math.trunc(routeTable?.intent.version ?? -1),
--- a/packages/gateway/src/mesh/entry-topics.ts
+++ b/packages/gateway/src/mesh/entry-topics.ts
@@ -48,7 +48,7 @@
 }
 
 /** Time that a read waits at the log and pause between reads, in ms. A change is due within two seconds. */
-const INTENT_READ = { waitMs: 600, pauseMs: 50 };
+const INTENT_READ = { waitMs: 600, pauseMs: 50, isRelayed: true };
 /**
  * The list of upstreams changes several times a second. Two seconds of delay are allowed, so reading it less often
  * saves calls. Live upstreams are back in a restored list within two seconds.
--- a/packages/gateway/src/mesh/followed-topics.ts
+++ b/packages/gateway/src/mesh/followed-topics.ts
@@ -22,6 +22,8 @@
   retryMaxMs?: number;
   /** Time after a restore of the log until lost keys that weren't written again are dropped, in ms; undefined: never. */
   rewriteTimeoutMs?: number;
+  /** Whether agents are asked to read the topic while neither the log nor a peer confirms the mirror. */
+  isRelayed?: boolean;
   /** Called when the mirror has switched to a log that was restored from an older copy. */
   onRestored?: (source: RestoreSource) => void;
 }
@@ -40,6 +42,8 @@
 export interface FollowedTopicsOptions {
   /** Undefined until the mesh has been created. */
   mesh: () => Mesh | undefined;
+  /** Has an agent read a topic. */
+  fetchRelayed: (topic: string) => Promise<PeerRecords | undefined>;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
@@ -47,7 +51,7 @@
 
 /** Creates an empty set of followed topics. */
 export const createFollowedTopics = (options: FollowedTopicsOptions): FollowedTopics => {
-  const { mesh, clock, metrics, log } = options;
+  const { mesh, fetchRelayed, clock, metrics, log } = options;
   const followed = new Map<string, { mirror: KeyedMirror; follower: Follower }>();
 
   return {
@@ -60,6 +64,7 @@
         topic,
         mirror,
         fetchFromPeers: async (name, after, peer) => mesh()?.fetchFromPeer(name, after, peer),
+        ...(reading.isRelayed === true && { fetchRelayed }),
         // One entry reads the log for all others, since calls to the log are billed and links between entries exist anyway.
         isDelegated: () => mesh()?.hasLowerPeer() ?? false,
         onLogRead: (push: PeerPush) => mesh()?.broadcastPush(topic.name, push),
--- a/packages/gateway/src/mesh/mesh.ts
+++ b/packages/gateway/src/mesh/mesh.ts
@@ -4,7 +4,7 @@
 import { isNumber, isObject, silentLogger } from '@plantaindrum/common';
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
 import type { FrameHandler, Link, LinkClient, LinkOptions, LinkServer } from '@plantaindrum/link';
-import { parsePush, parseRecordList } from '@plantaindrum/mirror';
+import { parsePeerRecords, parsePush } from '@plantaindrum/mirror';
 import type {
   FetchFromPeers,
   NodeRecord,
@@ -87,14 +87,6 @@
 const RATE_LIMIT_NOTE = 'upstream.rates';
 const BACKOFF = { firstMs: 100, maxMs: 1_500 };
 
-const readPeerRecords = (value: unknown): PeerRecords | undefined => {
-  if (!isObject(value)) return undefined;
-  const { end, generation, ageMs } = value;
-  const records = parseRecordList(value.records);
-  if (!records || !isNumber(end) || !isNumber(generation) || !isNumber(ageMs)) return undefined;
-  return { records, end, generation, ageMs };
-};
-
 const readTopicPush = (value: unknown): { topic: string; push: PeerPush } | undefined => {
   if (!isObject(value) || typeof value.topic !== 'string') return undefined;
   const push = parsePush(value);
@@ -244,7 +236,7 @@
         peers.find(({ peer }) => peer.node === named) ?? peers[Math.floor(random() * peers.length)];
       if (!link) return undefined;
       const reply = await link.call('mirror.records', { topic, ...after }, FETCH_TIMEOUT_MS);
-      return reply.outcome === 'answered' ? readPeerRecords(reply.value) : undefined;
+      return reply.outcome === 'answered' ? parsePeerRecords(reply.value) : undefined;
     },
     close: async () => {
       isClosed = true;
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -71,7 +71,12 @@
     ['b', 'c', 'd'].forEach(connected.recordRegistered);
     const limits = { ratio: 0.2, windowMs: 10_000, allowance: 80 };
     const { entries } = connected;
-    const budget = createRetryBudget({ limits: () => limits, entries, startedAt: -Infinity, clock });
+    const budget = createRetryBudget({
+      limits: () => limits,
+      entries,
+      startedAt: -Infinity,
+      clock,
+    });
     expect(takeAll(budget)).to.equal(14);
     ['b', 'c', 'd'].forEach(connected.recordRegistered);
     connected.recordLinked('b');
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -17,6 +17,8 @@
   topic: KeyedTopic;
   mirror: KeyedMirror;
   fetchFromPeers: FetchFromPeers;
+  /** Has a node that isn't a peer read the log for this one; undefined if none has answered. */
+  fetchRelayed?: (topic: string) => Promise<PeerRecords | undefined>;
   /** Whether a peer reads the log and forwards its answers to this node; checked before each read. */
   isDelegated?: () => boolean;
   /** Called after each successful read of the log with what to forward to peers. */
@@ -71,6 +73,14 @@
 /** How often a node that delegates reading checks that the peer still pushes, in ms. */
 const DELEGATION_CHECK_INTERVAL_MS = 100;
 
+/**
+ * Without a confirmation for this long, neither the log nor any peer can tell what is current, in ms. Another node is
+ * then asked to read the log: the store may turn this node away, and the peers that it serves may be out of reach.
+ */
+const RELAY_AFTER_MS = 1_500;
+/** Interval of these requests, in ms. Each costs a call to the log. */
+const RELAY_INTERVAL_MS = 1_000;
+
 const toItems = ({ key, value, offset }: KeyedRecord): KeyedItem[] =>
   value === undefined ? [] : [{ key, value, offset }];
 
@@ -83,6 +93,7 @@
   let logAnsweredAt = -Infinity;
   let recoveredAt = -Infinity;
   let pushedAt = -Infinity;
+  let relayedAt = -Infinity;
   let failures = 0;
   /** A peer has switched to a restored log, of which this node has no snapshot yet. */
   let needsSnapshot = false;
@@ -220,24 +231,37 @@
     applySnapshot({ items: records.flatMap(toItems), end, generation }, 'peer');
   };
 
-  const fetchOnce = async (offset: number, peer?: string): Promise<void> => {
-    const after = { generation: mirror.generation(), offset };
-    const answer = await fetchFromPeers(topic.name, after, peer);
+  const applyAnswer = (answer: PeerRecords | undefined, source: 'peer' | 'relay'): void => {
     if (!answer || stopped || answer.generation < mirror.generation()) return;
     const before = position();
     applyPeerRecords(answer);
     confirmedAt = Math.max(confirmedAt, clock.monotonic() - answer.ageMs);
     if (mirror.generation() > before.generation || mirror.end() > before.end) {
       metrics.count('gateway_mirror_from_peer', { topic: topic.name });
-      log.event('learnt-from-peer', { topic: topic.name, from: before.end, end: mirror.end() });
+      const { name } = topic;
+      log.event('learnt-from-peer', { topic: name, source, from: before.end, end: mirror.end() });
     }
   };
 
+  const fetchOnce = async (offset: number, peer?: string): Promise<void> => {
+    const after = { generation: mirror.generation(), offset };
+    applyAnswer(await fetchFromPeers(topic.name, after, peer), 'peer');
+  };
+
+  const fetchRelayed = async (): Promise<void> => {
+    const isDue = since(confirmedAt) > RELAY_AFTER_MS && since(relayedAt) > RELAY_INTERVAL_MS;
+    if (stopped || !options.fetchRelayed || !isDue) return;
+    relayedAt = clock.monotonic();
+    applyAnswer(await options.fetchRelayed(topic.name), 'relay');
+  };
+
   const pollPeers = async (): Promise<void> => {
     while (!stopped) {
       await sleep(clock, PEER_FETCH_INTERVAL_MS);
       const isLost = since(logAnsweredAt) > waitMs + pauseMs + LOG_LOST_SLACK_MS;
-      if (!stopped && (isLost || failures > 0) && !hasRecentPush()) await fetchOnce(mirror.end());
+      if (stopped || !(isLost || failures > 0) || hasRecentPush()) continue;
+      await fetchOnce(mirror.end());
+      void fetchRelayed();
     }
   };
 
--- a/packages/mirror/src/peer-push.ts
+++ b/packages/mirror/src/peer-push.ts
@@ -2,7 +2,7 @@
 
 import { isNumber, isObject } from '@plantaindrum/common';
 import type { KeyedRecord } from './keyed-mirror.js';
-import type { PeerPush } from './topic.js';
+import type { PeerPush, PeerRecords } from './topic.js';
 
 const isRecord = (value: unknown): value is KeyedRecord =>
   isObject(value) &&
@@ -24,3 +24,12 @@
   const parsed = parseRecordList(records);
   return parsed && { after, end, generation, records: parsed };
 };
+
+/** Parses the records that a peer holds or has read; undefined if they are malformed. */
+export const parsePeerRecords = (value: unknown): PeerRecords | undefined => {
+  if (!isObject(value)) return undefined;
+  const { end, generation, ageMs } = value;
+  const records = parseRecordList(value.records);
+  if (!records || !isNumber(end) || !isNumber(generation) || !isNumber(ageMs)) return undefined;
+  return { records, end, generation, ageMs };
+};
--- a/packages/rank-groups/src/links/rank-links.ts
+++ b/packages/rank-groups/src/links/rank-links.ts
@@ -6,7 +6,8 @@
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { silentLogger } from '@plantaindrum/common';
 import { createLinkClient, createLinkServer, defaultLinkLimits } from '@plantaindrum/link';
-import type { FrameHandler, Link, LinkClient, LinkOptions } from '@plantaindrum/link';
+import type { CallHandler, FrameHandler, Link, LinkClient, LinkOptions } from '@plantaindrum/link';
+import { RELAYED_READ_CALL } from '@plantaindrum/mirror';
 import type { NodeRecord } from '@plantaindrum/mirror';
 import { buildTree, relaysOf } from '../tree/group-tree.js';
 import type { GroupTree } from '../tree/group-tree.js';
@@ -58,6 +59,8 @@
   groupSize: () => number;
   /** Sends an order to the engine beside another agent, on behalf of that agent. */
   orderForPeer: (node: string, order: RankOrder) => Promise<OrderOutcome>;
+  /** Handles requests of entries to read a topic of the log for them. */
+  handleRelayedRead: CallHandler;
   /** The group's shape; undefined while it is not known here. */
   shape: () => GroupShape | undefined;
   /** Handles selection counts that the coordinator sends to its successor. */
@@ -134,6 +137,7 @@
   const handlers = {
     [TREE_CALL]: options.handleTreeCall,
     [SHAPE_CALL]: async () => options.shape(),
+    [RELAYED_READ_CALL]: options.handleRelayedRead,
     'rank.order-for': async (args: unknown) => {
       const request = readOrderFor(args);
       return request ? options.orderForPeer(request.node, request.order) : 'refused';
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -4,10 +4,11 @@
  */
 
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
-import { sleep } from '@plantaindrum/common';
+import { isObject, sleep } from '@plantaindrum/common';
 import {
   createKeyedMirror,
   createPublisher,
+  createRelayedReader,
   decodeNodeRecord,
   followTopic,
 } from '@plantaindrum/mirror';
@@ -58,6 +59,8 @@
   listEngines: EngineFinderOptions['list'];
   weighs: Weighs;
   nodes: KeyedTopic;
+  /** Topic of the operators' intent, which the agent reads for entries that the store turns away. */
+  intent: KeyedTopic;
   publish: PublishNode;
   clock: Clock;
   random: Random;
@@ -146,6 +149,7 @@
     metrics,
     log,
   });
+  const readIntent = createRelayedReader(options.intent, clock);
   const placementCache = createPlacementCache();
   const methods = createRankMethods({
     member: () => member,
@@ -158,6 +162,8 @@
     self,
     region: options.region,
     handleTreeCall: calls.handle,
+    handleRelayedRead: async (args) =>
+      isObject(args) && args.topic === options.intent.name ? readIntent() : undefined,
     shape: () => shape,
     groupSize: () => member.lastReport()?.size ?? 0,
     orderForPeer,
