Soak: kills of all entries in a row while servers lose answers, silent connections, the limit on retries

Cause: the soak had neither of the incident's faults: entries were killed one at a time, no server lost an answer, connections were reset but never silent, and nobody counted retries. Change: each run has a part in which servers lose four answers of five, callers send four times as many calls, and all entries are killed three times in a row; a fault of the store silences its open connections; the retries of all entries are checked against the operators' limit, whose allowance is 30 at most now, so that it is nearer. Conclusion: kept for the faults that it plays.

--- a/packages/lab/src/soak/callers.ts
+++ b/packages/lab/src/soak/callers.ts
@@ -33,6 +33,7 @@
 /** Time that a caller declares to wait: a little more than its route's. */
 const DECLARED_WAIT_MS = 3_010;
 const TIMEOUT_MS = 6_000;
+const MS_PER_S = 1_000;
 
 const sendRequest = (vm: Vm, kind: CallKind, id: string, key: string): Promise<SoakCall> =>
   new Promise((resolve) => {
@@ -80,6 +81,8 @@
   calls: readonly SoakCall[];
   /** Makes one call in addition to the regular ones. */
   sendCall(vm: Vm, kind: CallKind, key: string): Promise<SoakCall>;
+  /** Changes the number of calls a second. */
+  setRate(perSecond: number): void;
   /** Stops sending and waits for the pending calls. */
   stop(): Promise<void>;
 }
@@ -104,7 +107,7 @@
   };
   const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(random() * from.length)];
 
-  const timer = setInterval(() => {
+  const sendNext = (): void => {
     const vm = pick(entries);
     const kind = pick(KINDS);
     const key = pick(keys);
@@ -112,11 +115,16 @@
     const sent = sendCall(vm, kind, key);
     pending.add(sent);
     void sent.then(() => pending.delete(sent));
-  }, 1_000 / perSecond);
+  };
+  let timer = setInterval(sendNext, MS_PER_S / perSecond);
 
   return {
     calls,
     sendCall,
+    setRate: (next) => {
+      clearInterval(timer);
+      timer = setInterval(sendNext, MS_PER_S / next);
+    },
     stop: async () => {
       clearInterval(timer);
       await Promise.all(pending);
--- a/packages/lab/src/soak/faults.ts
+++ b/packages/lab/src/soak/faults.ts
@@ -20,10 +20,19 @@
   injected: readonly InjectedFault[];
   /** Restores the store from an older copy now, in addition to the random faults. */
   restoreStore(): Promise<void>;
+  /** Kills all entries at once that no other fault affects; each starts again after a random delay. */
+  killEntries(): Promise<void>;
+  /** Has the servers lose most answers for this time, in ms. */
+  loseAnswers(forMs: number): Promise<void>;
   /** Starts no more faults and waits until the pending ones are over. */
   stop(): Promise<void>;
 }
 
+/** Limits on retries that the operators set, in retries that are allowed in addition to a share of the requests. */
+const MIN_RETRY_ALLOWANCE = 10;
+/** The highest of them, which is also in force at the start. */
+export const MAX_RETRY_ALLOWANCE = 30;
+
 type FaultAction = (vm: Vm, random: Random, site: SoakSite) => Promise<void>;
 
 const drawBetween = (random: Random, min: number, max: number): number =>
@@ -51,7 +60,8 @@
     vm.child.signal('SIGCONT');
   },
   'settings-changed': async (vm, random, site) => {
-    await site.changeSettings(vm, Math.round(drawBetween(random, 20, 120)));
+    const allowance = drawBetween(random, MIN_RETRY_ALLOWANCE, MAX_RETRY_ALLOWANCE);
+    await site.changeSettings(vm, Math.round(allowance));
     if (random() < 0.5) vm.child.signal('SIGHUP');
     await delay(100);
   },
@@ -60,6 +70,9 @@
 /** Probability that a fault of the store restores it from an older copy. */
 const RESTORE_PROBABILITY = 0.3;
 
+/** Probability that another fault of the store silences its open connections. */
+const SILENCE_PROBABILITY = 0.25;
+
 const STORE_MODES: readonly StoreMode[] = ['busy', 'silent', 'losing-answers'];
 
 /** Writes that a restore loses, so that later writes get offsets that were assigned before. */
@@ -79,12 +92,19 @@
   return 'restored-from-backup';
 };
 
+/** Fraction of the answers that are lost while servers lose answers. */
+const LOST_ANSWERS_FRACTION = 0.8;
+
 const injectStoreFault = async (site: SoakSite, random: Random): Promise<string> => {
   if (random() < RESTORE_PROBABILITY) return restoreStore(site, random);
   if (random() < 0.25) {
     site.store.compact();
     return 'history-forgotten';
   }
+  if (random() < SILENCE_PROBABILITY) {
+    site.store.silenceConnections();
+    return 'connections-silent';
+  }
   const mode = STORE_MODES[Math.floor(random() * STORE_MODES.length)] ?? 'busy';
   site.store.setMode(mode);
   await delay(drawBetween(random, 300, 2_500));
@@ -119,16 +139,28 @@
     isStoreAffected = false;
   };
 
+  const injectProcessFault = async (name: string, vm: Vm): Promise<void> => {
+    const action = processFaults[name];
+    if (!action) return;
+    affected.add(vm);
+    await recordFault(name, vm.name, vm.boot, action(vm, random, site));
+    affected.delete(vm);
+  };
+
   const startProcessFault = async (): Promise<void> => {
     const unaffected = site.vms.filter((vm) => !affected.has(vm));
     const vm = unaffected[Math.floor(random() * unaffected.length)];
     const names = Object.keys(processFaults);
     const name = names[Math.floor(random() * names.length)] ?? '';
-    const action = processFaults[name];
-    if (!vm || !action) return;
-    affected.add(vm);
-    await recordFault(name, vm.name, vm.boot, action(vm, random, site));
-    affected.delete(vm);
+    if (vm) await injectProcessFault(name, vm);
+  };
+
+  const loseAnswers = async (forMs: number): Promise<void> => {
+    const setLost = (isLost: () => boolean): void =>
+      site.servers.forEach((server) => server.loseAnswers(isLost));
+    setLost(() => random() < LOST_ANSWERS_FRACTION);
+    await delay(forMs);
+    setLost(() => false);
   };
 
   const run = async (): Promise<void> => {
@@ -145,6 +177,11 @@
   return {
     injected,
     restoreStore: () => recordFault('store', 'store', 0, restoreStore(site, random)),
+    killEntries: async () => {
+      const entries = site.vms.filter((vm) => vm.role === 'entry' && !affected.has(vm));
+      await Promise.all(entries.map((vm) => injectProcessFault('kill', vm)));
+    },
+    loseAnswers: (forMs) => recordFault('answers-lost', 'servers', 0, loseAnswers(forMs)),
     stop: async () => {
       stopped = true;
       await running;
--- a/packages/lab/src/soak/soak-site.ts
+++ b/packages/lab/src/soak/soak-site.ts
@@ -34,6 +34,8 @@
   /** The plain server that advertises a rate limit. */
   limitedServer: ServerStandIn;
   vms: readonly Vm[];
+  /** Servers by service. */
+  services: Readonly<Record<'book' | 'llm', readonly ServerStandIn[]>>;
   /** Starts a VM's program again after it has exited. */
   restart(vm: Vm): Promise<void>;
   /** Rewrites the settings of a VM with another limit for retries. */
@@ -70,7 +72,8 @@
 };
 /** Passes after which another expert becomes popular. */
 const PASSES_PER_SHIFT = 60;
-const DEFAULT_RETRY_ALLOWANCE = 90;
+/** Limit on retries that is in force at the start; low, so that a soak reaches it. */
+const DEFAULT_RETRY_ALLOWANCE = 30;
 const PROGRAM = 'platform/dist/main.js';
 
 /** Loopback prefix by process id, so that soaks running at the same time use different addresses. */
@@ -161,6 +164,10 @@
     servers,
     limitedServer,
     vms,
+    services: {
+      book: servers.filter((_, at) => at === 0 || at > ranks),
+      llm: servers.slice(1, ranks + 1),
+    },
     restart: async (vm) => {
       // Set before the start, because the program serves callers before its ready line has been read here.
       Object.assign(vm, { boot: vm.boot + 1 });
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -6,8 +6,10 @@
 import type { Callers } from './callers.js';
 import { findServedRevokedKeys, findSoakViolations } from './checks.js';
 import type { Violation } from './checks.js';
-import { startFaults } from './faults.js';
+import { MAX_RETRY_ALLOWANCE, startFaults } from './faults.js';
 import { findLimitViolations } from './limit-check.js';
+import { findRetryViolations } from './retry-check.js';
+import type { ServiceTraffic } from './retry-check.js';
 import { startSoakSite } from './soak-site.js';
 import type { SoakSite } from './soak-site.js';
 
@@ -29,6 +31,8 @@
 }
 
 const CALLS_PER_SECOND = 40;
+/** Calls a second while servers lose answers: enough failures to use up the limit on retries. */
+const BURST_PER_SECOND = 160;
 const FAULT_EVERY_MS = 900;
 /** Fraction of the soak's length after which a key is revoked. */
 const REVOKE_AT_FRACTION = 0.4;
@@ -38,6 +42,11 @@
 /** Time for the programs to connect at the start, and to recover after the last fault. */
 const STARTUP_MS = 2_500;
 const RECOVERY_TIMEOUT_MS = 8_000;
+/** Part of the soak in which servers lose most answers, and how often all entries are killed in it. */
+const LOST_ANSWERS_FRACTION = 0.7;
+const KILLS_IN_A_ROW = 3;
+/** The operators' limit on retries, at its highest: settings are changed during a soak. */
+const RETRY_LIMIT = { ratio: 0.2, windowMs: 10_000, allowance: MAX_RETRY_ALLOWANCE };
 const KEPT_KEY = 'key-a';
 const REVOKED_KEY = 'key-b';
 /** Revoked by the last change, after the store was restored from an older copy. */
@@ -70,6 +79,18 @@
   return [{ guarantee, details: `not within ${RECOVERY_TIMEOUT_MS} ms` }];
 };
 
+const trafficOf = (
+  site: SoakSite,
+  { calls }: Callers,
+  service: 'book' | 'llm',
+): ServiceTraffic => ({
+  service,
+  arrivals: site.services[service].flatMap(({ arrivals }) => arrivals),
+  requestsAt: calls
+    .filter(({ kind }) => (kind === 'gen') === (service === 'llm'))
+    .map(({ sentAt }) => sentAt),
+});
+
 /** Runs one soak. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const { seed, lengthMs, print } = options;
@@ -79,6 +100,16 @@
     const keys = [KEPT_KEY, REVOKED_KEY];
     const callers = startCallers(site, createSeededRandom(seed), CALLS_PER_SECOND, keys);
     const faults = startFaults(site, createSeededRandom(seed + 1), FAULT_EVERY_MS);
+    const killsInARow = (async (): Promise<void> => {
+      callers.setRate(BURST_PER_SECOND);
+      const lost = faults.loseAnswers(lengthMs * LOST_ANSWERS_FRACTION);
+      for (let kills = 0; kills < KILLS_IN_A_ROW; kills += 1) {
+        await delay((lengthMs * LOST_ANSWERS_FRACTION) / (KILLS_IN_A_ROW + 1));
+        await faults.killEntries();
+      }
+      await lost;
+      callers.setRate(CALLS_PER_SECOND);
+    })();
     await delay(lengthMs * LIMIT_AT_FRACTION);
     const advertisedAt = performance.now();
     site.limitedServer.advertiseLimit(LIMIT_PER_S);
@@ -91,6 +122,7 @@
     await delay(lengthMs * (1 - REVOKE_AT_FRACTION) * 0.5);
     await restored;
     site.putIntent(3, [KEPT_KEY]);
+    await killsInARow;
     await faults.stop();
     const recoveryViolations = await findRecoveryViolations(site, callers);
     await callers.stop();
@@ -102,6 +134,8 @@
         faults.injected,
       ),
       ...findServedRevokedKeys(callers.calls, REVOKED_KEY),
+      ...findRetryViolations(trafficOf(site, callers, 'book'), RETRY_LIMIT),
+      ...findRetryViolations(trafficOf(site, callers, 'llm'), RETRY_LIMIT),
       ...recoveryViolations,
     ];
     violations.forEach(({ guarantee, details }) => print(`  violated: ${guarantee}: ${details}`));
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -145,6 +145,8 @@
   arrivals: { id: string; at: number }[];
   /** Sets the rate limit (requests per second) advertised in responses; undefined for none. */
   advertiseLimit(perSecond: number | undefined): void;
+  /** Sets whether the response to an executed request is lost: its connection is reset instead. */
+  loseAnswers(isLost: () => boolean): void;
   /**
    * Simulates a crash and restart under the same instance id: holds and selection counts are lost.
    */
@@ -163,6 +165,7 @@
   const executedIds: string[] = [];
   const arrivals: { id: string; at: number }[] = [];
   let limit: Record<string, string> = {};
+  let isAnswerLost = (): boolean => false;
   let startedAt = FIRST_START_MS;
   let lastHeaders: IncomingMessage['headers'] = {};
   const state = group?.group.ranks[group.rank];
@@ -197,6 +200,10 @@
       return;
     }
     executedIds.push(id);
+    if (isAnswerLost()) {
+      req.socket.resetAndDestroy();
+      return;
+    }
     const successHeaders = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}`, ...limit };
     if (!group) {
       res.writeHead(200, { ...successHeaders, 'X-Server-Load': '1,0,6' }).end('done');
@@ -230,6 +237,9 @@
     advertiseLimit: (perSecond) => {
       limit = perSecond === undefined ? {} : { 'Server-Limit': String(perSecond) };
     },
+    loseAnswers: (isLost) => {
+      isAnswerLost = isLost;
+    },
     restart: () => {
       startedAt += RESTART_DELAY_MS;
       group?.group.reform(group.rank);
