--- a/packages/gateway/test/intent-spread.test.ts
+++ b/packages/gateway/test/intent-spread.test.ts
@@ -41,6 +41,20 @@
     site.restore(1 + Math.floor(site.random() * 4));
     return () => site.rewrite();
   },
+  'history-forgotten': (site) => {
+    site.forgetHistory();
+    return () => {};
+  },
+  'cut-from-store': (site) => {
+    const entries = someEntries(site);
+    const cut = (access: 'silent' | 'up') => (): void =>
+      entries.forEach((entry) => {
+        site.setEntryAccess(entry, access);
+        disturb(site, entry);
+      });
+    cut('silent')();
+    return cut('up');
+  },
   'cut-from-peers': (site) => {
     const entries = someEntries(site);
     entries.forEach((entry) => {
--- a/packages/gateway/test/support/spread-site.ts
+++ b/packages/gateway/test/support/spread-site.ts
@@ -72,6 +72,7 @@
   const waiting = new Set<() => void>();
   const accepted: { version: number; at: number }[] = [];
   let generation = 1;
+  let first = 0;
   let access: StoreAccess = 'up';
   let disturbedAt = -Infinity;
   let partlyDisturbedAt = -Infinity;
@@ -138,7 +139,7 @@
     read: (from, waitMs) =>
       callStore(entry, waitMs, async (): Promise<LogReadOutcome> => {
         if (from >= records.length && waitMs > 0) await awaitRecord(waitMs);
-        if (from > records.length) return { outcome: 'expired', generation };
+        if (from < first || from > records.length) return { outcome: 'expired', generation };
         return {
           outcome: 'records',
           records: records.slice(from),
@@ -295,10 +296,15 @@
     /** Restores the store from a copy that lacks its last records; the operators then write the latest again. */
     restore: (lost: number): void => {
       records.splice(Math.max(1, records.length - lost));
+      first = Math.min(first, records.length);
       generation += 1;
       disturbedAt = clock.monotonic();
       [...waiting].forEach((finish) => finish());
     },
+    /** Deletes the records of the topic but the newest value. */
+    forgetHistory: (): void => {
+      first = records.length;
+    },
     rewrite: (): void => {
       const latest = accepted.at(-1);
       if (latest) write(latest.version);
