Clients of the product's own services: a timeout replaces the connections that may be dead

Test, red before (no 'value.status': the second call timed out too): 'uses new connections after a call has timed out'. Change: after a timeout further calls use a new pool; the old one ends with its pending calls.

--- a/packages/service-clients/src/http.ts
+++ b/packages/service-clients/src/http.ts
@@ -63,6 +63,8 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+const isTimeout = (err: unknown): boolean => (err as { name?: unknown }).name === 'TimeoutError';
+
 const errorCodeOf = (err: unknown): string => {
   const { code, name } = err as { code?: unknown; name?: unknown };
   return String(code ?? name ?? err);
@@ -111,16 +113,26 @@
 
 /** Creates a client with its own connection pool. */
 export const createHttpClient = (options: HttpClientOptions): HttpClient => {
-  const dispatcher = new Agent({
-    connections: options.connections ?? 8,
-    connect: { timeout: options.connectTimeoutMs ?? 1_000 },
-    pipelining: 1,
-  });
+  const createDispatcher = (): Agent =>
+    new Agent({
+      connections: options.connections ?? 8,
+      connect: { timeout: options.connectTimeoutMs ?? 1_000 },
+      pipelining: 1,
+    });
+  let dispatcher = createDispatcher();
+
+  /** What silenced one connection may have silenced the others, so further calls use new ones. */
+  const replaceDispatcher = (used: Agent): void => {
+    if (used !== dispatcher) return;
+    dispatcher = createDispatcher();
+    void used.close();
+  };
 
   const send = async (req: HttpRequest): Promise<Result<HttpResponse, PlatformFailure>> => {
+    const used = dispatcher;
     try {
       const res = await request(req.url, {
-        dispatcher,
+        dispatcher: used,
         method: req.method,
         headers: { 'x-client': options.client, ...req.headers },
         body: req.body ?? null,
@@ -129,6 +141,7 @@
       const body = Buffer.from(await res.body.arrayBuffer());
       return ok({ status: res.statusCode, headers: res.headers, body });
     } catch (err) {
+      if (isTimeout(err)) replaceDispatcher(used);
       return fail(requestFailure(err));
     }
   };
--- a/packages/service-clients/test/clients.test.ts
+++ b/packages/service-clients/test/clients.test.ts
@@ -1,9 +1,10 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, RequestListener, Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { expect } from 'chai';
 import {
   createEngineOrderClient,
+  createHttpClient,
   createLogClient,
   createVmListClient,
   createWeightStoreClient,
@@ -52,6 +53,22 @@
     expect(requests[0]?.headers['x-client']).to.equal('test');
   });
 
+  // Connections can go silent without being reset. If only the one that a call timed out on were closed, each further
+  // call would wait for its timeout on another of them.
+  it('uses new connections after a call has timed out', async () => {
+    const silent = new Set<Socket>();
+    const url = await startServer((req, res) => {
+      if (!silent.has(req.socket)) res.writeHead(200).end();
+    });
+    const client = createHttpClient({ client: 'test', connections: 4 });
+    const get = (timeoutMs: number) => client.send({ method: 'GET', url, timeoutMs });
+    await Promise.all(Array.from({ length: 4 }, () => get(1_000)));
+    requests.forEach(({ socket }) => silent.add(socket));
+    expect(await get(100)).to.have.nested.property('err.kind', 'unknown');
+    expect(await get(1_000)).to.have.nested.property('value.status', 200);
+    await client.close();
+  });
+
   // The service stores the record, then the connection breaks before the response. An internal retry would
   // append the record twice, so the client sends exactly one request and reports `unknown`.
   it('reports a lost response as unknown and does not retry the append', async () => {
