--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,17 +1,14 @@
 /** An entry that reaches its upstreams directly: assembles its parts, and starts and stops them. */
 
-import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
-import type { NodeRecord, PublishNode } from '@plantaindrum/mirror';
 import { createAdmission } from './admission/admission.js';
 import { createServiceOutages } from './admission/service-outages.js';
 import { createCallerServer } from './caller-server.js';
-import type { ListenAddress } from './caller-server.js';
+import type { Gateway, GatewayOptions } from './gateway-options.js';
 import { createIntentReader } from './intent/intent-reader.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
 import { followEntryTopics } from './mesh/entry-topics.js';
-import type { EntryLogTopics } from './mesh/entry-topics.js';
 import { createAgentRelay } from './mesh/agent-relay.js';
 import { createFollowedTopics } from './mesh/followed-topics.js';
 import { createLoadBroadcaster } from './mesh/load-broadcast.js';
@@ -21,60 +18,11 @@
 import { createQuarantine } from './quarantine/index.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudget } from './retry/budget.js';
-import type { RetryLimits } from './retry/budget.js';
 import { createRequestHandler } from './serving/serve-request.js';
-import type { HeaderDialect, Intent, UpstreamRecord } from './types.js';
+import type { UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
-import type { DecodeUpstream } from './upstreams/directory.js';
 import { createRateLimits } from './upstreams/rate-limits.js';
 
-/** Addresses that an entry listens on. */
-export interface GatewayAddresses {
-  callers: ListenAddress;
-  readiness: ListenAddress;
-  links: ListenAddress;
-  metrics: ListenAddress & { path: string };
-}
-
-/** Limits set by the operators; they may change while the entry runs. */
-export interface GatewayBounds {
-  retries: RetryLimits;
-  /** Time from the stop signal until the process is killed, in milliseconds. */
-  graceMs: number;
-}
-
-/** Options of `createGateway`. */
-export interface GatewayOptions {
-  self: NodeRecord;
-  region: string;
-  addresses: GatewayAddresses;
-  seeds: readonly ListenAddress[];
-  bounds: GatewayBounds;
-  /** Maximum number of concurrent connections of callers. */
-  maxConnections: number;
-  topics: EntryLogTopics;
-  publish: PublishNode;
-  /** Writes to the topic of quarantined requests; without a value it removes the key. */
-  publishQuarantine: (key: string, value: Uint8Array | undefined) => Promise<boolean>;
-  /** Key of the intent in its topic. */
-  intentKey: string;
-  decodeIntent: (value: Uint8Array) => Intent | undefined;
-  decodeUpstream: DecodeUpstream;
-  dialect: HeaderDialect;
-  clock: Clock;
-  random: Random;
-  metrics: Metrics;
-  log: EventLog;
-}
-
-/** A running entry. */
-export interface Gateway {
-  /** Applies changed limits. */
-  setBounds(bounds: GatewayBounds): void;
-  /** Shuts down gracefully; resolves when no request is in flight or the grace period is over. */
-  stop(): Promise<void>;
-}
-
 /** After the stop signal the load balancer still sends new connections for two probe intervals, in ms. */
 const LISTEN_AFTER_STOP_MS = 3_200;
 /** Part of the grace period that is reserved for an orderly exit, in ms. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission/pass-model.js';
 export * from './caller-server.js';
 export * from './gateway.js';
+export * from './gateway-options.js';
 export * from './intent/shortest-pause.js';
 export * from './quarantine/index.js';
 export * from './types.js';
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -1,4 +1,5 @@
 export * from './follow.js';
+export * from './follower.js';
 export * from './keyed-mirror.js';
 export * from './peer-push.js';
 export * from './publisher.js';
