--- a/packages/gateway/test/intent-spread.test.ts
+++ b/packages/gateway/test/intent-spread.test.ts
@@ -34,15 +34,15 @@
     return () => entries.forEach((entry) => site.setEntryAccess(entry, 'up'));
   },
   'store-down': (site) => {
-    site.setStoreAccess(pick(site, ['refusing', 'silent'] as const));
-    return () => site.setStoreAccess('up');
+    site.store.setAccess(pick(site, ['refusing', 'silent'] as const));
+    return () => site.store.setAccess('up');
   },
   'store-restored': (site) => {
-    site.restore(1 + Math.floor(site.random() * 4));
+    site.store.restore(1 + Math.floor(site.random() * 4));
     return () => site.rewrite();
   },
   'history-forgotten': (site) => {
-    site.forgetHistory();
+    site.store.forgetHistory();
     return () => {};
   },
   'cut-from-store': (site) => {
@@ -89,7 +89,7 @@
     entry.isRunning &&
     !entry.isCutFromPeers &&
     site.clock.monotonic() - entry.disturbedAt > STABILITY_MS;
-  if (!isCalm || site.storeCalmMs() <= STABILITY_MS) return undefined;
+  if (!isCalm || site.store.calmMs() <= STABILITY_MS) return undefined;
   return site.storeWholeMs() > STABILITY_MS ? APPLY_MS : APPLY_MS + PARTIAL_OUTAGE_MS;
 };
 
--- a/packages/gateway/test/support/spread-site.ts
+++ b/packages/gateway/test/support/spread-site.ts
@@ -8,25 +8,16 @@
   silentEventLog,
 } from '@plantaindrum/common';
 import { createKeyedMirror, createRelayedReader } from '@plantaindrum/mirror';
-import type {
-  KeyedRecord,
-  KeyedTopic,
-  LogFailure,
-  LogLatestOutcome,
-  LogReadOutcome,
-  PeerRecords,
-} from '@plantaindrum/mirror';
+import type { PeerRecords } from '@plantaindrum/mirror';
 import { createIntentReader } from '../../src/intent/intent-reader.js';
 import { createFollowedTopics } from '../../src/mesh/followed-topics.js';
 import type { FollowedTopics } from '../../src/mesh/followed-topics.js';
 import type { Mesh } from '../../src/mesh/mesh.js';
 import type { Intent } from '../../src/types.js';
+import { createSimStore, SIM_TOPIC } from './spread-store.js';
+import type { StoreAccess, StoreCaller } from './spread-store.js';
 
-const TOPIC = 'intent';
-const KEY = 'config';
-const STORE_MS = 4;
 const LINK_MS = 1;
-const ANSWER_TIMEOUT_MS = 1_500;
 const FETCH_TIMEOUT_MS = 400;
 const HEARTBEAT_MS = 500;
 /** A link without a byte for this long is closed, in ms. */
@@ -34,17 +25,9 @@
 const MAX_RELINK_MS = 1_500;
 const READING = { waitMs: 600, pauseMs: 50, isRelayed: true };
 
-/** How the store treats calls. */
-export type StoreAccess = 'up' | 'refusing' | 'silent';
-
-interface SimEntry {
+interface SimEntry extends StoreCaller {
   name: string;
   isRunning: boolean;
-  /** Counts the starts; a message for an earlier process is lost. */
-  boot: number;
-  access: StoreAccess;
-  /** When its connections to the store and its links last went silent. */
-  silencedAt: number;
   isCutFromPeers: boolean;
   disturbedAt: number;
   version: number;
@@ -68,13 +51,8 @@
   const clock: ManualClock = createManualClock();
   const random: Random = createSeededRandom(seed);
   const common = { clock, metrics: createMetrics(), log: silentEventLog };
-  const records: KeyedRecord[] = [];
-  const waiting = new Set<() => void>();
+  const store = createSimStore(clock);
   const accepted: { version: number; at: number }[] = [];
-  let generation = 1;
-  let first = 0;
-  let access: StoreAccess = 'up';
-  let disturbedAt = -Infinity;
   let partlyDisturbedAt = -Infinity;
 
   const after = (ms: number): Promise<void> =>
@@ -102,60 +80,6 @@
       .map((b) => ({ a, b, isLinked: false, aliveAt: 0, relinkAt: random() * 100 })),
   );
 
-  /** Answers a call of an entry as the store would; the answer is lost if its connection goes silent meanwhile. */
-  const callStore = async <Answer>(
-    entry: SimEntry,
-    waitMs: number,
-    answer: () => Promise<Answer>,
-  ): Promise<Answer | { outcome: 'failed'; why: LogFailure }> => {
-    const sentAt = clock.monotonic();
-    const { boot } = entry;
-    const reach = (): StoreAccess => (access === 'up' ? entry.access : access);
-    if (reach() === 'refusing') {
-      await after(STORE_MS);
-      return { outcome: 'failed', why: 'refused' };
-    }
-    const outcome = reach() === 'up' ? await Promise.all([answer(), after(STORE_MS)]) : undefined;
-    const isLost = outcome === undefined || reach() === 'silent' || entry.silencedAt >= sentAt;
-    if (!isLost || entry.boot !== boot) {
-      return outcome?.[0] ?? { outcome: 'failed', why: 'no-answer' };
-    }
-    await after(Math.max(0, sentAt + waitMs + ANSWER_TIMEOUT_MS - clock.monotonic()));
-    return { outcome: 'failed', why: 'no-answer' };
-  };
-
-  const awaitRecord = (waitMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      const finish = (): void => {
-        waiting.delete(finish);
-        resolve();
-      };
-      waiting.add(finish);
-      clock.after(waitMs, finish);
-    });
-
-  const topicOf = (entry: SimEntry): KeyedTopic => ({
-    name: TOPIC,
-    read: (from, waitMs) =>
-      callStore(entry, waitMs, async (): Promise<LogReadOutcome> => {
-        if (from >= records.length && waitMs > 0) await awaitRecord(waitMs);
-        if (from < first || from > records.length) return { outcome: 'expired', generation };
-        return {
-          outcome: 'records',
-          records: records.slice(from),
-          end: records.length,
-          generation,
-        };
-      }),
-    readLatest: () =>
-      callStore(entry, 0, async (): Promise<LogLatestOutcome> => {
-        const items = records
-          .slice(-1)
-          .flatMap(({ key, value, offset }) => (value ? [{ key, value, offset }] : []));
-        return { outcome: 'items', items, hasMore: false, end: records.length, generation };
-      }),
-  });
-
   const peersOf = (entry: SimEntry): { peer: SimEntry; link: SimLink }[] =>
     links
       .filter(({ a, b, isLinked }) => isLinked && (a === entry || b === entry))
@@ -195,7 +119,7 @@
     },
   });
 
-  const readAsAgent = createRelayedReader(topicOf(agent), clock);
+  const readAsAgent = createRelayedReader(store.topicOf(agent), clock);
 
   const fetchRelayed = async (entry: SimEntry): Promise<PeerRecords | undefined> => {
     const { boot } = entry;
@@ -220,7 +144,7 @@
     };
     Object.assign(entry, { followed });
     const mirror = createKeyedMirror(({ value }) => value && applyIntent(value), reader);
-    followed.follow(topicOf(entry), mirror, READING);
+    followed.follow(store.topicOf(entry), mirror, READING);
   };
 
   const stop = (entry: SimEntry): void => {
@@ -232,7 +156,7 @@
   };
 
   const tellVersion = (from: SimEntry, to: SimEntry): void => {
-    if (from.version > to.version) to.followed?.follower(TOPIC)?.fetchNow(from.name);
+    if (from.version > to.version) to.followed?.follower(SIM_TOPIC)?.fetchNow(from.name);
   };
 
   /** Heartbeats, closes links that are silent, and links entries again. */
@@ -261,12 +185,7 @@
     clock.after(HEARTBEAT_MS, tickLinks);
   };
 
-  const write = (version: number): void => {
-    records.push({ key: KEY, value: Buffer.from(String(version)), offset: records.length });
-    [...waiting].forEach((finish) => finish());
-  };
-
-  write(1);
+  store.write(1);
   accepted.push({ version: 1, at: 0 });
   entries.forEach(start);
   clock.after(20, tickLinks);
@@ -277,40 +196,24 @@
     entries,
     start,
     stop,
-    /** Writes a version as the operators do; false if the store does not take it. */
-    put: (version: number): boolean => {
-      if (access !== 'up') return false;
-      write(version);
+    store,
+    /** Writes a version as the operators do, unless the store doesn't take it. */
+    put: (version: number): void => {
+      if (store.access() !== 'up') return;
+      store.write(version);
       accepted.push({ version, at: clock.monotonic() });
-      return true;
     },
     accepted,
-    setStoreAccess: (next: StoreAccess): void => {
-      access = next;
-      disturbedAt = clock.monotonic();
-    },
     setEntryAccess: (entry: SimEntry, next: StoreAccess): void => {
       Object.assign(entry, { access: next });
       partlyDisturbedAt = clock.monotonic();
     },
-    /** Restores the store from a copy that lacks its last records; the operators then write the latest again. */
-    restore: (lost: number): void => {
-      records.splice(Math.max(1, records.length - lost));
-      first = Math.min(first, records.length);
-      generation += 1;
-      disturbedAt = clock.monotonic();
-      [...waiting].forEach((finish) => finish());
-    },
-    /** Deletes the records of the topic but the newest value. */
-    forgetHistory: (): void => {
-      first = records.length;
-    },
+    /** Writes the latest version again, as the operators do after a restore. */
     rewrite: (): void => {
       const latest = accepted.at(-1);
-      if (latest) write(latest.version);
+      if (latest) store.write(latest.version);
     },
-    /** Milliseconds since the store last changed how it treats all entries, and any of them. */
-    storeCalmMs: () => (access === 'up' ? clock.monotonic() - disturbedAt : 0),
+    /** Milliseconds since the store last turned an entry away or took it back. */
     storeWholeMs: () =>
       entries.every((entry) => entry.access === 'up') ? clock.monotonic() - partlyDisturbedAt : 0,
   };
