Quarantine: an upstream that an attempt did not reach is no crash of its request

Cause: an attempt with a refused connection, or answered by another instance at the address, reported the end of the upstream before it recorded that nothing had run there. The attempt itself was then in flight at the upstream that ended, and counted as a crash. A request that tried three upstreams which had ended, and were still listed, was refused for ten minutes at all entries, though none had run it.

The test on its own, eight at a time: 2 of 40 failed. Their logs have three refused connections (i-8, i-5, i-7) as crashes of a request that no upstream had received since its quarantine was lifted. Ruled out: the deletion of the record, which arrived (`request-sound`).

Change: such attempts are recorded as not run first.

The new test was red for both signs. After the change the path's test passed 48 of 48.

--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -90,6 +90,7 @@
     const kind = failure.outcome === 'not-run' && !failure.wasSent ? 'unreachable' : 'failed';
     // An attempt that was aborted here says nothing about its upstream.
     if (!ended) upstream.recordFailure(kind);
+    // Before the upstream's end is reported: it did not end on a request that it did not run.
     if (failure.outcome === 'not-run') run.recordNotRun();
     return failure;
   };
@@ -110,12 +111,13 @@
     if (fields.load) upstream.recordLoad(fields.load.running, fields.load.waiting);
     if (fields.notRun || status === 421) {
       res.resume();
+      const failure = fail({ outcome: 'not-run', why: `status-${status}`, wasSent: true });
       // Another instance has the address: this one has exited, though its entry stays in the list for some seconds.
       if (status === 421) {
         deps.directory.recordReplaced(upstream);
         deps.quarantine.handleEnd(record, 'other-instance');
       } else upstream.recordRefusal();
-      return fail({ outcome: 'not-run', why: `status-${status}`, wasSent: true });
+      return failure;
     }
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
       return fail({ outcome: 'unknown', why: 'answer-of-another-request' });
@@ -131,8 +133,9 @@
   const head = exchange.head.then((outcome) => {
     if (outcome.outcome === 'head') return classifyResponse(outcome.res);
     if (outcome.outcome === 'not-sent') {
+      const failure = fail({ outcome: 'not-run', why: outcome.why, wasSent: false });
       if (outcome.why === 'ECONNREFUSED') deps.quarantine.handleEnd(record, 'refused-connection');
-      return fail({ outcome: 'not-run', why: outcome.why, wasSent: false });
+      return failure;
     }
     return fail({ outcome: 'unknown', why: outcome.why });
   });
--- a/packages/gateway/test/quarantine-serving.test.ts
+++ b/packages/gateway/test/quarantine-serving.test.ts
@@ -54,4 +54,29 @@
       await entry.close();
     }
   });
+
+  // Upstreams that have ended stay listed for a moment and refuse connections, or another one has their address. A
+  // request that was sent to none of them would be quarantined for having tried three.
+  (['refused connections', 'addresses of other instances'] as const).forEach((sign) => {
+    it(`does not quarantine a request that reached none of its upstreams: ${sign}`, async () => {
+      const upstreams: FakeUpstream[] = [];
+      const replaced: Handler = (_, res) => {
+        res.writeHead(421).end();
+      };
+      for (let n = 0; n < 5; n += 1) upstreams.push(await startFakeUpstream(replaced));
+      const entry = await startEntry({ upstreams, route: { ...streamRoute, maxAttempts: 5 } });
+      try {
+        if (sign === 'refused connections') {
+          await Promise.all(upstreams.map(({ close }) => close()));
+        }
+        for (let n = 0; n < 3; n += 1) {
+          const answer = await entry.send({ 'x-id': `q${n}` }, '/p/x', 'harmless');
+          expect(answer.body).not.to.equal('quarantined\n');
+        }
+        expect(entry.metrics.exposition()).not.to.include('gateway_crashes_seen');
+      } finally {
+        await entry.close();
+      }
+    });
+  });
 });
