--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -50,7 +50,14 @@
   },
   {
     files: ['scripts/*.cjs'],
-    languageOptions: { globals: { process: 'readonly', require: 'readonly', module: 'writable' } },
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        require: 'readonly',
+        module: 'writable',
+        setTimeout: 'readonly',
+      },
+    },
     rules: { 'import-x/no-commonjs': 'off', 'class-methods-use-this': 'off' },
   },
 ];
