Relayed reads: agents are asked in turn, and more of them when one is silent

Callers would be served by an old version of the intent for longer than operators allow, at an entry that the store turns away while it has no informed peer in reach.

Cause: each second one agent was asked, chosen at random and without memory of who had answered. The store may turn agents away, too; several wrong choices in a row exceed the bound.

With half of twelve agents turned away, six choices at random miss in 1.6 of 100 cases.

Change: the agent that answered last is asked, or else two at once, those not asked for the longest time first; without an answer within 200 ms two more. The choice is a module of its own, which the model runs too.

--- a/packages/gateway/src/mesh/agent-relay.ts
+++ b/packages/gateway/src/mesh/agent-relay.ts
@@ -6,12 +6,13 @@
 import type { Link } from '@plantaindrum/link';
 import { parsePeerRecords, RELAYED_READ_CALL } from '@plantaindrum/mirror';
 import type { NodeRecord, PeerRecords } from '@plantaindrum/mirror';
+import { createAgentPoll } from './agent-poll.js';
 
 /** Agents that can read the log for this entry. */
 export interface AgentRelay {
   /** Applies the published node records. */
   setNodes(nodes: readonly NodeRecord[]): void;
-  /** Has an agent, chosen at random, read a topic; undefined if it has not answered. */
+  /** Has an agent read a topic; undefined if none has answered. */
   fetch(topic: string): Promise<PeerRecords | undefined>;
 }
 
@@ -35,8 +36,6 @@
 /** Creates the relay of an entry that knows no agents yet. */
 export const createAgentRelay = (options: AgentRelayOptions): AgentRelay => {
   const { self, region, clock, random, metrics, log } = options;
-  let agents: readonly NodeRecord[] = [];
-
   /** Runs one call on a link of its own: links that were used before may be dead. */
   const callAgent = async (agent: NodeRecord, topic: string): Promise<unknown> => {
     let open = (_link: Link | undefined): void => {};
@@ -72,18 +71,18 @@
     return reply?.outcome === 'answered' ? reply.value : undefined;
   };
 
+  const askAgent = async (agent: NodeRecord, topic: string): Promise<PeerRecords | undefined> => {
+    const records = parsePeerRecords(await callAgent(agent, topic));
+    const outcome = records ? 'answered' : 'no-answer';
+    metrics.count('gateway_relayed_reads', { outcome });
+    log.event('relayed-read', { topic, agent: agent.node, outcome, end: records?.end });
+    return records;
+  };
+
+  const poll = createAgentPoll({ call: askAgent, clock, random });
+
   return {
-    setNodes: (nodes) => {
-      agents = nodes.filter(({ role }) => role === 'agent');
-    },
-    fetch: async (topic) => {
-      const agent = agents[Math.floor(random() * agents.length)];
-      if (!agent) return undefined;
-      const records = parsePeerRecords(await callAgent(agent, topic));
-      const outcome = records ? 'answered' : 'no-answer';
-      metrics.count('gateway_relayed_reads', { outcome });
-      log.event('relayed-read', { topic, agent: agent.node, outcome, end: records?.end });
-      return records;
-    },
+    setNodes: (nodes) => poll.setAgents(nodes.filter(({ role }) => role === 'agent')),
+    fetch: poll.ask,
   };
 };
--- a/packages/gateway/test/intent-spread.test.ts
+++ b/packages/gateway/test/intent-spread.test.ts
@@ -25,20 +25,33 @@
   Object.assign(entry, { disturbedAt: site.clock.monotonic() });
 };
 
+const standStill = (site: Site, standstill: 'suspended' | 'frozen'): (() => void) => {
+  const ends = someEntries(site)
+    .filter(({ isRunning, clock }) => isRunning && !clock.isPaused())
+    .map((entry) => site.pause(entry, standstill));
+  return () => ends.forEach((end) => end());
+};
+
 /** Faults by name; each returns what ends it. */
 const faults: Record<string, (site: Site) => () => void> = {
   'store-turns-some-away': (site) => {
-    const entries = someEntries(site);
+    // Some agents too, but never all: without any node that it serves the store would be down.
+    const agents = site.agents.filter(() => site.random() < 0.5).slice(1);
+    const nodes = [...someEntries(site), ...agents];
     const access = pick(site, ['refusing', 'silent'] as const);
-    entries.forEach((entry) => site.setEntryAccess(entry, access));
-    return () => entries.forEach((entry) => site.setEntryAccess(entry, 'up'));
+    nodes.forEach((node) => site.setAccess(node, access));
+    return () => nodes.forEach((node) => site.setAccess(node, 'up'));
   },
   'store-down': (site) => {
     site.store.setAccess(pick(site, ['refusing', 'silent'] as const));
     return () => site.store.setAccess('up');
   },
+  'store-slow': (site) => {
+    site.store.setSlow(true);
+    return () => site.store.setSlow(false);
+  },
   'store-restored': (site) => {
-    site.store.restore(1 + Math.floor(site.random() * 4));
+    site.restore(1 + Math.floor(site.random() * 4));
     return () => site.rewrite();
   },
   'history-forgotten': (site) => {
@@ -49,7 +62,7 @@
     const entries = someEntries(site);
     const cut = (access: 'silent' | 'up') => (): void =>
       entries.forEach((entry) => {
-        site.setEntryAccess(entry, access);
+        site.setAccess(entry, access);
         disturb(site, entry);
       });
     cut('silent')();
@@ -74,6 +87,8 @@
     });
     return () => {};
   },
+  suspended: (site) => standStill(site, 'suspended'),
+  frozen: (site) => standStill(site, 'frozen'),
   killed: (site) => {
     const entries = someEntries(site).filter(({ isRunning }) => isRunning);
     entries.forEach(site.stop);
@@ -84,9 +99,13 @@
 /** Ends of faults are drawn from these, in ms: a moment, a few seconds, most of the day. */
 const DURATIONS_MS = [200, 1_000, 3_000, 9_000];
 
+/** Most time between two moments with faults, in ms: a day with room between them, and a short one. */
+const FAULT_GAPS_MS = [8_000, 2_000];
+
 const boundMs = (site: Site, entry: Entry): number | undefined => {
   const isCalm =
     entry.isRunning &&
+    !entry.clock.isPaused() &&
     !entry.isCutFromPeers &&
     site.clock.monotonic() - entry.disturbedAt > STABILITY_MS;
   if (!isCalm || site.store.calmMs() <= STABILITY_MS) return undefined;
@@ -107,12 +126,13 @@
 };
 
 const runDay = async (seed: number): Promise<string[]> => {
-  const site = startSpreadSite(4, seed);
+  const site = startSpreadSite(2 + (seed % 4), seed);
   const log: string[] = [];
   const late: string[] = [];
   let version = 1;
   let nextPutAt = 500;
   let nextFaultAt = 2_000;
+  const faultGapMs = pick(site, FAULT_GAPS_MS);
   const active = new Set<string>();
   const inject = (name: string): void => {
     const begin = faults[name];
@@ -133,7 +153,7 @@
       site.put(version);
     }
     if (at >= nextFaultAt) {
-      nextFaultAt = at + 1_000 + site.random() * 8_000;
+      nextFaultAt = at + 1_000 + site.random() * faultGapMs;
       for (let n = 1 + Math.floor(site.random() * 3); n > 0; n -= 1) {
         inject(pick(site, Object.keys(faults)));
       }
@@ -141,6 +161,7 @@
     await site.clock.advance(STEP_MS);
     late.push(...findLate(site));
   }
+  site.entries.forEach(({ clock }) => clock.resume());
   site.entries.filter(({ isRunning }) => isRunning).forEach(site.stop);
   return late.length > 0 ? [`seed ${seed}`, ...log, ...late.slice(0, 3)] : [];
 };
--- a/packages/gateway/test/support/spread-site.ts
+++ b/packages/gateway/test/support/spread-site.ts
@@ -10,21 +10,28 @@
 import { createKeyedMirror, createRelayedReader } from '@plantaindrum/mirror';
 import type { PeerRecords } from '@plantaindrum/mirror';
 import { createIntentReader } from '../../src/intent/intent-reader.js';
+import { createAgentPoll } from '../../src/mesh/agent-poll.js';
+import type { AgentPoll } from '../../src/mesh/agent-poll.js';
 import { createFollowedTopics } from '../../src/mesh/followed-topics.js';
 import type { FollowedTopics } from '../../src/mesh/followed-topics.js';
 import type { Mesh } from '../../src/mesh/mesh.js';
 import type { Intent } from '../../src/types.js';
+import { createPausableClock } from './pausable-clock.js';
+import type { Standstill } from './pausable-clock.js';
 import { createSimStore, SIM_TOPIC } from './spread-store.js';
 import type { StoreAccess, StoreCaller } from './spread-store.js';
 
 const LINK_MS = 1;
 const FETCH_TIMEOUT_MS = 400;
+const AGENT_ANSWER_TIMEOUT_MS = 600;
 const HEARTBEAT_MS = 500;
 /** A link without a byte for this long is closed, in ms. */
 const LINK_LOST_MS = 2_000;
 const MAX_RELINK_MS = 1_500;
+const AGENTS = 3;
 const READING = { waitMs: 600, pauseMs: 50, isRelayed: true };
 
+/** An entry, or an agent, which runs no mirror. */
 interface SimEntry extends StoreCaller {
   name: string;
   isRunning: boolean;
@@ -34,6 +41,11 @@
   followed: FollowedTopics | undefined;
 }
 
+interface SimAgent {
+  node: string;
+  agent: SimEntry;
+}
+
 interface SimLink {
   a: SimEntry;
   b: SimEntry;
@@ -50,10 +62,11 @@
 export const startSpreadSite = (count: number, seed: number) => {
   const clock: ManualClock = createManualClock();
   const random: Random = createSeededRandom(seed);
-  const common = { clock, metrics: createMetrics(), log: silentEventLog };
+  const common = { metrics: createMetrics(), log: silentEventLog };
   const store = createSimStore(clock);
   const accepted: { version: number; at: number }[] = [];
   let partlyDisturbedAt = -Infinity;
+  let latest = 1;
 
   const after = (ms: number): Promise<void> =>
     new Promise((resolve) => {
@@ -66,14 +79,15 @@
     boot: 0,
     access: 'up',
     silencedAt: -Infinity,
+    clock: createPausableClock(clock),
+    connection: undefined,
     isCutFromPeers: false,
     disturbedAt: 0,
     version: -1,
     followed: undefined,
   });
   const entries = Array.from({ length: count }, (_, n) => createNode(`edge-${n}`));
-  /** An agent beside an upstream: no fault but one of the store concerns it. */
-  const agent = createNode('agent');
+  const agents = Array.from({ length: AGENTS }, (_, n) => createNode(`agent-${n}`));
   const links: SimLink[] = entries.flatMap((a, n) =>
     entries
       .slice(n + 1)
@@ -85,15 +99,17 @@
       .filter(({ a, b, isLinked }) => isLinked && (a === entry || b === entry))
       .map((link) => ({ peer: link.a === entry ? link.b : link.a, link }));
 
-  const passes = ({ a, b, isLinked }: SimLink): boolean =>
-    isLinked && a.isRunning && b.isRunning && !a.isCutFromPeers && !b.isCutFromPeers;
+  const canPass = ({ a, b }: SimLink): boolean =>
+    a.isRunning && b.isRunning && !a.isCutFromPeers && !b.isCutFromPeers;
 
   /** Delivers a message over a link; it is lost if the link doesn't pass or the receiver has started again. */
   const deliver = (link: SimLink, to: SimEntry, receive: () => void): void => {
     const { boot } = to;
-    if (!passes(link) || to.silencedAt > link.aliveAt) return;
+    if (!link.isLinked || !canPass(link) || to.silencedAt > link.aliveAt) return;
     clock.after(LINK_MS, () => {
-      if (to.isRunning && to.boot === boot) receive();
+      void to.clock.awake().then(() => {
+        if (to.isRunning && to.boot === boot) receive();
+      });
     });
   };
 
@@ -110,33 +126,49 @@
       const chosen =
         peers.find(({ peer }) => peer.name === named) ?? peers[Math.floor(random() * peers.length)];
       if (!chosen) return undefined;
-      if (!passes(chosen.link)) {
-        await after(FETCH_TIMEOUT_MS);
-        return undefined;
-      }
-      await after(2 * LINK_MS);
-      return chosen.peer.followed?.recordsAfter(topic, position);
+      const { peer, link } = chosen;
+      const isLost = !canPass(link) || peer.clock.isPaused() || peer.silencedAt > link.aliveAt;
+      await after(isLost ? FETCH_TIMEOUT_MS : 2 * LINK_MS);
+      const answer = isLost ? undefined : peer.followed?.recordsAfter(topic, position);
+      await entry.clock.awake();
+      return answer;
     },
   });
 
-  const readAsAgent = createRelayedReader(store.topicOf(agent), clock);
+  const agentReaders = new Map(
+    agents.map((agent) => [agent.name, createRelayedReader(store.topicOf(agent), agent.clock)]),
+  );
 
-  const fetchRelayed = async (entry: SimEntry): Promise<PeerRecords | undefined> => {
+  const askAgent = async (entry: SimEntry, agent: SimEntry): Promise<PeerRecords | undefined> => {
     const { boot } = entry;
-    await after(entry.isCutFromPeers ? FETCH_TIMEOUT_MS : LINK_MS);
-    if (entry.isCutFromPeers) return undefined;
-    const answer = await readAsAgent();
-    return entry.boot === boot ? answer : undefined;
+    const isCut = entry.isCutFromPeers || agent.isCutFromPeers;
+    await after(isCut ? FETCH_TIMEOUT_MS : LINK_MS);
+    if (isCut) return undefined;
+    const answer = await Promise.race([
+      agentReaders.get(agent.name)?.(),
+      after(AGENT_ANSWER_TIMEOUT_MS),
+    ]);
+    await entry.clock.awake();
+    return entry.boot === boot ? (answer ?? undefined) : undefined;
+  };
+
+  const pollOf = (entry: SimEntry): AgentPoll<SimAgent, PeerRecords> => {
+    const call = ({ agent }: SimAgent): Promise<PeerRecords | undefined> => askAgent(entry, agent);
+    const poll = createAgentPoll({ call, clock: entry.clock, random });
+    poll.setAgents(agents.map((agent) => ({ node: agent.name, agent })));
+    return poll;
   };
 
   const start = (entry: SimEntry): void => {
     const { boot } = entry;
     const startedAt = clock.monotonic();
-    Object.assign(entry, { boot: boot + 1, isRunning: true, disturbedAt: startedAt, version: -1 });
+    const fresh = { connection: undefined, version: -1 };
+    Object.assign(entry, { boot: boot + 1, isRunning: true, disturbedAt: startedAt, ...fresh });
     const reader = createIntentReader(intentOf);
     const followed = createFollowedTopics({
       mesh: () => meshOf(entry) as Mesh,
-      fetchRelayed: () => fetchRelayed(entry),
+      fetchRelayed: pollOf(entry).ask,
+      clock: entry.clock,
       ...common,
     });
     const applyIntent = (value: Uint8Array): void => {
@@ -148,6 +180,7 @@
   };
 
   const stop = (entry: SimEntry): void => {
+    entry.clock.resume();
     entry.followed?.close();
     Object.assign(entry, { boot: entry.boot + 1, isRunning: false, followed: undefined });
     links
@@ -155,6 +188,15 @@
       .forEach((link) => Object.assign(link, { isLinked: false, relinkAt: Infinity }));
   };
 
+  /** Makes an entry stand still; returns what ends that. Others close its links meanwhile. */
+  const pause = (entry: SimEntry, standstill: Standstill): (() => void) => {
+    entry.clock.pause(standstill);
+    return () => {
+      entry.clock.resume();
+      Object.assign(entry, { disturbedAt: clock.monotonic() });
+    };
+  };
+
   const tellVersion = (from: SimEntry, to: SimEntry): void => {
     if (from.version > to.version) to.followed?.follower(SIM_TOPIC)?.fetchNow(from.name);
   };
@@ -164,9 +206,10 @@
     const now = clock.monotonic();
     links.forEach((link) => {
       const { a, b } = link;
-      const canPass = a.isRunning && b.isRunning && !a.isCutFromPeers && !b.isCutFromPeers;
+      const isPaused = a.clock.isPaused() || b.clock.isPaused();
+      const hasPath = canPass(link) && !isPaused;
       if (!link.isLinked) {
-        if (!canPass) Object.assign(link, { relinkAt: now + random() * MAX_RELINK_MS });
+        if (!hasPath) Object.assign(link, { relinkAt: now + random() * MAX_RELINK_MS });
         else if (now >= link.relinkAt) Object.assign(link, { isLinked: true, aliveAt: now });
         else if (link.relinkAt === Infinity) {
           Object.assign(link, { relinkAt: now + random() * MAX_RELINK_MS });
@@ -174,7 +217,7 @@
         return;
       }
       const isSilent = Math.max(a.silencedAt, b.silencedAt) > link.aliveAt;
-      if (canPass && !isSilent) {
+      if (hasPath && !isSilent) {
         Object.assign(link, { aliveAt: now });
         deliver(link, b, () => tellVersion(a, b));
         deliver(link, a, () => tellVersion(b, a));
@@ -194,27 +237,46 @@
     clock,
     random,
     entries,
+    agents,
     start,
     stop,
+    pause,
     store,
     /** Writes a version as the operators do, unless the store doesn't take it. */
     put: (version: number): void => {
       if (store.access() !== 'up') return;
       store.write(version);
+      latest = version;
       accepted.push({ version, at: clock.monotonic() });
     },
     accepted,
-    setEntryAccess: (entry: SimEntry, next: StoreAccess): void => {
-      Object.assign(entry, { access: next });
+    setAccess: (node: SimEntry, next: StoreAccess): void => {
+      Object.assign(node, { access: next });
       partlyDisturbedAt = clock.monotonic();
     },
+    /**
+     * Restores the store from a copy that lacks its last records. A version that it loses before any entry in reach of
+     * the others has read it is nowhere until the operators write it again.
+     */
+    restore: (lost: number): void => {
+      store.restore(lost);
+      const held = entries
+        .filter((entry) => entry.isRunning && !entry.isCutFromPeers && !entry.clock.isPaused())
+        .map(({ version }) => version);
+      const kept = accepted.filter(({ version }) => version <= Math.max(store.version(), ...held));
+      accepted.splice(0, Infinity, ...kept);
+    },
     /** Writes the latest version again, as the operators do after a restore. */
     rewrite: (): void => {
-      const latest = accepted.at(-1);
-      if (latest) store.write(latest.version);
+      store.write(latest);
+      if (!accepted.some(({ version }) => version === latest)) {
+        accepted.push({ version: latest, at: clock.monotonic() });
+      }
     },
     /** Milliseconds since the store last turned an entry away or took it back. */
     storeWholeMs: () =>
-      entries.every((entry) => entry.access === 'up') ? clock.monotonic() - partlyDisturbedAt : 0,
+      [...entries, ...agents].every(({ access }) => access === 'up')
+        ? clock.monotonic() - partlyDisturbedAt
+        : 0,
   };
 };
--- a/packages/gateway/test/support/spread-store.ts
+++ b/packages/gateway/test/support/spread-store.ts
@@ -8,12 +8,16 @@
   LogLatestOutcome,
   LogReadOutcome,
 } from '@plantaindrum/mirror';
+import type { PausableClock } from './pausable-clock.js';
 
 /** Name of the topic with the intent. */
 export const SIM_TOPIC = 'intent';
 const KEY = 'config';
 const STORE_MS = 4;
+const SLOW_STORE_MS = 240;
 const ANSWER_TIMEOUT_MS = 1_500;
+/** A caller closes a connection that was idle for this long, in ms. */
+const MAX_IDLE_MS = 1_000;
 
 /** How the store treats calls. */
 export type StoreAccess = 'up' | 'refusing' | 'silent';
@@ -25,6 +29,9 @@
   access: StoreAccess;
   /** When its connections last went silent. */
   silencedAt: number;
+  clock: PausableClock;
+  /** When its connection was opened and last used; undefined without one. */
+  connection: { openedAt: number; usedAt: number } | undefined;
 }
 
 /** Creates a store whose topic is empty. */
@@ -34,6 +41,7 @@
   let generation = 1;
   let first = 0;
   let access: StoreAccess = 'up';
+  let isSlow = false;
   let disturbedAt = -Infinity;
 
   const after = (ms: number): Promise<void> =>
@@ -41,25 +49,43 @@
       clock.after(ms, resolve);
     });
 
+  /** Uses the caller's connection, or opens one; returns whether it has gone silent since it was opened. */
+  const connect = (caller: StoreCaller): (() => boolean) => {
+    const now = clock.monotonic();
+    const known = caller.connection;
+    const connection =
+      known && now - known.usedAt <= MAX_IDLE_MS ? known : { openedAt: now, usedAt: now };
+    Object.assign(caller, { connection });
+    return () => caller.silencedAt >= connection.openedAt;
+  };
+
   /** Answers a call as the store would; the answer is lost if its connection goes silent meanwhile. */
   const callStore = async <Answer>(
     caller: StoreCaller,
     waitMs: number,
     answer: () => Promise<Answer>,
   ): Promise<Answer | { outcome: 'failed'; why: LogFailure }> => {
-    const sentAt = clock.monotonic();
     const { boot } = caller;
+    const isSilent = connect(caller);
+    const answerMs = isSlow ? SLOW_STORE_MS : STORE_MS;
     const reach = (): StoreAccess => (access === 'up' ? caller.access : access);
+    const timeout = new Promise<void>((resolve) => {
+      caller.clock.after(waitMs + ANSWER_TIMEOUT_MS, resolve);
+    });
     if (reach() === 'refusing') {
-      await after(STORE_MS);
+      await after(answerMs);
+      await caller.clock.awake();
       return { outcome: 'failed', why: 'refused' };
     }
-    const outcome = reach() === 'up' ? await Promise.all([answer(), after(STORE_MS)]) : undefined;
-    const isLost = outcome === undefined || reach() === 'silent' || caller.silencedAt >= sentAt;
+    const outcome = reach() === 'up' ? await Promise.all([answer(), after(answerMs)]) : undefined;
+    const isLost = outcome === undefined || reach() === 'silent' || isSilent();
+    await caller.clock.awake();
     if (!isLost || caller.boot !== boot) {
+      if (caller.connection) Object.assign(caller.connection, { usedAt: clock.monotonic() });
       return outcome?.[0] ?? { outcome: 'failed', why: 'no-answer' };
     }
-    await after(Math.max(0, sentAt + waitMs + ANSWER_TIMEOUT_MS - clock.monotonic()));
+    await timeout;
+    if (caller.boot === boot) Object.assign(caller, { connection: undefined });
     return { outcome: 'failed', why: 'no-answer' };
   };
 
@@ -104,11 +130,17 @@
       access = next;
       disturbedAt = clock.monotonic();
     },
+    setSlow: (next: boolean): void => {
+      isSlow = next;
+      disturbedAt = clock.monotonic();
+    },
     write: (version: number): void => {
       records.push({ key: KEY, value: Buffer.from(String(version)), offset: records.length });
       wakeReaders();
     },
-    /** Restores the store from a copy that lacks its last records; the operators then write the latest again. */
+    /** The version of its newest record. */
+    version: (): number => Number(Buffer.from(records.at(-1)?.value ?? []).toString()),
+    /** Restores the store from a copy that lacks its last records. */
     restore: (lost: number): void => {
       records.splice(Math.max(1, records.length - lost));
       first = Math.min(first, records.length);
@@ -121,6 +153,6 @@
       first = records.length;
     },
     /** Milliseconds since the store last changed how it treats all callers. */
-    calmMs: () => (access === 'up' ? clock.monotonic() - disturbedAt : 0),
+    calmMs: () => (access === 'up' && !isSlow ? clock.monotonic() - disturbedAt : 0),
   };
 };
