Intent: agents keep replicas, for what a restored store has lost while all entries were down

Callers would be served by a version of the intent that operators had replaced, or with a key that they had revoked: the store acknowledges a version and comes back from a copy without it while all entries are killed, before the operators write again.

Change: three agents, of as many data centres as possible, follow the intent and keep what a restored log lacks. An entry that reads a log which was restored, at its start or while it runs, asks them once for each restore. Nothing is asked of them while the log has never been restored; a replica costs a call to the store for each change and ten seconds.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export * from './caller-server.js';
 export * from './gateway.js';
 export * from './gateway-options.js';
+export * from './intent/intent-reader.js';
 export * from './intent/shortest-pause.js';
 export * from './quarantine/index.js';
 export * from './types.js';
--- a/packages/gateway/src/mesh/followed-topics.ts
+++ b/packages/gateway/src/mesh/followed-topics.ts
@@ -22,7 +22,10 @@
   retryMaxMs?: number;
   /** Time after a restore of the log until lost keys that weren't written again are dropped, in ms; undefined: never. */
   rewriteTimeoutMs?: number;
-  /** Whether agents are asked to read the topic while neither the log nor a peer confirms the mirror. */
+  /**
+   * Whether agents are asked to read the topic while neither the log nor a peer confirms the mirror, and for what a
+   * restored log has lost.
+   */
   isRelayed?: boolean;
   /** Called when the mirror has switched to a log that was restored from an older copy. */
   onRestored?: (source: RestoreSource) => void;
@@ -44,6 +47,8 @@
   mesh: () => Mesh | undefined;
   /** Has an agent read a topic. */
   fetchRelayed: (topic: string) => Promise<PeerRecords | undefined>;
+  /** Fetches a topic from its replicas; empty if none has answered. */
+  fetchReplicas: (topic: string) => Promise<PeerRecords[]>;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
@@ -51,7 +56,7 @@
 
 /** Creates an empty set of followed topics. */
 export const createFollowedTopics = (options: FollowedTopicsOptions): FollowedTopics => {
-  const { mesh, fetchRelayed, clock, metrics, log } = options;
+  const { mesh, fetchRelayed, fetchReplicas, clock, metrics, log } = options;
   const followed = new Map<string, { mirror: KeyedMirror; follower: Follower }>();
 
   return {
@@ -64,7 +69,7 @@
         topic,
         mirror,
         fetchFromPeers: async (name, after, peer) => mesh()?.fetchFromPeer(name, after, peer),
-        ...(reading.isRelayed === true && { fetchRelayed }),
+        ...(reading.isRelayed === true && { fetchRelayed, fetchReplicas }),
         // One entry reads the log for all others, since calls to the log are billed and links between entries exist anyway.
         isDelegated: () => mesh()?.hasLowerPeer() ?? false,
         onLogRead: (push: PeerPush) => mesh()?.broadcastPush(topic.name, push),
--- a/packages/gateway/test/intent-spread.test.ts
+++ b/packages/gateway/test/intent-spread.test.ts
@@ -161,8 +161,7 @@
     await site.clock.advance(STEP_MS);
     late.push(...findLate(site));
   }
-  site.entries.forEach(({ clock }) => clock.resume());
-  site.entries.filter(({ isRunning }) => isRunning).forEach(site.stop);
+  site.close();
   return late.length > 0 ? [`seed ${seed}`, ...log, ...late.slice(0, 3)] : [];
 };
 
--- a/packages/gateway/test/support/spread-site.ts
+++ b/packages/gateway/test/support/spread-site.ts
@@ -7,7 +7,7 @@
   createSeededRandom,
   silentEventLog,
 } from '@plantaindrum/common';
-import { createKeyedMirror, createRelayedReader } from '@plantaindrum/mirror';
+import { createKeyedMirror, createTopicReplica } from '@plantaindrum/mirror';
 import type { PeerRecords } from '@plantaindrum/mirror';
 import { createIntentReader } from '../../src/intent/intent-reader.js';
 import { createAgentPoll } from '../../src/mesh/agent-poll.js';
@@ -135,8 +135,14 @@
     },
   });
 
-  const agentReaders = new Map(
-    agents.map((agent) => [agent.name, createRelayedReader(store.topicOf(agent), agent.clock)]),
+  const replicas = new Map(
+    agents.map((agent) => {
+      const topic = store.topicOf(agent);
+      const { isNewer } = createIntentReader(intentOf);
+      const replica = createTopicReplica({ topic, isNewer, clock: agent.clock, ...common });
+      replica.setActive(true);
+      return [agent.name, replica];
+    }),
   );
 
   const askAgent = async (entry: SimEntry, agent: SimEntry): Promise<PeerRecords | undefined> => {
@@ -145,7 +151,7 @@
     await after(isCut ? FETCH_TIMEOUT_MS : LINK_MS);
     if (isCut) return undefined;
     const answer = await Promise.race([
-      agentReaders.get(agent.name)?.(),
+      replicas.get(agent.name)?.read(),
       after(AGENT_ANSWER_TIMEOUT_MS),
     ]);
     await entry.clock.awake();
@@ -168,6 +174,10 @@
     const followed = createFollowedTopics({
       mesh: () => meshOf(entry) as Mesh,
       fetchRelayed: pollOf(entry).ask,
+      fetchReplicas: async () => {
+        const answers = await Promise.all(agents.map((agent) => askAgent(entry, agent)));
+        return answers.flatMap((answer) => answer ?? []);
+      },
       clock: entry.clock,
       ...common,
     });
@@ -250,6 +260,12 @@
       accepted.push({ version, at: clock.monotonic() });
     },
     accepted,
+    /** Ends all programs. */
+    close: (): void => {
+      entries.forEach((entry) => entry.clock.resume());
+      entries.filter(({ isRunning }) => isRunning).forEach(stop);
+      replicas.forEach((replica) => replica.close());
+    },
     setAccess: (node: SimEntry, next: StoreAccess): void => {
       Object.assign(node, { access: next });
       partlyDisturbedAt = clock.monotonic();
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -4,6 +4,7 @@
 import { createPause, sleep } from '@plantaindrum/common';
 import type { Follower, FollowOptions, RestoreSource } from './follower.js';
 import type { KeyedItem, KeyedRecord } from './keyed-mirror.js';
+import { createReplicaRecovery } from './replica-recovery.js';
 import { createUnconfirmedExpiry } from './unconfirmed-expiry.js';
 import { readSnapshot } from './topic-snapshot.js';
 import type { TopicSnapshot } from './topic-snapshot.js';
@@ -34,6 +35,9 @@
 /** Interval of these requests, in ms. Each costs a call to the log. */
 const RELAY_INTERVAL_MS = 1_000;
 
+/** Who has answered for the log. */
+type AnswerSource = 'peer' | 'relay' | 'replica';
+
 const toItems = ({ key, value, offset }: KeyedRecord): KeyedItem[] =>
   value === undefined ? [] : [{ key, value, offset }];
 
@@ -115,6 +119,37 @@
     return false;
   };
 
+  const applyPeerRecords = ({ records, end, generation }: Omit<PeerRecords, 'ageMs'>): void => {
+    if (generation === mirror.generation() || mirror.generation() < 0) {
+      mirror.apply(records, end, generation);
+      unconfirmedExpiry.scheduleDrop();
+      return;
+    }
+    applySnapshot({ items: records.flatMap(toItems), end, generation }, 'peer');
+  };
+
+  const applyAnswer = (answer: PeerRecords | undefined, source: AnswerSource): void => {
+    if (!answer || stopped || answer.generation < mirror.generation()) return;
+    const before = position();
+    applyPeerRecords(answer);
+    confirmedAt = Math.max(confirmedAt, clock.monotonic() - answer.ageMs);
+    if (mirror.generation() > before.generation || mirror.end() > before.end) {
+      metrics.count('gateway_mirror_from_peer', { topic: topic.name });
+      const { name } = topic;
+      log.event('learnt-from-peer', { topic: name, source, from: before.end, end: mirror.end() });
+    }
+  };
+
+  const recovery = createReplicaRecovery({
+    topic: topic.name,
+    fetch: async (name) => (await options.fetchReplicas?.(name)) ?? [],
+    apply: (answer) => applyAnswer(answer, 'replica'),
+    clock,
+    log,
+  });
+
+  const recoverIfRestored = (): void => recovery.handleGeneration(mirror.generation());
+
   const forwardAnswer = (after: number): void => {
     options.onLogRead?.({ after, records: mirror.changesAfter(after), ...position() });
   };
@@ -133,6 +168,7 @@
     const before = position();
     const isApplied = applySnapshot(read.snapshot, 'log');
     recordAnswer(isApplied);
+    recoverIfRestored();
     forwardAnswer(before.generation === mirror.generation() ? before.end : TOPIC_START);
     return true;
   };
@@ -175,30 +211,10 @@
     }
   };
 
-  const applyPeerRecords = ({ records, end, generation }: Omit<PeerRecords, 'ageMs'>): void => {
-    if (generation === mirror.generation() || mirror.generation() < 0) {
-      mirror.apply(records, end, generation);
-      unconfirmedExpiry.scheduleDrop();
-      return;
-    }
-    applySnapshot({ items: records.flatMap(toItems), end, generation }, 'peer');
-  };
-
-  const applyAnswer = (answer: PeerRecords | undefined, source: 'peer' | 'relay'): void => {
-    if (!answer || stopped || answer.generation < mirror.generation()) return;
-    const before = position();
-    applyPeerRecords(answer);
-    confirmedAt = Math.max(confirmedAt, clock.monotonic() - answer.ageMs);
-    if (mirror.generation() > before.generation || mirror.end() > before.end) {
-      metrics.count('gateway_mirror_from_peer', { topic: topic.name });
-      const { name } = topic;
-      log.event('learnt-from-peer', { topic: name, source, from: before.end, end: mirror.end() });
-    }
-  };
-
   const fetchOnce = async (offset: number, peer?: string): Promise<void> => {
     const after = { generation: mirror.generation(), offset };
     applyAnswer(await fetchFromPeers(topic.name, after, peer), 'peer');
+    recoverIfRestored();
   };
 
   const fetchRelayed = async (): Promise<void> => {
@@ -235,6 +251,7 @@
       return;
     }
     applyPeerRecords({ records: [...push.records], end, generation });
+    recoverIfRestored();
     pushedAt = clock.monotonic();
     confirmedAt = pushedAt;
   };
@@ -259,6 +276,7 @@
     close: () => {
       stopped = true;
       unconfirmedExpiry.close();
+      recovery.close();
       pause.end();
     },
   };
--- a/packages/mirror/src/keyed-mirror.ts
+++ b/packages/mirror/src/keyed-mirror.ts
@@ -60,7 +60,7 @@
 /** How many deleted keys are remembered, so that peers learn of the deletions. */
 const MAX_DROPPED_KEYS = 512;
 /** Generation of a log that was never restored, or that doesn't report its generation. */
-const FIRST_GENERATION = 0;
+export const FIRST_GENERATION = 0;
 
 /** Creates an empty mirror; `onChange` is called for each key that changes. */
 export const createKeyedMirror = (
--- /dev/null
+++ b/packages/mirror/src/replica.ts
@@ -0,0 +1,94 @@
+/**
+ * Replicas of a topic at agents. The store may be restored from an older copy while all nodes that follow the topic are
+ * down; what it had acknowledged since that copy is then known to the replicas only.
+ */
+
+import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
+import { followTopic } from './follow.js';
+import type { Follower } from './follower.js';
+import { createKeyedMirror } from './keyed-mirror.js';
+import type { KeyedMirrorOptions } from './keyed-mirror.js';
+import type { NodeRecord } from './node-record.js';
+import { createRelayedReader } from './relayed-read.js';
+import { TOPIC_START } from './topic.js';
+import type { KeyedTopic, PeerRecords } from './topic.js';
+
+/** One node's replica of a topic, also when the node has to keep none. */
+export interface TopicReplica {
+  /** Follows the topic from now on, or no longer. */
+  setActive(isActive: boolean): void;
+  /** Reads the log for another node, and adds what the log has lost; undefined if the log didn't answer. */
+  read(): Promise<PeerRecords | undefined>;
+  close(): void;
+}
+
+/** Options of `createTopicReplica`. */
+export interface TopicReplicaOptions extends KeyedMirrorOptions {
+  topic: KeyedTopic;
+  clock: Clock;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+/** Number of agents that keep a replica. Each costs a call to the store per change and per wait. */
+const REPLICAS = 3;
+/** Long-poll wait of a replica, the pause after it, and the longest retry delay, in ms. */
+const REPLICA_READING = { waitMs: 10_000, pauseMs: 200, retryMaxMs: 4_000 };
+
+const byNameDescending = (a: NodeRecord, b: NodeRecord): number => (a.node < b.node ? 1 : -1);
+
+/** Returns the agents that keep replicas: the last ones by name, of as many data centres as possible. */
+export const selectReplicas = (nodes: Iterable<NodeRecord>): NodeRecord[] => {
+  const countByDataCentre = new Map<string, number>();
+  const ranked = [...nodes]
+    .filter(({ role }) => role === 'agent')
+    .sort(byNameDescending)
+    .map((agent) => {
+      const place = countByDataCentre.get(agent.dataCentre) ?? 0;
+      countByDataCentre.set(agent.dataCentre, place + 1);
+      return { agent, place };
+    });
+  return ranked
+    .sort((a, b) => a.place - b.place)
+    .slice(0, REPLICAS)
+    .map(({ agent }) => agent);
+};
+
+/** Creates a replica that is not active. */
+export const createTopicReplica = (options: TopicReplicaOptions): TopicReplica => {
+  const { topic, clock } = options;
+  const mirror = createKeyedMirror(() => {}, options);
+  const readLog = createRelayedReader(topic, clock);
+  let follower: Follower | undefined;
+
+  const close = (): void => {
+    follower?.close();
+    follower = undefined;
+  };
+
+  return {
+    setActive: (isActive) => {
+      if (!isActive) close();
+      else {
+        follower ??= followTopic({
+          ...options,
+          ...REPLICA_READING,
+          mirror,
+          fetchFromPeers: async () => undefined,
+        });
+      }
+    },
+    read: async () => {
+      const answer = await readLog();
+      if (!answer || !follower) return answer;
+      const { end, generation, ageMs } = answer;
+      const items = answer.records.flatMap(({ key, value, offset }) =>
+        value === undefined ? [] : [{ key, value, offset }],
+      );
+      mirror.replace(items, end, generation);
+      const position = { end: mirror.end(), generation: mirror.generation() };
+      return { records: mirror.changesAfter(TOPIC_START), ...position, ageMs };
+    },
+    close,
+  };
+};
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -8,9 +8,10 @@
 import {
   createKeyedMirror,
   createPublisher,
-  createRelayedReader,
+  createTopicReplica,
   decodeNodeRecord,
   followTopic,
+  selectReplicas,
 } from '@plantaindrum/mirror';
 import type {
   Follower,
@@ -59,8 +60,10 @@
   listEngines: EngineFinderOptions['list'];
   weighs: Weighs;
   nodes: KeyedTopic;
-  /** Topic of the operators' intent, which the agent reads for entries that the store turns away. */
+  /** Topic of the operators' intent, which the agent reads for entries that the store turns away, or keeps a replica of. */
   intent: KeyedTopic;
+  /** Whether a value of the intent has a later version than another one. */
+  isNewerIntent: (value: Uint8Array, than: Uint8Array) => boolean;
   publish: PublishNode;
   clock: Clock;
   random: Random;
@@ -149,7 +152,13 @@
     metrics,
     log,
   });
-  const readIntent = createRelayedReader(options.intent, clock);
+  const intentReplica = createTopicReplica({
+    topic: options.intent,
+    isNewer: options.isNewerIntent,
+    clock,
+    metrics,
+    log,
+  });
   const placementCache = createPlacementCache();
   const methods = createRankMethods({
     member: () => member,
@@ -163,7 +172,7 @@
     region: options.region,
     handleTreeCall: calls.handle,
     handleRelayedRead: async (args) =>
-      isObject(args) && args.topic === options.intent.name ? readIntent() : undefined,
+      isObject(args) && args.topic === options.intent.name ? intentReplica.read() : undefined,
     shape: () => shape,
     groupSize: () => member.lastReport()?.size ?? 0,
     orderForPeer,
@@ -177,8 +186,17 @@
   });
   const rankLinks = links;
 
+  let haveNodesChanged = false;
+  const maintainReplica = (): void => {
+    if (!haveNodesChanged) return;
+    haveNodesChanged = false;
+    const replicas = selectReplicas(nodes.values());
+    intentReplica.setActive(replicas.some(({ node }) => node === self.node));
+  };
+
   const maintainLinks = async (): Promise<void> => {
     while (!stopped) {
+      maintainReplica();
       if (ownPlace) rankLinks.setNodes([...nodes.values()], ownPlace.name, ownPlace.rank);
       await sleep(clock, LINK_UPDATE_INTERVAL_MS);
     }
@@ -206,6 +224,7 @@
     log,
   });
   const mirror = createKeyedMirror(({ key, value }) => {
+    haveNodesChanged = true;
     const record = value && decodeNodeRecord(value);
     if (record) nodes.set(key, record);
     else nodes.delete(key);
@@ -293,6 +312,7 @@
       member.close();
       publisher?.close();
       follower?.close();
+      intentReplica.close();
       await slowdownReporter.close();
       await rankLinks.close();
       log.flush();
