--- a/packages/lab/test/guarantees-page.test.ts
+++ b/packages/lab/test/guarantees-page.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai';
 import { repositoryRoot } from '../src/harness/child.js';
 
-const PROOF = /`([a-z-]+\/test\/[\w./-]+\.test\.ts): ([^`]+)`/g;
+const PROOF = /`((?:\.\.\/)?[a-z-]+\/test\/[\w./-]+\.test\.ts): ([^`]+)`/g;
 
 interface Proof {
   file: string;
