Soak: the store loses a version while all entries are killed

At the end of each soak a version revokes a key, all entries are killed and the store comes back from a copy without it; each entry must refuse the key three seconds after its start.

Two constants of the soak shared a name, and the highest limit on retries was stated twice.

--- a/packages/lab/src/soak/faults.ts
+++ b/packages/lab/src/soak/faults.ts
@@ -3,6 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Random } from '@plantaindrum/common';
 import type { StoreMode } from '@plantaindrum/stand-ins';
+import { MAX_RETRY_ALLOWANCE } from './soak-site.js';
 import type { Vm, SoakSite } from './soak-site.js';
 
 /** A fault that was injected, for the report of a violation. */
@@ -30,8 +31,6 @@
 
 /** Limits on retries that the operators set, in retries that are allowed in addition to a share of the requests. */
 const MIN_RETRY_ALLOWANCE = 10;
-/** The highest of them, which is also in force at the start. */
-export const MAX_RETRY_ALLOWANCE = 30;
 
 type FaultAction = (vm: Vm, random: Random, site: SoakSite) => Promise<void>;
 
--- a/packages/lab/src/soak/soak-site.ts
+++ b/packages/lab/src/soak/soak-site.ts
@@ -72,8 +72,8 @@
 };
 /** Passes after which another expert becomes popular. */
 const PASSES_PER_SHIFT = 60;
-/** Limit on retries that is in force at the start; low, so that a soak reaches it. */
-const DEFAULT_RETRY_ALLOWANCE = 30;
+/** Limit on retries that is in force at the start, and the highest one; low, so that a soak reaches it. */
+export const MAX_RETRY_ALLOWANCE = 30;
 const PROGRAM = 'platform/dist/main.js';
 
 /** Loopback prefix by process id, so that soaks running at the same time use different addresses. */
@@ -141,7 +141,7 @@
   };
 
   const startVm = async (vm: Omit<Vm, 'child' | 'boot'>): Promise<Vm> => {
-    await writeSettings(vm, DEFAULT_RETRY_ALLOWANCE);
+    await writeSettings(vm, MAX_RETRY_ALLOWANCE);
     return { ...vm, child: await startProgram(vm), boot: 1 };
   };
   const putIntent = (version: number, keys: readonly string[]): void => {
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -6,11 +6,12 @@
 import type { Callers } from './callers.js';
 import { findServedRevokedKeys, findSoakViolations } from './checks.js';
 import type { Violation } from './checks.js';
-import { MAX_RETRY_ALLOWANCE, startFaults } from './faults.js';
+import { startFaults } from './faults.js';
 import { findLimitViolations } from './limit-check.js';
+import { findLostVersionViolations } from './lost-version.js';
 import { findRetryViolations } from './retry-check.js';
 import type { ServiceTraffic } from './retry-check.js';
-import { startSoakSite } from './soak-site.js';
+import { MAX_RETRY_ALLOWANCE, startSoakSite } from './soak-site.js';
 import type { SoakSite } from './soak-site.js';
 
 /** Options of `runSoak`. */
@@ -43,7 +44,7 @@
 const STARTUP_MS = 2_500;
 const RECOVERY_TIMEOUT_MS = 8_000;
 /** Part of the soak in which servers lose most answers, and how often all entries are killed in it. */
-const LOST_ANSWERS_FRACTION = 0.7;
+const LOST_ANSWERS_TIME_FRACTION = 0.7;
 const KILLS_IN_A_ROW = 3;
 /** The operators' limit on retries, at its highest: settings are changed during a soak. */
 const RETRY_LIMIT = { ratio: 0.2, windowMs: 10_000, allowance: MAX_RETRY_ALLOWANCE };
@@ -102,9 +103,9 @@
     const faults = startFaults(site, createSeededRandom(seed + 1), FAULT_EVERY_MS);
     const killsInARow = (async (): Promise<void> => {
       callers.setRate(BURST_PER_SECOND);
-      const lost = faults.loseAnswers(lengthMs * LOST_ANSWERS_FRACTION);
+      const lost = faults.loseAnswers(lengthMs * LOST_ANSWERS_TIME_FRACTION);
       for (let kills = 0; kills < KILLS_IN_A_ROW; kills += 1) {
-        await delay((lengthMs * LOST_ANSWERS_FRACTION) / (KILLS_IN_A_ROW + 1));
+        await delay((lengthMs * LOST_ANSWERS_TIME_FRACTION) / (KILLS_IN_A_ROW + 1));
         await faults.killEntries();
       }
       await lost;
@@ -125,6 +126,8 @@
     await killsInARow;
     await faults.stop();
     const recoveryViolations = await findRecoveryViolations(site, callers);
+    const versions = { firstVersion: 4, keptKey: KEPT_KEY };
+    const lostVersionViolations = await findLostVersionViolations(site, callers, faults, versions);
     await callers.stop();
     const violations = [
       ...findSoakViolations(site, callers.calls, faults.injected),
@@ -137,6 +140,7 @@
       ...findRetryViolations(trafficOf(site, callers, 'book'), RETRY_LIMIT),
       ...findRetryViolations(trafficOf(site, callers, 'llm'), RETRY_LIMIT),
       ...recoveryViolations,
+      ...lostVersionViolations,
     ];
     violations.forEach(({ guarantee, details }) => print(`  violated: ${guarantee}: ${details}`));
     if (violations.length > 0) {
