Experts: the tests of a log that is down take the log down

Five places set `isDown` on the faults of the memory log, which reads `down`, through Object.assign, which takes any name: the log was never down in them. They assign the typed property now.

--- a/packages/experts/test/change-crashes.test.ts
+++ b/packages/experts/test/change-crashes.test.ts
@@ -78,13 +78,15 @@
 
   it('completes when the log goes down at any message', async () => {
     await atEachMessage((group) => {
-      Object.assign(group.fakeLog.faults, { isDown: true });
+      const { faults } = group.fakeLog;
+      faults.down = true;
     });
   });
 
   it('forms the group with the held fencing token when a rank is lost while the log is down', async () => {
     const groups = await atEachMessage((group) => {
-      Object.assign(group.fakeLog.faults, { isDown: true });
+      const { faults } = group.fakeLog;
+      faults.down = true;
       const rank = otherRank(group, coordinatorOf(group));
       group.engines[rank]?.replace();
       restartAfter(group, rank, 50);
--- a/packages/experts/test/interleavings.test.ts
+++ b/packages/experts/test/interleavings.test.ts
@@ -43,7 +43,8 @@
     restart(group, rank);
   }
   if (kind === 'log-down' || kind === 'log-up') {
-    Object.assign(group.fakeLog.faults, { isDown: kind === 'log-down' });
+    const { faults } = group.fakeLog;
+    faults.down = kind === 'log-down';
   }
 };
 
@@ -70,7 +71,7 @@
         });
         await group.clock.advance(1_000);
         group.network.setDeliveries(() => undefined);
-        Object.assign(group.fakeLog.faults, { isDown: false });
+        injectFault(group, 'log-up', 0);
         group.agents.forEach(({ process }) => process.wake());
         await expectOneMap(group);
       };
--- a/packages/experts/test/votes.test.ts
+++ b/packages/experts/test/votes.test.ts
@@ -69,7 +69,8 @@
   it('is not complete when an agent restarted during it', async () => {
     const group = createFakeGroup();
     await group.until(() => group.oracle.steps > 20);
-    Object.assign(group.fakeLog.faults, { isDown: true });
+    const { faults } = group.fakeLog;
+    faults.down = true;
     const { member, coordinator } = group.agent(0);
     const options = {
       node: 'vm-0',
