--- a/packages/gateway/test/intent-spread.test.ts
+++ b/packages/gateway/test/intent-spread.test.ts
@@ -81,9 +81,9 @@
       });
   },
   'connections-silent': (site) => {
-    site.entries.forEach((entry) => {
-      Object.assign(entry, { silencedAt: site.clock.monotonic() });
-      disturb(site, entry);
+    [...site.entries, ...site.agents].forEach((node) => {
+      Object.assign(node, { silencedAt: site.clock.monotonic() });
+      disturb(site, node);
     });
     return () => {};
   },
