Intent: a replica has each version within four seconds, also after a read without an answer

Callers would be served by a version that operators had replaced, if the store loses the newer one while all entries are killed, and the replicas were waiting for a read that the store never answers.

Cause: a replica's read waited ten seconds at the store, so one that the store (or its connection) had left unanswered kept the replica from new versions for up to 11.5 s.

Change: the read waits two seconds, and times out 1.5 s later. It costs three replicas together 1.4 calls a second.

--- a/packages/mirror/src/replica.ts
+++ b/packages/mirror/src/replica.ts
@@ -30,10 +30,13 @@
   log: EventLog;
 }
 
-/** Number of agents that keep a replica. Each costs a call to the store per change and per wait. */
+/** Number of agents that keep a replica. Each costs a call to the store per change, and one every two seconds. */
 const REPLICAS = 3;
-/** Long-poll wait of a replica, the pause after it, and the longest retry delay, in ms. */
-const REPLICA_READING = { waitMs: 10_000, pauseMs: 200, retryMaxMs: 4_000 };
+/**
+ * Long-poll wait of a replica, the pause after it, and the longest retry delay, in ms. A read that is never answered times
+ * out 1.5 s after its wait, so a replica has each version within four seconds.
+ */
+const REPLICA_READING = { waitMs: 2_000, pauseMs: 200, retryMaxMs: 1_000 };
 
 const byNameDescending = (a: NodeRecord, b: NodeRecord): number => (a.node < b.node ? 1 : -1);
 
