Retry budget: what a young process sends for its own requests stays within the rest, too

Upstreams would get more retries than operators allow, when entries use up their budgets in a moment and are all killed right after it.

Cause: a process used 0.7 of the limits; one that starts let only the allowance accrue in the 0.3 that full shares leave, but took 0.7 of the ratio for its own requests at once. Budget, then kill, then the ratio's part add up to more than the limit (0.7 + 0.3 of the allowance, 0.7 + 0.7 of the ratio).

The test of kills in a row spreads its retries over the window and did not see it.

Change: in its first window a process uses 0.3 of both. The fractions add up to the limits: before a kill at most 0.7 of ratio x requests + share, after it 0.3 of that, whatever the order.

--- a/packages/gateway/src/retry/budget.ts
+++ b/packages/gateway/src/retry/budget.ts
@@ -51,9 +51,8 @@
 /** Fraction of the limits that an entry uses once it has run for a window. */
 const USED_FRACTION = 0.7;
 /**
- * Fraction of the allowance that accrues over the first window of a process. An earlier process of this entry may have
- * used its full share just before it was killed. As the rest accrues with time, any number of processes that start one
- * after the other within a window use no more than this rest together.
+ * Fraction of the limits that a process uses in its first window. An earlier process of this entry may have used its
+ * full share just before it was killed, so the two fractions add up to the limits.
  */
 const START_FRACTION = 1 - USED_FRACTION;
 
@@ -78,13 +77,14 @@
 
   const ageMs = (): number => clock.monotonic() - startedAt;
 
-  const allowanceFraction = (windowMs: number): number =>
-    ageMs() < windowMs ? (START_FRACTION * ageMs()) / windowMs : USED_FRACTION;
-
   const maxRetries = ({ requests }: ServiceUsage): number => {
     const { ratio, allowance, windowMs } = limits();
     const share = allowance / Math.max(1, entries());
-    return USED_FRACTION * ratio * requests.length + allowanceFraction(windowMs) * share;
+    const age = ageMs();
+    if (age >= windowMs) return USED_FRACTION * (ratio * requests.length + share);
+    // The allowance accrues with the age: any number of processes that start one after the other within a window use no
+    // more of it together.
+    return START_FRACTION * (ratio * requests.length + (share * age) / windowMs);
   };
 
   return {
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -4,6 +4,7 @@
 import type { AdmissionRequest } from '../src/admission/admission.js';
 import { createConnectedEntries } from '../src/mesh/connected-entries.js';
 import { createRetryBudget } from '../src/retry/budget.js';
+import type { RetryBudget } from '../src/retry/budget.js';
 import type { UpstreamRecord } from '../src/index.js';
 import { createUpstream } from '../src/upstreams/upstream.js';
 
@@ -123,6 +124,44 @@
     expect(mostInWindow).to.be.at.most(0.2 * 10 * 10 * names.length + 94);
   });
 
+  // All entries use up their budgets in a moment, and are killed right after it. What the next processes may send for
+  // their own requests adds to that within the same window.
+  it('keeps the limit of all entries when they are killed right after a burst', async () => {
+    const limits = { ratio: 0.2, windowMs: 10_000, allowance: 94 };
+    for (let killedAfterMs = 500; killedAfterMs <= 9_500; killedAfterMs += 1_500) {
+      const clock = createManualClock();
+      const create = (startedAt: number) =>
+        createRetryBudget({ limits: () => limits, entries: () => 5, startedAt, clock });
+      const retriesAt: number[] = [];
+      const runFor = async (
+        budgets: RetryBudget[],
+        ms: number,
+        isFailing: boolean,
+      ): Promise<void> => {
+        for (let elapsed = 0; elapsed < ms; elapsed += 100) {
+          budgets.forEach((budget) => {
+            budget.recordRequest('s');
+            for (let n = isFailing ? takeAll(budget) : 0; n > 0; n -= 1) {
+              retriesAt.push(clock.monotonic());
+            }
+          });
+          await clock.advance(100);
+        }
+      };
+      const startAll = (startedAt: number) => Array.from({ length: 5 }, () => create(startedAt));
+      const first = startAll(-Infinity);
+      await runFor(first, 20_000, false);
+      await runFor(first, killedAfterMs, true);
+      await runFor(startAll(clock.monotonic()), 25_000, true);
+      const mostInWindow = Math.max(
+        ...retriesAt.map(
+          (from) => retriesAt.filter((at) => at >= from && at < from + limits.windowMs).length,
+        ),
+      );
+      expect(mostInWindow).to.be.at.most(0.2 * 10 * 10 * 5 + 94);
+    }
+  });
+
   it('applies changed limits at once', () => {
     const { limits, budget } = create(1);
     expect(takeAll(budget)).to.equal(56);
