--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -140,15 +140,18 @@
     }
   };
 
-  const recovery = createReplicaRecovery({
-    topic: topic.name,
-    fetch: async (name) => (await options.fetchReplicas?.(name)) ?? [],
-    apply: (answer) => applyAnswer(answer, 'replica'),
-    clock,
-    log,
-  });
+  const { fetchReplicas } = options;
+  const recovery =
+    fetchReplicas &&
+    createReplicaRecovery({
+      topic: topic.name,
+      fetch: fetchReplicas,
+      apply: (answer) => applyAnswer(answer, 'replica'),
+      clock,
+      log,
+    });
 
-  const recoverIfRestored = (): void => recovery.handleGeneration(mirror.generation());
+  const recoverIfRestored = (): void => recovery?.handleGeneration(mirror.generation());
 
   const forwardAnswer = (after: number): void => {
     options.onLogRead?.({ after, records: mirror.changesAfter(after), ...position() });
@@ -276,7 +279,7 @@
     close: () => {
       stopped = true;
       unconfirmedExpiry.close();
-      recovery.close();
+      recovery?.close();
       pause.end();
     },
   };
--- a/packages/mirror/src/relayed-read.ts
+++ b/packages/mirror/src/relayed-read.ts
@@ -8,7 +8,7 @@
 export const RELAYED_READ_CALL = 'mirror.relay';
 
 /**
- * Time after its begin for which a read is shared by further requests, in ms. An answer takes some 4 ms; a read without
+ * Time after its start for which a read is shared by further requests, in ms. An answer takes some 4 ms; a read without
  * one may wait at a store that was down when it began.
  */
 const SHARED_MS = 100;
