--- a/packages/lab/src/soak/main.ts
+++ b/packages/lab/src/soak/main.ts
@@ -1,7 +1,8 @@
-/** `npm run soak -- --seed N --seeds M --seconds S`: runs seeded soaks one after the other. */
+/** `npm run soak -- --seed N --seeds M --seconds S --entries E --ranks R`: runs seeded soaks one after the other. */
 
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { DEFAULT_SIZE } from './soak-site.js';
 import { runSoak } from './soak.js';
 
 const args = await yargs(hideBin(process.argv))
@@ -13,6 +14,12 @@
     default: 20,
     describe: 'How long faults are injected in each',
   })
+  .option('entries', { type: 'number', default: DEFAULT_SIZE.entries, describe: 'Entries' })
+  .option('ranks', {
+    type: 'number',
+    default: DEFAULT_SIZE.ranks,
+    describe: 'Ranks of the expert group, each with an agent process',
+  })
   .strict()
   .parse();
 
@@ -20,9 +27,10 @@
   process.stdout.write(`${line}\n`);
 };
 
+const size = { ...DEFAULT_SIZE, entries: args.entries, ranks: args.ranks };
 let failedSeeds = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed += 1) {
-  const result = await runSoak({ seed, lengthMs: args.seconds * 1_000, print });
+  const result = await runSoak({ seed, lengthMs: args.seconds * 1_000, size, print });
   const { calls, answered, faults, violations } = result;
   if (violations.length > 0) failedSeeds += 1;
   print(
--- a/packages/lab/src/soak/soak-site.ts
+++ b/packages/lab/src/soak/soak-site.ts
@@ -62,7 +62,8 @@
   passMs: number;
 }
 
-const DEFAULT_SIZE: SoakSiteSize = {
+/** A small site, with room for several soaks on one machine. */
+export const DEFAULT_SIZE: SoakSiteSize = {
   entries: 2,
   ranks: 4,
   plainServers: 2,
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -12,13 +12,15 @@
 import { findRetryViolations } from './retry-check.js';
 import type { ServiceTraffic } from './retry-check.js';
 import { MAX_RETRY_ALLOWANCE, startSoakSite } from './soak-site.js';
-import type { SoakSite } from './soak-site.js';
+import type { SoakSite, SoakSiteSize } from './soak-site.js';
 
 /** Options of `runSoak`. */
 export interface SoakOptions {
   seed: number;
   /** How long faults are injected. */
   lengthMs: number;
+  /** Size of the site; small by default. */
+  size?: SoakSiteSize;
   print: (line: string) => void;
 }
 
@@ -95,7 +97,7 @@
 /** Runs one soak. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const { seed, lengthMs, print } = options;
-  const site = await startSoakSite();
+  const site = await startSoakSite(options.size);
   try {
     await delay(STARTUP_MS);
     const keys = [KEPT_KEY, REVOKED_KEY];
