--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -130,8 +130,6 @@
     const limits = { ratio: 0.2, windowMs: 10_000, allowance: 94 };
     for (let killedAfterMs = 500; killedAfterMs <= 9_500; killedAfterMs += 1_500) {
       const clock = createManualClock();
-      const create = (startedAt: number) =>
-        createRetryBudget({ limits: () => limits, entries: () => 5, startedAt, clock });
       const retriesAt: number[] = [];
       const runFor = async (
         budgets: RetryBudget[],
@@ -148,7 +146,10 @@
           await clock.advance(100);
         }
       };
-      const startAll = (startedAt: number) => Array.from({ length: 5 }, () => create(startedAt));
+      const startAll = (startedAt: number): RetryBudget[] =>
+        Array.from({ length: 5 }, () =>
+          createRetryBudget({ limits: () => limits, entries: () => 5, startedAt, clock }),
+        );
       const first = startAll(-Infinity);
       await runFor(first, 20_000, false);
       await runFor(first, killedAfterMs, true);
