Names: what agents keep of the intent is a mirror, as at entries

`replica` is the copy of an expert, and in the product's own intent a node's state; a local copy of a topic is a mirror in the glossary. No behaviour changed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,7 @@
   const followedTopics = createFollowedTopics({
     mesh: () => mesh,
     fetchRelayed: agentRelay.fetch,
-    fetchReplicas: agentRelay.fetchReplicas,
+    fetchAgentMirrors: agentRelay.fetchAgentMirrors,
     clock,
     metrics,
     log,
--- a/packages/gateway/src/mesh/agent-relay.ts
+++ b/packages/gateway/src/mesh/agent-relay.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from '@plantaindrum/common';
 import { createLinkClient, defaultLinkLimits } from '@plantaindrum/link';
 import type { Link } from '@plantaindrum/link';
-import { parsePeerRecords, RELAYED_READ_CALL, selectReplicas } from '@plantaindrum/mirror';
+import { parsePeerRecords, RELAYED_READ_CALL, selectMirrorAgents } from '@plantaindrum/mirror';
 import type { NodeRecord, PeerRecords } from '@plantaindrum/mirror';
 import { createAgentPoll } from './agent-poll.js';
 
@@ -14,8 +14,8 @@
   setNodes(nodes: readonly NodeRecord[]): void;
   /** Has an agent read a topic; undefined if none has answered. */
   fetch(topic: string): Promise<PeerRecords | undefined>;
-  /** Fetches a topic from the agents that keep replicas; empty if none has answered. */
-  fetchReplicas(topic: string): Promise<PeerRecords[]>;
+  /** Fetches a topic from the agents that mirror it; empty if none has answered. */
+  fetchAgentMirrors(topic: string): Promise<PeerRecords[]>;
 }
 
 /** Options of `createAgentRelay`. */
@@ -81,17 +81,17 @@
     return records;
   };
 
-  let replicas: readonly NodeRecord[] = [];
+  let mirrorAgents: readonly NodeRecord[] = [];
   const poll = createAgentPoll({ call: askAgent, clock, random });
 
   return {
     setNodes: (nodes) => {
       poll.setAgents(nodes.filter(({ role }) => role === 'agent'));
-      replicas = selectReplicas(nodes);
+      mirrorAgents = selectMirrorAgents(nodes);
     },
     fetch: poll.ask,
-    fetchReplicas: async (topic) => {
-      const answers = await Promise.all(replicas.map((agent) => askAgent(agent, topic)));
+    fetchAgentMirrors: async (topic) => {
+      const answers = await Promise.all(mirrorAgents.map((agent) => askAgent(agent, topic)));
       return answers.flatMap((answer) => answer ?? []);
     },
   };
--- a/packages/gateway/src/mesh/followed-topics.ts
+++ b/packages/gateway/src/mesh/followed-topics.ts
@@ -47,8 +47,8 @@
   mesh: () => Mesh | undefined;
   /** Has an agent read a topic. */
   fetchRelayed: (topic: string) => Promise<PeerRecords | undefined>;
-  /** Fetches a topic from its replicas; empty if none has answered. */
-  fetchReplicas: (topic: string) => Promise<PeerRecords[]>;
+  /** Fetches a topic from the agents that mirror it; empty if none has answered. */
+  fetchAgentMirrors: (topic: string) => Promise<PeerRecords[]>;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
@@ -56,7 +56,7 @@
 
 /** Creates an empty set of followed topics. */
 export const createFollowedTopics = (options: FollowedTopicsOptions): FollowedTopics => {
-  const { mesh, fetchRelayed, fetchReplicas, clock, metrics, log } = options;
+  const { mesh, fetchRelayed, fetchAgentMirrors, clock, metrics, log } = options;
   const followed = new Map<string, { mirror: KeyedMirror; follower: Follower }>();
 
   return {
@@ -69,7 +69,7 @@
         topic,
         mirror,
         fetchFromPeers: async (name, after, peer) => mesh()?.fetchFromPeer(name, after, peer),
-        ...(reading.isRelayed === true && { fetchRelayed, fetchReplicas }),
+        ...(reading.isRelayed === true && { fetchRelayed, fetchAgentMirrors }),
         // One entry reads the log for all others, since calls to the log are billed and links between entries exist anyway.
         isDelegated: () => mesh()?.hasLowerPeer() ?? false,
         onLogRead: (push: PeerPush) => mesh()?.broadcastPush(topic.name, push),
--- a/packages/gateway/test/support/spread-site.ts
+++ b/packages/gateway/test/support/spread-site.ts
@@ -7,7 +7,7 @@
   createSeededRandom,
   silentEventLog,
 } from '@plantaindrum/common';
-import { createKeyedMirror, createTopicReplica } from '@plantaindrum/mirror';
+import { createKeyedMirror, createAgentMirror } from '@plantaindrum/mirror';
 import type { PeerRecords } from '@plantaindrum/mirror';
 import { createIntentReader } from '../../src/intent/intent-reader.js';
 import { createAgentPoll } from '../../src/mesh/agent-poll.js';
@@ -135,13 +135,13 @@
     },
   });
 
-  const replicas = new Map(
+  const agentMirrors = new Map(
     agents.map((agent) => {
       const topic = store.topicOf(agent);
       const { isNewer } = createIntentReader(intentOf);
-      const replica = createTopicReplica({ topic, isNewer, clock: agent.clock, ...common });
-      replica.setActive(true);
-      return [agent.name, replica];
+      const mirror = createAgentMirror({ topic, isNewer, clock: agent.clock, ...common });
+      mirror.setActive(true);
+      return [agent.name, mirror];
     }),
   );
 
@@ -151,7 +151,7 @@
     await after(isCut ? FETCH_TIMEOUT_MS : LINK_MS);
     if (isCut) return undefined;
     const answer = await Promise.race([
-      replicas.get(agent.name)?.read(),
+      agentMirrors.get(agent.name)?.read(),
       after(AGENT_ANSWER_TIMEOUT_MS),
     ]);
     await entry.clock.awake();
@@ -174,7 +174,7 @@
     const followed = createFollowedTopics({
       mesh: () => meshOf(entry) as Mesh,
       fetchRelayed: pollOf(entry).ask,
-      fetchReplicas: async () => {
+      fetchAgentMirrors: async () => {
         const answers = await Promise.all(agents.map((agent) => askAgent(entry, agent)));
         return answers.flatMap((answer) => answer ?? []);
       },
@@ -264,7 +264,7 @@
     close: (): void => {
       entries.forEach((entry) => entry.clock.resume());
       entries.filter(({ isRunning }) => isRunning).forEach(stop);
-      replicas.forEach((replica) => replica.close());
+      agentMirrors.forEach((mirror) => mirror.close());
     },
     setAccess: (node: SimEntry, next: StoreAccess): void => {
       Object.assign(node, { access: next });
--- a/packages/lab/src/soak/lost-version.ts
+++ b/packages/lab/src/soak/lost-version.ts
@@ -6,7 +6,7 @@
 import type { Faults } from './faults.js';
 import type { SoakSite } from './soak-site.js';
 
-/** Time within which a version is in force everywhere and at all replicas, in ms. */
+/** Time within which a version is in force everywhere, and known to the agents that mirror the intent, in ms. */
 const PROPAGATION_MS = 4_000;
 /** Time after their start from which entries have all accepted versions in force, in ms. */
 const STABILITY_MS = 3_000;
--- a/packages/mirror/src/replica.ts
+++ b/packages/mirror/src/agent-mirror.ts
@@ -1,6 +1,6 @@
 /**
- * Replicas of a topic at agents. The store may be restored from an older copy while all nodes that follow the topic are
- * down; what it had acknowledged since that copy is then known to the replicas only.
+ * Mirrors of a topic at agents. The store may be restored from an older copy while all entries are down; what it had
+ * acknowledged since that copy is then known to these agents only.
  */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
@@ -13,8 +13,8 @@
 import { TOPIC_START } from './topic.js';
 import type { KeyedTopic, PeerRecords } from './topic.js';
 
-/** One node's replica of a topic, also when the node has to keep none. */
-export interface TopicReplica {
+/** An agent's mirror of a topic; empty while the agent has to keep none. */
+export interface AgentMirror {
   /** Follows the topic from now on, or no longer. */
   setActive(isActive: boolean): void;
   /** Reads the log for another node, and adds what the log has lost; undefined if the log didn't answer. */
@@ -22,26 +22,26 @@
   close(): void;
 }
 
-/** Options of `createTopicReplica`. */
-export interface TopicReplicaOptions extends KeyedMirrorOptions {
+/** Options of `createAgentMirror`. */
+export interface AgentMirrorOptions extends KeyedMirrorOptions {
   topic: KeyedTopic;
   clock: Clock;
   metrics: Metrics;
   log: EventLog;
 }
 
-/** Number of agents that keep a replica. Each costs a call to the store per change, and one every two seconds. */
-const REPLICAS = 3;
+/** Number of agents that keep a mirror. Each costs a call to the store per change, and one every two seconds. */
+const MIRROR_AGENTS = 3;
 /**
- * Long-poll wait of a replica, the pause after it, and the longest retry delay, in ms. A read that is never answered times
- * out 1.5 s after its wait, so a replica has each version within four seconds.
+ * Long-poll wait of a read, the pause after it, and the longest retry delay, in ms. A read that is never answered times
+ * out 1.5 s after its wait, so a mirror has each version within four seconds.
  */
-const REPLICA_READING = { waitMs: 2_000, pauseMs: 200, retryMaxMs: 1_000 };
+const MIRROR_READING = { waitMs: 2_000, pauseMs: 200, retryMaxMs: 1_000 };
 
 const byNameDescending = (a: NodeRecord, b: NodeRecord): number => (a.node < b.node ? 1 : -1);
 
-/** Returns the agents that keep replicas: the last ones by name, of as many data centres as possible. */
-export const selectReplicas = (nodes: Iterable<NodeRecord>): NodeRecord[] => {
+/** Returns the agents that keep mirrors: the last ones by name, of as many data centres as possible. */
+export const selectMirrorAgents = (nodes: Iterable<NodeRecord>): NodeRecord[] => {
   const countByDataCentre = new Map<string, number>();
   const ranked = [...nodes]
     .filter(({ role }) => role === 'agent')
@@ -53,12 +53,12 @@
     });
   return ranked
     .sort((a, b) => a.place - b.place)
-    .slice(0, REPLICAS)
+    .slice(0, MIRROR_AGENTS)
     .map(({ agent }) => agent);
 };
 
-/** Creates a replica that is not active. */
-export const createTopicReplica = (options: TopicReplicaOptions): TopicReplica => {
+/** Creates a mirror that is not active. */
+export const createAgentMirror = (options: AgentMirrorOptions): AgentMirror => {
   const { topic, clock } = options;
   const mirror = createKeyedMirror(() => {}, options);
   const readLog = createRelayedReader(topic, clock);
@@ -75,7 +75,7 @@
       else {
         follower ??= followTopic({
           ...options,
-          ...REPLICA_READING,
+          ...MIRROR_READING,
           mirror,
           fetchFromPeers: async () => undefined,
         });
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -4,7 +4,7 @@
 import { createPause, sleep } from '@plantaindrum/common';
 import type { Follower, FollowOptions, RestoreSource } from './follower.js';
 import type { KeyedItem, KeyedRecord } from './keyed-mirror.js';
-import { createReplicaRecovery } from './replica-recovery.js';
+import { createRestoreRecovery } from './restore-recovery.js';
 import { createUnconfirmedExpiry } from './unconfirmed-expiry.js';
 import { readSnapshot } from './topic-snapshot.js';
 import type { TopicSnapshot } from './topic-snapshot.js';
@@ -36,7 +36,7 @@
 const RELAY_INTERVAL_MS = 1_000;
 
 /** Who has answered for the log. */
-type AnswerSource = 'peer' | 'relay' | 'replica';
+type AnswerSource = 'peer' | 'relay' | 'agent-mirror';
 
 const toItems = ({ key, value, offset }: KeyedRecord): KeyedItem[] =>
   value === undefined ? [] : [{ key, value, offset }];
@@ -140,13 +140,13 @@
     }
   };
 
-  const { fetchReplicas } = options;
+  const { fetchAgentMirrors } = options;
   const recovery =
-    fetchReplicas &&
-    createReplicaRecovery({
+    fetchAgentMirrors &&
+    createRestoreRecovery({
       topic: topic.name,
-      fetch: fetchReplicas,
-      apply: (answer) => applyAnswer(answer, 'replica'),
+      fetch: fetchAgentMirrors,
+      apply: (answer) => applyAnswer(answer, 'agent-mirror'),
       clock,
       log,
     });
--- a/packages/mirror/src/follower.ts
+++ b/packages/mirror/src/follower.ts
@@ -14,8 +14,8 @@
   fetchFromPeers: FetchFromPeers;
   /** Has a node that isn't a peer read the log for this one; undefined if none has answered. */
   fetchRelayed?: (topic: string) => Promise<PeerRecords | undefined>;
-  /** Fetches the topic from its replicas; empty if none has answered. */
-  fetchReplicas?: (topic: string) => Promise<PeerRecords[]>;
+  /** Fetches the topic from the agents that mirror it; empty if none has answered. */
+  fetchAgentMirrors?: (topic: string) => Promise<PeerRecords[]>;
   /** Whether a peer reads the log and forwards its answers to this node; checked before each read. */
   isDelegated?: () => boolean;
   /** Called after each successful read of the log with what to forward to peers. */
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -5,5 +5,5 @@
 export * from './publisher.js';
 export * from './node-record.js';
 export { createRelayedReader, RELAYED_READ_CALL } from './relayed-read.js';
-export * from './replica.js';
+export * from './agent-mirror.js';
 export * from './topic.js';
--- a/packages/mirror/src/replica-recovery.ts
+++ b/packages/mirror/src/restore-recovery.ts
@@ -1,4 +1,4 @@
-/** Fetches what a restored log has lost from the replicas of its topic. */
+/** Fetches what a restored log has lost from the agents that mirror its topic. */
 
 import type { Clock, EventLog } from '@plantaindrum/common';
 import { sleep } from '@plantaindrum/common';
@@ -6,29 +6,29 @@
 import type { PeerRecords } from './topic.js';
 
 /** Recovery of one topic. */
-export interface ReplicaRecovery {
-  /** Handles the generation of the log; fetches from the replicas once for each restore. */
+export interface RestoreRecovery {
+  /** Handles the generation of the log; fetches from the agents once for each restore. */
   handleGeneration(generation: number): void;
   close(): void;
 }
 
-/** Options of `createReplicaRecovery`. */
-export interface ReplicaRecoveryOptions {
+/** Options of `createRestoreRecovery`. */
+export interface RestoreRecoveryOptions {
   topic: string;
-  /** Fetches the topic from its replicas; empty if none has answered. */
+  /** Fetches the topic from the agents that mirror it; empty if none has answered. */
   fetch: (topic: string) => Promise<PeerRecords[]>;
   apply: (answer: PeerRecords) => void;
   clock: Clock;
   log: EventLog;
 }
 
-/** Interval of fetches until a replica answers, in ms: a node that starts doesn't know the replicas yet. */
+/** Interval of fetches until an agent answers, in ms: a node that starts doesn't know the agents yet. */
 const RETRY_INTERVAL_MS = 250;
-/** Time after which a fetch is given up, in ms: the replicas are down as well. */
+/** Time after which a fetch is given up, in ms: the agents are down as well. */
 const TIMEOUT_MS = 10_000;
 
 /** Creates the recovery of a node that has read no log yet. */
-export const createReplicaRecovery = (options: ReplicaRecoveryOptions): ReplicaRecovery => {
+export const createRestoreRecovery = (options: RestoreRecoveryOptions): RestoreRecovery => {
   const { topic, clock, log } = options;
   let current = FIRST_GENERATION;
   let isClosed = false;
@@ -42,7 +42,7 @@
       if (isClosed || generation !== current) return;
       if (answers.length === 0) await sleep(clock, RETRY_INTERVAL_MS);
     }
-    log.event('replicas-read', { topic, generation, answers: answers.length });
+    log.event('agent-mirrors-read', { topic, generation, answers: answers.length });
     answers.forEach(options.apply);
   };
 
--- a/packages/mirror/test/replica.test.ts
+++ b/packages/mirror/test/agent-mirror.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
 import type { ManualClock } from '@plantaindrum/common';
-import { createReplicaRecovery } from '../src/replica-recovery.js';
-import { createTopicReplica, selectReplicas } from '../src/replica.js';
+import { createRestoreRecovery } from '../src/restore-recovery.js';
+import { createAgentMirror, selectMirrorAgents } from '../src/agent-mirror.js';
 import type { KeyedItem } from '../src/keyed-mirror.js';
 import type { NodeRecord } from '../src/node-record.js';
 import type { KeyedTopic, PeerRecords } from '../src/topic.js';
@@ -56,38 +56,38 @@
 const versionsIn = (answer: PeerRecords | undefined): number[] =>
   (answer?.records ?? []).map(({ value }) => versionOf(value ?? new Uint8Array()));
 
-describe('replicas of a topic', () => {
+describe('mirrors of a topic at agents', () => {
   const create = () => {
     const clock = createManualClock();
     const log = createLog();
     const common = { clock, metrics: createMetrics(), log: silentEventLog };
-    return { clock, log, replica: createTopicReplica({ topic: log.topic, isNewer, ...common }) };
+    return { clock, log, mirror: createAgentMirror({ topic: log.topic, isNewer, ...common }) };
   };
 
   // All entries are down while the store is restored; without this version they would start with an older one.
   it('keep what a restored log has lost, until a later version is written', async () => {
-    const { clock, log, replica } = create();
-    replica.setActive(true);
+    const { clock, log, mirror } = create();
+    mirror.setActive(true);
     await clock.advance(1_000);
     log.write(4);
     log.write(5);
     await clock.advance(1_000);
     log.restore(1);
-    expect(versionsIn(await replica.read())).to.deep.equal([5]);
+    expect(versionsIn(await mirror.read())).to.deep.equal([5]);
     await clock.advance(1_000);
-    expect(versionsIn(await replica.read())).to.deep.equal([5]);
+    expect(versionsIn(await mirror.read())).to.deep.equal([5]);
     log.write(6);
     await clock.advance(1_000);
-    const answer = await replica.read();
+    const answer = await mirror.read();
     expect(versionsIn(answer)).to.deep.equal([6]);
     expect(answer).to.include({ generation: 1, end: 2 });
-    replica.close();
+    mirror.close();
   });
 
   it('are read from the log by nodes that keep none', async () => {
-    const { log, replica } = create();
+    const { log, mirror } = create();
     log.write(2);
-    expect(versionsIn(await replica.read())).to.deep.equal([2]);
+    expect(versionsIn(await mirror.read())).to.deep.equal([2]);
   });
 
   it('are kept by agents in as many data centres as possible', () => {
@@ -97,8 +97,8 @@
       agentOf('c1', 'c'),
       { ...agentOf('e9', 'c'), role: 'entry' as const },
     ];
-    expect(selectReplicas(nodes).map(({ node }) => node)).to.deep.equal(['c1', 'b1', 'a4']);
-    expect(selectReplicas(nodes.slice(0, 4)).map(({ node }) => node)).to.deep.equal([
+    expect(selectMirrorAgents(nodes).map(({ node }) => node)).to.deep.equal(['c1', 'b1', 'a4']);
+    expect(selectMirrorAgents(nodes.slice(0, 4)).map(({ node }) => node)).to.deep.equal([
       'a4',
       'a3',
       'a2',
@@ -116,11 +116,11 @@
   }
 };
 
-describe('recovery from replicas', () => {
+describe('recovery of what a restored log has lost', () => {
   const create = (fetch: () => Promise<PeerRecords[]>) => {
     const clock = createManualClock();
     const applied: PeerRecords[] = [];
-    const recovery = createReplicaRecovery({
+    const recovery = createRestoreRecovery({
       topic: 't',
       fetch,
       apply: (answer) => applied.push(answer),
@@ -132,7 +132,7 @@
   const answer: PeerRecords = { records: [], end: 1, generation: 1, ageMs: 0 };
 
   // An entry that starts reads the log before it knows any agent.
-  it('asks until a replica answers, once for each restore', async () => {
+  it('asks until an agent answers, once for each restore', async () => {
     let fetches = 0;
     const { clock, applied, recovery } = create(async () => {
       fetches += 1;
@@ -151,7 +151,7 @@
     expect(applied).to.have.lengthOf(2);
   });
 
-  it('gives up when no replica answers, or when it is closed', async () => {
+  it('gives up when no agent answers, or when it is closed', async () => {
     let fetches = 0;
     const { clock, recovery } = create(async () => {
       fetches += 1;
--- a/packages/rank-groups/src/rank-agent.ts
+++ b/packages/rank-groups/src/rank-agent.ts
@@ -8,10 +8,10 @@
 import {
   createKeyedMirror,
   createPublisher,
-  createTopicReplica,
+  createAgentMirror,
   decodeNodeRecord,
   followTopic,
-  selectReplicas,
+  selectMirrorAgents,
 } from '@plantaindrum/mirror';
 import type {
   Follower,
@@ -60,7 +60,7 @@
   listEngines: EngineFinderOptions['list'];
   weighs: Weighs;
   nodes: KeyedTopic;
-  /** Topic of the operators' intent, which the agent reads for entries that the store turns away, or keeps a replica of. */
+  /** Topic of the operators' intent, which the agent reads for entries that the store turns away, or mirrors. */
   intent: KeyedTopic;
   /** Whether a value of the intent has a later version than another one. */
   isNewerIntent: (value: Uint8Array, than: Uint8Array) => boolean;
@@ -152,7 +152,7 @@
     metrics,
     log,
   });
-  const intentReplica = createTopicReplica({
+  const intentMirror = createAgentMirror({
     topic: options.intent,
     isNewer: options.isNewerIntent,
     clock,
@@ -172,7 +172,7 @@
     region: options.region,
     handleTreeCall: calls.handle,
     handleRelayedRead: async (args) =>
-      isObject(args) && args.topic === options.intent.name ? intentReplica.read() : undefined,
+      isObject(args) && args.topic === options.intent.name ? intentMirror.read() : undefined,
     shape: () => shape,
     groupSize: () => member.lastReport()?.size ?? 0,
     orderForPeer,
@@ -187,16 +187,16 @@
   const rankLinks = links;
 
   let haveNodesChanged = false;
-  const maintainReplica = (): void => {
+  const maintainIntentMirror = (): void => {
     if (!haveNodesChanged) return;
     haveNodesChanged = false;
-    const replicas = selectReplicas(nodes.values());
-    intentReplica.setActive(replicas.some(({ node }) => node === self.node));
+    const mirrorAgents = selectMirrorAgents(nodes.values());
+    intentMirror.setActive(mirrorAgents.some(({ node }) => node === self.node));
   };
 
   const maintainLinks = async (): Promise<void> => {
     while (!stopped) {
-      maintainReplica();
+      maintainIntentMirror();
       if (ownPlace) rankLinks.setNodes([...nodes.values()], ownPlace.name, ownPlace.rank);
       await sleep(clock, LINK_UPDATE_INTERVAL_MS);
     }
@@ -312,7 +312,7 @@
       member.close();
       publisher?.close();
       follower?.close();
-      intentReplica.close();
+      intentMirror.close();
       await slowdownReporter.close();
       await rankLinks.close();
       log.flush();
