--- a/packages/mirror/src/agent-mirror.ts
+++ b/packages/mirror/src/agent-mirror.ts
@@ -6,7 +6,7 @@
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import { followTopic } from './follow.js';
 import type { Follower } from './follower.js';
-import { createKeyedMirror } from './keyed-mirror.js';
+import { createKeyedMirror, toItems } from './keyed-mirror.js';
 import type { KeyedMirrorOptions } from './keyed-mirror.js';
 import type { NodeRecord } from './node-record.js';
 import { createRelayedReader } from './relayed-read.js';
@@ -85,10 +85,7 @@
       const answer = await readLog();
       if (!answer || !follower) return answer;
       const { end, generation, ageMs } = answer;
-      const items = answer.records.flatMap(({ key, value, offset }) =>
-        value === undefined ? [] : [{ key, value, offset }],
-      );
-      mirror.replace(items, end, generation);
+      mirror.replace(toItems(answer.records), end, generation);
       const position = { end: mirror.end(), generation: mirror.generation() };
       return { records: mirror.changesAfter(TOPIC_START), ...position, ageMs };
     },
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -3,7 +3,7 @@
 import type { Pause } from '@plantaindrum/common';
 import { createPause, sleep } from '@plantaindrum/common';
 import type { Follower, FollowOptions, RestoreSource } from './follower.js';
-import type { KeyedItem, KeyedRecord } from './keyed-mirror.js';
+import { toItems } from './keyed-mirror.js';
 import { createRestoreRecovery } from './restore-recovery.js';
 import { createUnconfirmedExpiry } from './unconfirmed-expiry.js';
 import { readSnapshot } from './topic-snapshot.js';
@@ -38,9 +38,6 @@
 /** Who has answered for the log. */
 type AnswerSource = 'peer' | 'relay' | 'agent-mirror';
 
-const toItems = ({ key, value, offset }: KeyedRecord): KeyedItem[] =>
-  value === undefined ? [] : [{ key, value, offset }];
-
 /** Starts following a topic; runs until `close`. */
 export const followTopic = (options: FollowOptions): Follower => {
   const { topic, mirror, fetchFromPeers, waitMs, pauseMs, clock, metrics, log } = options;
@@ -125,7 +122,7 @@
       unconfirmedExpiry.scheduleDrop();
       return;
     }
-    applySnapshot({ items: records.flatMap(toItems), end, generation }, 'peer');
+    applySnapshot({ items: toItems(records), end, generation }, 'peer');
   };
 
   const applyAnswer = (answer: PeerRecords | undefined, source: AnswerSource): void => {
--- a/packages/mirror/src/keyed-mirror.ts
+++ b/packages/mirror/src/keyed-mirror.ts
@@ -62,6 +62,12 @@
 /** Generation of a log that was never restored, or that doesn't report its generation. */
 export const FIRST_GENERATION = 0;
 
+/** Returns the values that records leave behind, without those that delete a key. */
+export const toItems = (records: readonly KeyedRecord[]): KeyedItem[] =>
+  records.flatMap(({ key, value, offset }) =>
+    value === undefined ? [] : [{ key, value, offset }],
+  );
+
 /** Creates an empty mirror; `onChange` is called for each key that changes. */
 export const createKeyedMirror = (
   onChange: (change: KeyedChange) => void,
