Crash evidence: the log names the parts of the prompt and the upstream

The log could not tell the hypotheses of the incident apart: no line said which parts of a prompt were in flight when an upstream ended. No decision uses them yet.

--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -1,6 +1,6 @@
 /** Keeps requests that crash upstreams away from them, and shares the evidence with the other entries. */
 
-import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
+import type { Clock, EventFields, EventLog, Metrics } from '@plantaindrum/common';
 import type { KeyedChange, RestoreSource } from '@plantaindrum/mirror';
 import type { UpstreamStart } from '../types.js';
 import { createCrashEvidence } from './crash-evidence.js';
@@ -40,7 +40,11 @@
   refusal(fingerprint: string): QuarantineRefusal | undefined;
   /** Whether the request was in flight in a crash and is not known to have succeeded. */
   isSuspect(fingerprint: string): boolean;
-  begin(fingerprint: string, upstream: UpstreamStart): MonitoredAttempt;
+  begin(
+    fingerprint: string,
+    upstream: UpstreamStart,
+    sharedParts?: readonly string[],
+  ): MonitoredAttempt;
   /** Handles the end of an upstream's process; `proof` says how it was established. */
   handleEnd(upstream: UpstreamStart, proof: EndProof): void;
   /** Handles a quarantine update from a peer, not yet validated. */
@@ -123,18 +127,29 @@
 
   const writer = createRecordWriter({ publish: options.publish, recordOf, clock, log });
 
-  const logVerdict = (fingerprint: string, verdict: Verdict, from: string): void => {
+  const logVerdict = (
+    fingerprint: string,
+    verdict: Verdict,
+    from: string,
+    inputs: EventFields = {},
+  ): void => {
     const { crashes = [] } = evidence.suspectRecord(fingerprint) ?? {};
-    log.event('request-crash-evidence', { fingerprint, verdict, crashes: crashes.length, from });
+    const fields = { fingerprint, verdict, crashes: crashes.length, from, ...inputs };
+    log.event('request-crash-evidence', fields);
     if (verdict === 'quarantined') metrics.count('gateway_quarantined', { from });
   };
 
   /** Reports a crash seen by this entry to the others, and records the quarantine if the crash leads to one. */
-  const handleCrash = ({ fingerprint, crash }: CrashedAttempt): void => {
+  const handleCrash = ({ fingerprint, sharedParts, crash }: CrashedAttempt): void => {
     const { verdict, isNew } = evidence.recordCrash(fingerprint, crash);
     if (!isNew) return;
     metrics.count('gateway_crashes_seen');
-    logVerdict(fingerprint, verdict, 'own');
+    logVerdict(fingerprint, verdict, 'own', {
+      upstream: crash.instance,
+      parts: sharedParts.join(),
+      sentAgoMs: Math.round(elapsedSince(crash.sentAt)),
+      endedAgoMs: Math.round(elapsedSince(crash.endedAt)),
+    });
     broadcaster.add('crashes', toCrashReport(fingerprint, crash));
     if (verdict !== 'quarantined') return;
     quarantineReports(fingerprint).forEach((report) => broadcaster.add('quarantined', report));
@@ -200,7 +215,7 @@
       return isUnderTrial ? { reason: 'crash-suspect' } : undefined;
     },
     isSuspect: (fingerprint) => evidence.verdict(fingerprint) === 'suspect',
-    begin: (fingerprint, upstream) => {
+    begin: (fingerprint, upstream, sharedParts = []) => {
       const { crashes = [] } = evidence.suspectRecord(fingerprint) ?? {};
       const isExclusiveTrial =
         crashes.length >= EXCLUSIVE_TRIAL_CRASHES && evidence.verdict(fingerprint) === 'suspect';
@@ -208,7 +223,7 @@
         trials.begin(fingerprint);
         broadcaster.schedule();
       }
-      const attempt = attempts.begin(fingerprint, startId(upstream));
+      const attempt = attempts.begin({ fingerprint, sharedParts }, startId(upstream));
       let firstEventAt: number | undefined;
       let hasSucceeded = false;
       let isRefused = false;
--- a/packages/gateway/src/quarantine/upstream-attempts.ts
+++ b/packages/gateway/src/quarantine/upstream-attempts.ts
@@ -11,15 +11,21 @@
   end(): void;
 }
 
-/** A request that was in flight in a crash. */
-export interface CrashedAttempt {
+/** A request, as far as it matters for the crashes of upstreams. */
+export interface AttemptedRequest {
   fingerprint: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  sharedParts: readonly string[];
+}
+
+/** A request that was in flight in a crash. */
+export interface CrashedAttempt extends AttemptedRequest {
   crash: Crash;
 }
 
 /** Attempts by the upstream that they were sent to. */
 export interface UpstreamAttempts {
-  begin(fingerprint: string, instance: string): TrackedAttempt;
+  begin(request: AttemptedRequest, instance: string): TrackedAttempt;
   /** Number of attempts with a request that are in flight at this entry. */
   countInFlight(fingerprint: string): number;
   /** Records the end of an upstream's process; returns the requests that were in flight there. */
@@ -36,8 +42,7 @@
 /** Max attempts without an answer that are remembered; the oldest are dropped first. */
 const MAX_LOST = 1_024;
 
-interface Attempt {
-  fingerprint: string;
+interface Attempt extends AttemptedRequest {
   instance: string;
   sentAt: number;
   endedAt: number | undefined;
@@ -64,17 +69,18 @@
   };
 
   const toCrash = (
-    { fingerprint, instance, sentAt, endedAt }: Attempt,
+    { fingerprint, sharedParts, instance, sentAt, endedAt }: Attempt,
     at: number,
   ): CrashedAttempt => ({
     fingerprint,
+    sharedParts,
     crash: { instance, sentAt, endedAt: Math.min(endedAt ?? at, at) },
   });
 
   return {
-    begin: (fingerprint, instance) => {
+    begin: ({ fingerprint, sharedParts }, instance) => {
       const sentAt = clock.monotonic();
-      const attempt: Attempt = { fingerprint, instance, sentAt, endedAt: undefined };
+      const attempt: Attempt = { fingerprint, sharedParts, instance, sentAt, endedAt: undefined };
       inFlight.add(attempt);
       return {
         recordSurvived: () => {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -125,6 +125,8 @@
   apiKey: string | undefined;
   /** Resume after this event. */
   lastEventId: number | undefined;
+  /** Ids of the parts of the prompt, in order; empty without a prompt. The last part is the request's own. */
+  promptParts: readonly string[];
 }
 
 /** What the header fields of an upstream's response say. */
--- a/packages/gateway/test/support/test-dialect.ts
+++ b/packages/gateway/test/support/test-dialect.ts
@@ -13,6 +13,7 @@
     deadlineMs: number(headers['x-wait']),
     apiKey: first(headers['x-key']),
     lastEventId: number(headers['x-after']),
+    promptParts: first(headers['x-parts'])?.split(',') ?? [],
   }),
   writeAttempt: (headers, fields, bodyBytes) => {
     const kept = headers.flatMap((name, at) => {
