Experiment crashing-part: requests that share a part which crashes upstreams, red

Entries, model servers and callers as processes; nine scenarios. The log of each entry shows one to three crashes a request and no quarantine: hypothesis 1. Each upstream-ended line comes within 100 ms of its crash, which rules out hypothesis 2 as the cause; with all entries up and linked it happens as well, which rules out hypothesis 3 as the only cause.

--- /dev/null
+++ b/packages/lab/src/experiments/crashing-part/figures.ts
@@ -0,0 +1,74 @@
+/** Figures of one scenario, from what callers and upstreams saw. */
+
+import type { PromptCall } from './callers.js';
+
+/** What was observed; all times are monotonic, in ms. */
+export interface Observed {
+  calls: readonly PromptCall[];
+  /** Arrivals at upstreams of requests with a harmful part, with the part. */
+  arrivals: readonly { part: string; at: number }[];
+  crashes: readonly { part: string | undefined; at: number }[];
+  /** When requests with a harmful part, or mass crashes, begin, and when callers stop. */
+  beginsAt: number;
+  endsAt: number;
+  isCompanion: (call: PromptCall) => boolean;
+}
+
+/** Figures of a case; the fields of the same name of the experiment are those of all cases. */
+export interface CaseFigures {
+  entries: number;
+  upstreamsCrashed: number;
+  sentAfterBound: number;
+  soundBegunBefore: number;
+  soundBegunDuring: number;
+  soundRefused: number;
+}
+
+/** Time from which a machine that is calm has to keep the rules, in ms. */
+export const STABILITY_WINDOW_MS = 3_000;
+/** Crashes that a part may cause before it has to be known. */
+const FREE_CRASHES = 5;
+/** Reasons of refusals on account of crashes. */
+const CRASH_REASONS: ReadonlySet<string> = new Set(['quarantined', 'crash-suspect']);
+
+const begunShare = (calls: readonly PromptCall[]): number =>
+  calls.length === 0
+    ? 0
+    : calls.filter(({ status }) => status >= 200 && status < 300).length / calls.length;
+
+/** The crash from which the part has to be known: the fifth of a part, or its last one if there are fewer. */
+const boundCrashAt = ({ crashes }: Observed, part: string): number => {
+  const own = crashes.filter((crash) => crash.part === part);
+  return own[FREE_CRASHES - 1]?.at ?? own.at(-1)?.at ?? Infinity;
+};
+
+/** Computes the figures. */
+export const computeFigures = (observed: Observed, entries: number): CaseFigures => {
+  const { calls, arrivals, crashes, beginsAt, endsAt } = observed;
+  const parts = [...new Set(arrivals.map(({ part }) => part))];
+  const countLate = (part: string): number => {
+    const own = crashes.filter((crash) => crash.part === part);
+    const fifthAt = own[FREE_CRASHES - 1]?.at ?? Infinity;
+    return arrivals.filter(
+      (arrival) => arrival.part === part && arrival.at > fifthAt + STABILITY_WINDOW_MS,
+    ).length;
+  };
+  const sound = calls.filter((call) => !call.request.isHarmful);
+  const companions = sound.filter(observed.isCompanion);
+  const lastBoundAt =
+    parts.length === 0 ? beginsAt : Math.max(...parts.map((part) => boundCrashAt(observed, part)));
+  const duringFrom = lastBoundAt + 2 * STABILITY_WINDOW_MS;
+  const isDuring = ({ sentAt }: PromptCall): boolean => sentAt >= duringFrom && sentAt < endsAt;
+  // Without a harmful part each refusal counts, from the first crash on.
+  const refusedFrom = parts.length === 0 ? beginsAt : duringFrom;
+  return {
+    entries,
+    upstreamsCrashed: crashes.length,
+    sentAfterBound: Math.max(0, ...parts.map(countLate)),
+    soundBegunBefore: begunShare(companions.filter(({ sentAt }) => sentAt < beginsAt)),
+    soundBegunDuring: begunShare(companions.filter(isDuring)),
+    soundRefused: sound.filter(
+      ({ sentAt, reason }) => sentAt >= refusedFrom && CRASH_REASONS.has(reason),
+    ).length,
+  };
+};
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -21,6 +21,7 @@
   'admission',
   'balance',
   'claims',
+  'crashing-part',
   'drain',
   'faults',
   'intent',
--- a/packages/lab/src/harness/child.ts
+++ b/packages/lab/src/harness/child.ts
@@ -37,6 +37,8 @@
   nodeArgs?: string[];
   /** Environment variables added to those of this process. */
   env?: Record<string, string>;
+  /** Called with each line that the process prints after its ready line. */
+  onLine?: (line: string) => void;
   /** Timeout for the ready line. */
   readyTimeoutMs?: number;
 }
@@ -52,15 +54,25 @@
   started.forEach((child) => child.kill('SIGKILL'));
 });
 
-const onFirstLine = (child: ChildProcess, onLine: (line: string) => void): void => {
+/** Calls `onFirst` with the first line, and `onLine`, if it is given, with each later one. */
+const readLines = (
+  child: ChildProcess,
+  onFirst: (line: string) => void,
+  onLine: ((line: string) => void) | undefined,
+): void => {
   let text = '';
+  let hasFirst = false;
   const read = (data: Buffer): void => {
-    text += data.toString('utf8');
-    const end = text.indexOf('\n');
-    if (end < 0) return;
+    const lines = `${text}${data.toString('utf8')}`.split('\n');
+    text = lines.pop() ?? '';
+    lines.forEach((line) => {
+      if (hasFirst) onLine?.(line);
+      else onFirst(line);
+      hasFirst = true;
+    });
+    if (!hasFirst || onLine) return;
     child.stdout?.off('data', read);
     child.stdout?.resume();
-    onLine(text.slice(0, end));
   };
   child.stdout?.on('data', read);
 };
@@ -89,10 +101,11 @@
       clearTimeout(timer);
       fail(`exited before it was ready (${code ?? signal})`);
     });
-    onFirstLine(child, (line) => {
+    const onFirst = (line: string): void => {
       clearTimeout(timer);
       resolve(line);
-    });
+    };
+    readLines(child, onFirst, spec.onLine);
   });
 
 /** Starts a process and waits for its ready line: one JSON object on standard output. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,6 +22,7 @@
 export * from './signal.js';
 export * from './vm-list-stand-in.js';
 export * from './weight-store-stand-in.js';
+export * from './users-platform/model-server.js';
 export * from './users-platform/operator-stand-in.js';
 export * from './users-platform/rank-orders.js';
 export * from './users-platform/server-stand-in.js';
--- a/packages/stand-ins/src/users-platform/operator-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -22,19 +22,21 @@
 
 /**
  * Publishes a desired state for one organisation with the given API keys: routes `/safe/` and
- * `/once/` to the service `book`, and `/gen/` to the engines of the service `llm`.
+ * `/once/` to the service `book`, or to another one if it is given, and `/gen/` to the engines of the
+ * service `llm`.
  */
 export const putDesiredState = (
   store: StoreStandIn,
   version: number,
   keys: readonly string[],
   group: OperatorGroup,
+  plainService: 'book' | 'llm' = 'book',
 ): void =>
   store.put('keyed.op', 'config', {
     version,
     routes: [
-      route('safe', 'safe', 'book'),
-      route('once', 'unsafe', 'book'),
+      route('safe', 'safe', plainService),
+      route('once', 'unsafe', plainService),
       route('gen', 'streaming', 'llm'),
     ],
     services: [
