Quarantine: evidence is kept for the parts of prompts, too

Cause: a harmful request was identified by its whole content, and no two of these requests are alike. Change: crashes are recorded with the parts that other requests may share. A part is a cause when it was in flight in three successive crashes of different requests (four if requests with it had succeeded before), none with it has succeeded since the first of them, and it explains two fifths of the crashes of that time. Crashes that a cause explains don't count for others. Parts that occur in the same requests only are refused only together, so that a sound request with one of them clears it. Entries tell each other crashes and the successes that change what these mean, and each keeps the crashes that it has seen itself in a record on the platform, from the first one on: with records of verdicts only, entries that are killed at the third crash would start anew each time. An attempt counts as begun, and clears its parts, when events follow for 250 ms, or when its upstream still accepts connections after it broke off: in a group the streams of the other ranks break off as well. Ruled out: a verdict that is shared as such (entries with different knowledge accuse different parts, and refused parts can't clear themselves); popularity of parts as a criterion (in a crash of a busy rank most parts are there by chance).

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -35,6 +35,8 @@
     "Times at which a peer had newer records of the platform's log, by topic.",
   gateway_pictures_left_out: 'Snapshots of a topic ignored as too old, by topic.',
   gateway_outdated_entries: "Outdated entries of the platform's list that were ignored.",
+  gateway_parts_quarantined:
+    'Parts of prompts for which requests are refused, as they crash upstreams.',
   gateway_pause_ms: 'Milliseconds between two events of a stream.',
   gateway_quarantine_news_unreadable:
     'Quarantine updates of peers and quarantine records that could not be read.',
--- a/packages/gateway/src/attempts/exit-check.ts
+++ b/packages/gateway/src/attempts/exit-check.ts
@@ -38,17 +38,30 @@
   port: number;
 }
 
-/** Creates the check. It runs once at a time for each upstream, and calls `onExited` if a connection is refused. */
-export const createExitCheck = <Upstream extends UpstreamAddress>(
-  onExited: (upstream: Upstream) => void,
-  connectTo: (host: string, port: number) => Promise<ConnectOutcome>,
-  clock: Clock,
-): ((upstream: Upstream) => Promise<void>) => {
+/** Options of `createExitCheck`. */
+export interface ExitCheckOptions<Upstream> {
+  /** Called if a connection is refused. */
+  onExited: (upstream: Upstream) => void;
+  /** Called if a connection is accepted. */
+  onAlive: (upstream: Upstream) => void;
+  connectTo: (host: string, port: number) => Promise<ConnectOutcome>;
+  clock: Clock;
+}
+
+/** Creates the check. It runs once at a time for each upstream. */
+export const createExitCheck = <Upstream extends UpstreamAddress>({
+  onExited,
+  onAlive,
+  connectTo,
+  clock,
+}: ExitCheckOptions<Upstream>): ((upstream: Upstream) => Promise<void>) => {
   const pendingChecks = new Map<string, Promise<void>>();
 
   const check = async (upstream: Upstream): Promise<void> => {
     await sleep(clock, CHECK_DELAY_MS);
-    if ((await connectTo(upstream.host, upstream.port)) === 'refused') onExited(upstream);
+    const outcome = await connectTo(upstream.host, upstream.port);
+    if (outcome === 'refused') onExited(upstream);
+    if (outcome === 'open') onAlive(upstream);
   };
 
   return (upstream) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,17 +54,19 @@
   });
 
   const quarantine = createQuarantine({
+    node: self.node,
     broadcast: (update) => mesh?.broadcastQuarantine(update),
     publish: options.publishQuarantine,
     clock,
     metrics,
     log,
   });
-  const checkExit = createExitCheck<UpstreamRecord>(
-    (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
-    (host, port) => tryConnect(host, port, clock),
+  const checkExit = createExitCheck<UpstreamRecord>({
+    onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
+    onAlive: quarantine.handleAlive,
+    connectTo: (host, port) => tryConnect(host, port, clock),
     clock,
-  );
+  });
 
   const directory = createDirectory({
     decode: options.decodeUpstream,
--- a/packages/gateway/src/quarantine/quarantine-broadcaster.ts
+++ b/packages/gateway/src/quarantine/quarantine-broadcaster.ts
@@ -3,7 +3,7 @@
 import type { QuarantineUpdate } from './quarantine-update.js';
 
 /** Kinds of reports in a quarantine update. */
-export type ReportKind = 'crashes' | 'quarantined' | 'sound';
+export type ReportKind = Exclude<keyof QuarantineUpdate, 'tried'>;
 
 /** Collects reports and broadcasts them to the other entries in batches. */
 export interface QuarantineBroadcaster {
@@ -29,6 +29,8 @@
   crashes: [],
   quarantined: [],
   sound: [],
+  partCrashes: [],
+  soundParts: [],
   tried: [],
 });
 
--- a/packages/gateway/src/quarantine/quarantine-update.ts
+++ b/packages/gateway/src/quarantine/quarantine-update.ts
@@ -3,6 +3,7 @@
 import { isNumber, isObject } from '@plantaindrum/common';
 import { readList } from '../mesh/read-list.js';
 import { FINGERPRINT_CHARS } from './fingerprint.js';
+import { isPart, isPartList } from './part-record.js';
 
 /** Reports that an upstream ended while a request was in flight there. */
 export interface CrashReport {
@@ -25,11 +26,26 @@
   agoMs: number;
 }
 
+/** Reports that an upstream ended while a request with these parts in its prompt was in flight there. */
+export interface PartCrashReport extends CrashReport {
+  sharedParts: string[];
+  /** Node name of the entry that sent the request. */
+  reporter: string;
+}
+
+/** Reports that a request with this part in its prompt has succeeded. */
+export interface PartSuccessReport {
+  part: string;
+  agoMs: number;
+}
+
 /** Content of one note to a peer. */
 export interface QuarantineUpdate {
   crashes: CrashReport[];
   quarantined: QuarantineReport[];
   sound: SuccessReport[];
+  partCrashes: PartCrashReport[];
+  soundParts: PartSuccessReport[];
   /** All suspect requests under trial at the sender; a trial that is no longer listed has ended. */
   tried: string[];
 }
@@ -58,6 +74,16 @@
 const isCrash = ({ instance, sentAgoMs, endedAgoMs }: Record<string, unknown>): boolean =>
   typeof instance === 'string' && isAge(sentAgoMs) && isAge(endedAgoMs) && sentAgoMs >= endedAgoMs;
 
+const isPartCrash = (report: Record<string, unknown>): boolean =>
+  isCrash(report) && isPartList(report.sharedParts) && typeof report.reporter === 'string';
+
+/** Reads a list of reports that earlier versions don't send. */
+const readNewerReports = <Entry>(
+  value: unknown,
+  isValid: (entry: Record<string, unknown>) => boolean,
+): Entry[] | undefined =>
+  value === undefined ? [] : readList(value, MAX_REPORTS_PER_NOTE, isValid);
+
 /** Reads a quarantine update; undefined when the value isn't one. */
 export const readQuarantineUpdate = (value: unknown): QuarantineUpdate | undefined => {
   if (!isObject(value)) return undefined;
@@ -67,10 +93,18 @@
     ({ sinceAgoMs, leftMs }) => isAge(sinceAgoMs) && isAge(leftMs),
   );
   const sound = readReports<SuccessReport>(value.sound, ({ agoMs }) => isAge(agoMs));
+  const partCrashes = readNewerReports<PartCrashReport>(
+    value.partCrashes,
+    (report) => isFingerprint(report.fingerprint) && isPartCrash(report),
+  );
+  const soundParts = readNewerReports<PartSuccessReport>(
+    value.soundParts,
+    ({ part, agoMs }) => isPart(part) && isAge(agoMs),
+  );
   const { tried } = value;
   if (!Array.isArray(tried) || tried.length > MAX_REPORTS_PER_NOTE || !tried.every(isFingerprint)) {
     return undefined;
   }
-  if (!crashes || !quarantined || !sound) return undefined;
-  return { crashes, quarantined, sound, tried };
+  if (!crashes || !quarantined || !sound || !partCrashes || !soundParts) return undefined;
+  return { crashes, quarantined, sound, partCrashes, soundParts, tried };
 };
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -10,6 +10,8 @@
 import { createQuarantineBroadcaster, emptyQuarantineUpdate } from './quarantine-broadcaster.js';
 import { createRecordWriter } from './record-writer.js';
 import { decodeRecord, encodeRecord } from './record.js';
+import { BEGUN_AFTER_MS, createPartQuarantine } from './part-quarantine.js';
+import { nodeOfPartRecord } from './part-record.js';
 import { createUpstreamAttempts } from './upstream-attempts.js';
 import { createSuspectTrials } from './suspect-trials.js';
 import type { CrashedAttempt } from './upstream-attempts.js';
@@ -17,6 +19,8 @@
 /** Why a request is not sent to an upstream. */
 export type QuarantineRefusal =
   | { reason: 'quarantined'; retryAfterMs: number }
+  /** A part of its prompt crashes upstreams. */
+  | { reason: 'part-quarantined'; parts: readonly string[] }
   /** It is suspect and under trial; the outcome is not known yet. */
   | { reason: 'crash-suspect' };
 
@@ -26,8 +30,8 @@
   recordNotRun(): void;
   /** An event of the stream has been received. */
   recordEvent(): void;
-  /** The complete answer has been received. */
-  complete(): void;
+  /** The complete answer has been received; `status` is undefined for a stream. */
+  complete(status?: number): void;
   /** Whether the upstream is known not to have crashed on the request. */
   hasSurvived(): boolean;
   /** The attempt has ended, for whatever reason. */
@@ -37,7 +41,7 @@
 /** The quarantine of one entry. */
 export interface RequestQuarantine {
   /** Returns why a request may not be sent now; undefined if it may. */
-  refusal(fingerprint: string): QuarantineRefusal | undefined;
+  refusal(fingerprint: string, sharedParts?: readonly string[]): QuarantineRefusal | undefined;
   /** Whether the request was in flight in a crash and is not known to have succeeded. */
   isSuspect(fingerprint: string): boolean;
   begin(
@@ -47,6 +51,8 @@
   ): MonitoredAttempt;
   /** Handles the end of an upstream's process; `proof` says how it was established. */
   handleEnd(upstream: UpstreamStart, proof: EndProof): void;
+  /** Handles that an upstream accepts connections after attempts there have failed. */
+  handleAlive(upstream: UpstreamStart): void;
   /** Handles a quarantine update from a peer, not yet validated. */
   handlePeerUpdate(peer: string, value: unknown): void;
   forgetPeer(peer: string): void;
@@ -64,6 +70,8 @@
 
 /** Options of `createQuarantine`. */
 export interface QuarantineOptions {
+  /** Node name of this entry. */
+  node: string;
   /** Sends an update to all linked entries. */
   broadcast: (update: QuarantineUpdate) => void;
   /** Writes a record under a key, or deletes the key without one; false unless known to have succeeded. */
@@ -83,6 +91,9 @@
 /** Time after which this entry writes the record of a quarantine that a peer reported but hasn't recorded, in ms. */
 const PEER_RECORD_DELAY_MS = 3_000;
 
+/** Status from which an answer is no success. */
+const FIRST_FAILURE_STATUS = 300;
+
 const startId = ({ instance, startedAt }: UpstreamStart): string => `${instance}@${startedAt}`;
 
 /** Creates the quarantine of one entry; it writes quarantine records until `close`. */
@@ -99,6 +110,14 @@
     clock,
   });
 
+  const partQuarantine = createPartQuarantine({
+    node: options.node,
+    broadcaster,
+    clock,
+    metrics,
+    log,
+  });
+
   const elapsedSince = (at: number): number => Math.max(0, clock.monotonic() - at);
 
   const toCrashReport = (
@@ -119,8 +138,9 @@
     return [{ fingerprint, sinceAgoMs: elapsedSince(quarantine.since), leftMs }];
   };
 
-  const recordOf = (fingerprint: string): Uint8Array | undefined => {
-    const [report] = quarantineReports(fingerprint);
+  const recordOf = (key: string): Uint8Array | undefined => {
+    if (key === partQuarantine.recordKey) return partQuarantine.recordValue();
+    const [report] = quarantineReports(key);
     const now = clock.now();
     return report && encodeRecord({ since: now - report.sinceAgoMs, until: now + report.leftMs });
   };
@@ -156,7 +176,12 @@
     writer.write(fingerprint);
   };
 
-  const attempts = createUpstreamAttempts(clock, handleCrash);
+  const handleCrashes = (crashed: readonly CrashedAttempt[]): void => {
+    crashed.forEach(handleCrash);
+    if (partQuarantine.recordCrashed(crashed)) writer.write(partQuarantine.recordKey);
+  };
+
+  const attempts = createUpstreamAttempts(clock, (crashed) => handleCrashes([crashed]));
 
   const handleSuccess = (fingerprint: string): void => {
     if (!evidence.recordSuccess(fingerprint, clock.monotonic())) return;
@@ -190,9 +215,18 @@
       const change = evidence.recordQuarantine(fingerprint, now - sinceAgoMs, now + leftMs);
       if (change.isNew) handlePeerVerdict(fingerprint, change.verdict);
     });
+    partQuarantine.applyPeerReports(peer, update);
     trials.setPeerTrials(peer, update.tried);
   };
 
+  const applyPartRecord = (node: string, { key, value }: KeyedChange): void => {
+    if (value) recorded.add(key);
+    else recorded.delete(key);
+    if (partQuarantine.applyRecord(node, value)) return;
+    metrics.count('gateway_quarantine_news_unreadable');
+    log.event('quarantine-record-unreadable', { key, bytes: value?.length });
+  };
+
   /** Writes the records that a restored log lacks, and deletes the outdated ones that it brought back. */
   const rewriteRecords = (): void => {
     const missing = evidence
@@ -201,11 +235,15 @@
         (fingerprint) =>
           !recorded.has(fingerprint) && evidence.verdict(fingerprint) === 'quarantined',
       );
-    [...missing, ...outdatedRecords].forEach(writer.write);
+    const { recordKey, recordValue } = partQuarantine;
+    const ownPartRecord = recordValue() && !recorded.has(recordKey) ? [recordKey] : [];
+    [...missing, ...ownPartRecord, ...outdatedRecords].forEach(writer.write);
   };
 
   return {
-    refusal: (fingerprint) => {
+    refusal: (fingerprint, sharedParts = []) => {
+      const parts = partQuarantine.causeIn(sharedParts);
+      if (parts) return { reason: 'part-quarantined', parts };
       const verdict = evidence.verdict(fingerprint);
       if (verdict === 'clear') return undefined;
       const [report] = quarantineReports(fingerprint);
@@ -227,6 +265,11 @@
       let firstEventAt: number | undefined;
       let hasSucceeded = false;
       let isRefused = false;
+      let hasBegun = false;
+      const markBegun = (): void => {
+        if (!hasBegun) partQuarantine.recordSuccess(sharedParts, clock.monotonic());
+        hasBegun = true;
+      };
       const markSucceeded = (): void => {
         attempt.recordSurvived();
         if (!hasSucceeded) handleSuccess(fingerprint);
@@ -239,9 +282,17 @@
         },
         recordEvent: () => {
           firstEventAt ??= clock.monotonic();
+          attempt.recordFirstEvent();
+          if (elapsedSince(firstEventAt) >= BEGUN_AFTER_MS) markBegun();
           if (!hasSucceeded && elapsedSince(firstEventAt) >= SUCCESS_AFTER_MS) markSucceeded();
         },
-        complete: markSucceeded,
+        complete: (status) => {
+          // An error or an empty stream doesn't show that the upstream begins an answer on this prompt.
+          const isBegun =
+            status === undefined ? firstEventAt !== undefined : status < FIRST_FAILURE_STATUS;
+          if (isBegun) markBegun();
+          markSucceeded();
+        },
         hasSurvived: () => hasSucceeded || isRefused,
         end: () => {
           attempt.end();
@@ -255,8 +306,13 @@
       const crashed = attempts.handleUpstreamEnded(startId(upstream));
       if (crashed.length === 0) return;
       log.event('upstream-ended', { upstream: startId(upstream), proof, underWay: crashed.length });
-      crashed.forEach(handleCrash);
+      handleCrashes(crashed);
     },
+    handleAlive: (upstream) =>
+      attempts.lostAt(startId(upstream)).forEach(({ sharedParts, firstEventAt, crash }) => {
+        if (firstEventAt === undefined || crash.endedAt - firstEventAt < BEGUN_AFTER_MS) return;
+        partQuarantine.recordSuccess(sharedParts, crash.endedAt);
+      }),
     handlePeerUpdate: (peer, value) => {
       const update = readQuarantineUpdate(value);
       if (update) applyPeerUpdate(peer, update);
@@ -276,11 +332,17 @@
       const quarantined = fingerprints.flatMap(quarantineReports);
       return {
         ...emptyQuarantineUpdate(),
+        ...partQuarantine.fullReports(),
         crashes: crashes.slice(-MAX_REPORTS_PER_NOTE),
         quarantined,
       };
     },
     applyRecord: ({ key, value }) => {
+      const node = nodeOfPartRecord(key);
+      if (node !== undefined) {
+        applyPartRecord(node, { key, value });
+        return;
+      }
       if (value === undefined) {
         recorded.delete(key);
         outdatedRecords.delete(key);
--- a/packages/gateway/src/quarantine/upstream-attempts.ts
+++ b/packages/gateway/src/quarantine/upstream-attempts.ts
@@ -7,6 +7,8 @@
 export interface TrackedAttempt {
   /** Records that the upstream has answered, or refused without running the request: it didn't crash on it. */
   recordSurvived(): void;
+  /** Records the first event of the answer. */
+  recordFirstEvent(): void;
   /** Ends the attempt; unless the upstream is known to have survived, the attempt is remembered for a while. */
   end(): void;
 }
@@ -20,6 +22,8 @@
 
 /** A request that was in flight in a crash. */
 export interface CrashedAttempt extends AttemptedRequest {
+  /** When the first event of the answer was received (monotonic, ms); undefined if none was. */
+  firstEventAt: number | undefined;
   crash: Crash;
 }
 
@@ -28,6 +32,8 @@
   begin(request: AttemptedRequest, instance: string): TrackedAttempt;
   /** Number of attempts with a request that are in flight at this entry. */
   countInFlight(fingerprint: string): number;
+  /** Returns the attempts at an upstream that ended without an answer, of the last seconds. */
+  lostAt(instance: string): CrashedAttempt[];
   /** Records the end of an upstream's process; returns the requests that were in flight there. */
   handleUpstreamEnded(instance: string): CrashedAttempt[];
 }
@@ -45,6 +51,7 @@
 interface Attempt extends AttemptedRequest {
   instance: string;
   sentAt: number;
+  firstEventAt: number | undefined;
   endedAt: number | undefined;
 }
 
@@ -69,23 +76,28 @@
   };
 
   const toCrash = (
-    { fingerprint, sharedParts, instance, sentAt, endedAt }: Attempt,
+    { fingerprint, sharedParts, firstEventAt, instance, sentAt, endedAt }: Attempt,
     at: number,
   ): CrashedAttempt => ({
-    fingerprint,
-    sharedParts,
+    ...{ fingerprint, sharedParts, firstEventAt },
     crash: { instance, sentAt, endedAt: Math.min(endedAt ?? at, at) },
   });
 
   return {
     begin: ({ fingerprint, sharedParts }, instance) => {
       const sentAt = clock.monotonic();
-      const attempt: Attempt = { fingerprint, sharedParts, instance, sentAt, endedAt: undefined };
+      const attempt: Attempt = {
+        ...{ fingerprint, sharedParts, instance, sentAt },
+        ...{ firstEventAt: undefined, endedAt: undefined },
+      };
       inFlight.add(attempt);
       return {
         recordSurvived: () => {
           inFlight.delete(attempt);
         },
+        recordFirstEvent: () => {
+          attempt.firstEventAt ??= clock.monotonic();
+        },
         end: () => {
           if (!inFlight.delete(attempt)) return;
           dropExpired();
@@ -98,6 +110,12 @@
     },
     countInFlight: (fingerprint) =>
       [...inFlight].filter((attempt) => attempt.fingerprint === fingerprint).length,
+    lostAt: (instance) => {
+      const now = clock.monotonic();
+      return [...lost]
+        .filter((attempt) => attempt.instance === instance)
+        .map((attempt) => toCrash(attempt, now));
+    },
     handleUpstreamEnded: (instance) => {
       dropExpired();
       const now = clock.monotonic();
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -51,10 +51,6 @@
 export const urgencyOf = (request: CallerRequest): number =>
   Math.min(MAX_URGENCY, request.organisation?.priority ?? request.route.priority);
 
-/** Parts of a request's prompt that other requests may share: all but its own, the last one. */
-export const sharedPartsOf = ({ fields }: CallerRequest): readonly string[] =>
-  fields.promptParts.slice(0, -1);
-
 /** Starts an attempt; the remaining time of the request is sent with it. */
 export const startAttempt = (
   request: CallerRequest,
@@ -86,7 +82,7 @@
   );
   upstream.begin();
   rateLimits.recordSent(upstream);
-  const run = deps.quarantine.begin(request.fingerprint, record, sharedPartsOf(request));
+  const run = deps.quarantine.begin(request.fingerprint, record, request.sharedParts);
   metrics.count('gateway_attempts', { service: record.service });
   let ended = false;
 
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -30,6 +30,8 @@
 ]);
 
 const MS_PER_SECOND = 1_000;
+/** Delay before a caller retries a request with a part that crashes upstreams, in ms: the evidence lasts this long. */
+const PART_RETRY_DELAY_MS = 600_000;
 
 const retryDelayFor = (reason: RefusalReason): { minMs: number; spreadMs: number } => {
   if (reason === 'stopping') return STOPPING_RETRY_DELAY;
@@ -50,7 +52,11 @@
 export const quarantineRefusal = (refusal: QuarantineRefusal, random: () => number): Refusal => {
   const { reason } = refusal;
   if (reason === 'crash-suspect') return notRun(reason, random);
-  return { reason, status: 503, retryAfterMs: refusal.retryAfterMs };
+  const retryAfterMs =
+    reason === 'quarantined'
+      ? refusal.retryAfterMs
+      : PART_RETRY_DELAY_MS + random() * MS_PER_SECOND;
+  return { reason, status: 503, retryAfterMs };
 };
 
 /** Creates the refusal of a request that may have run: its status doesn't claim that it has not run. */
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -143,7 +143,8 @@
     const outcome = head.outcome === 'answered' ? await handleResponse(attempt, head) : head;
     stopTimer();
     stopWatch();
-    if (outcome.outcome === 'whole' || outcome.outcome === 'streamed') attempt.run.complete();
+    if (outcome.outcome === 'whole') attempt.run.complete(outcome.status);
+    if (outcome.outcome === 'streamed') attempt.run.complete();
     const isAbandoned = isDisconnected || isExpired || isMoving;
     const hasFailed = !isAbandoned && !attempt.run.hasSurvived();
     attempt.end();
@@ -186,7 +187,7 @@
   const stopReason = (): RefusalReason | undefined => {
     if (isExpired) return 'deadline';
     if (progress.runs > 0 && !mayRepeat) return 'upstream-failed';
-    const refusal = quarantine.refusal(request.fingerprint);
+    const refusal = quarantine.refusal(request.fingerprint, request.sharedParts);
     if (refusal) return refusal.reason;
     const sent = progress.runs + progress.notRuns - progress.unsent;
     const isSpent = mayRepeat ? progress.runs >= route.maxAttempts : sent >= route.maxAttempts;
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -133,6 +133,8 @@
       service: pickService(route, random) ?? '',
       body: new Uint8Array(),
       fingerprint: '',
+      // The last part is the request's own.
+      sharedParts: fields.promptParts.slice(0, -1),
       arrivedAt,
       deadlineAt: arrivedAt + waitMs,
       isReturn: isReturning(route, fields.deadlineMs),
@@ -179,11 +181,11 @@
       body: body.body,
       fingerprint: fingerprintOf(contentOf(request, body.body)),
     };
-    const quarantined = context.quarantine.refusal(fullRequest.fingerprint);
+    const { fingerprint, sharedParts } = fullRequest;
+    const quarantined = context.quarantine.refusal(fingerprint, sharedParts);
     if (quarantined) {
-      sendRefusal(quarantineRefusal(quarantined, random), request.route, {
-        fingerprint: fullRequest.fingerprint,
-      });
+      const parts = 'parts' in quarantined ? quarantined.parts.join() : undefined;
+      sendRefusal(quarantineRefusal(quarantined, random), request.route, { fingerprint, parts });
       return;
     }
     const mayProceed = await waitForService(request, arrivedAt, context);
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -43,6 +43,8 @@
   body: Uint8Array;
   /** Identifies the work that is requested; see `fingerprintOf`. */
   fingerprint: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  sharedParts: readonly string[];
   /** When it arrived, and when its response is due at the latest (monotonic, ms). */
   arrivedAt: number;
   deadlineAt: number;
@@ -68,6 +70,8 @@
   | 'attempts-spent'
   /** The request has crashed upstreams that ran it. */
   | 'quarantined'
+  /** Requests with a part of its prompt have crashed upstreams. */
+  | 'part-quarantined'
   /** The request may have crashed upstreams, and is under trial at one. */
   | 'crash-suspect'
   | 'retry-budget-spent'
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -133,6 +133,7 @@
   const updates: QuarantineUpdate[] = [];
   const records = new Map<string, Uint8Array | undefined>();
   const quarantine = createQuarantine({
+    node: 'entry',
     broadcast: (update) => updates.push(update),
     publish: async (key, value) => {
       if (!canPublish()) return false;
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -81,6 +81,7 @@
   const metrics = createMetrics();
   const log = silentEventLog;
   const quarantine = createQuarantine({
+    node: 'entry',
     broadcast: (update) => options.onCrashUpdate?.(update),
     publish: async (key, value) => {
       options.publish?.(key, value);
@@ -90,11 +91,12 @@
     metrics,
     log,
   });
-  const checkExit = createExitCheck<UpstreamRecord>(
-    (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
-    (host, at) => tryConnect(host, at, clock),
+  const checkExit = createExitCheck<UpstreamRecord>({
+    onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
+    onAlive: quarantine.handleAlive,
+    connectTo: (host, at) => tryConnect(host, at, clock),
     clock,
-  );
+  });
   const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
   const routeTable = createRouteTable({
     version: 1,
--- a/packages/lab/src/experiments/crashing-part/figures.ts
+++ b/packages/lab/src/experiments/crashing-part/figures.ts
@@ -29,7 +29,11 @@
 /** Crashes that a part may cause before it has to be known. */
 const FREE_CRASHES = 5;
 /** Reasons of refusals on account of crashes. */
-const CRASH_REASONS: ReadonlySet<string> = new Set(['quarantined', 'crash-suspect']);
+const CRASH_REASONS: ReadonlySet<string> = new Set([
+  'quarantined',
+  'part-quarantined',
+  'crash-suspect',
+]);
 
 const begunShare = (calls: readonly PromptCall[]): number =>
   calls.length === 0
--- a/packages/lab/src/experiments/quarantine.ts
+++ b/packages/lab/src/experiments/quarantine.ts
@@ -102,6 +102,7 @@
 
   const start = (at: number): RequestQuarantine =>
     createQuarantine({
+      node: `e${at}`,
       broadcast: (news) => {
         if (isCutOff(at)) return;
         if (usesNotes) deliver(at, news, LINK_MS);
