Streams and answers without length or chunks: a crash of the upstream doesn't complete them

What callers see: a stream that ends with its connection looks complete though its upstream crashed between two events, or before the first. Cause: the connections of a process that ends close like those of one that has sent all, unless bytes are unread. Change: when such an answer ends, the entry checks that the upstream still accepts connections before it ends the caller's answer as a complete one; an upstream that has announced that it leaves is not checked. Test red before: expected [ 1, 2 ] to deeply equal [ 1, 2, 3 ].

--- a/packages/gateway/src/attempts/exit-check.ts
+++ b/packages/gateway/src/attempts/exit-check.ts
@@ -54,14 +54,15 @@
   onAlive,
   connectTo,
   clock,
-}: ExitCheckOptions<Upstream>): ((upstream: Upstream) => Promise<void>) => {
-  const pendingChecks = new Map<string, Promise<void>>();
+}: ExitCheckOptions<Upstream>): ((upstream: Upstream) => Promise<ConnectOutcome>) => {
+  const pendingChecks = new Map<string, Promise<ConnectOutcome>>();
 
-  const check = async (upstream: Upstream): Promise<void> => {
+  const check = async (upstream: Upstream): Promise<ConnectOutcome> => {
     await sleep(clock, CHECK_DELAY_MS);
     const outcome = await connectTo(upstream.host, upstream.port);
     if (outcome === 'refused') onExited(upstream);
     if (outcome === 'open') onAlive(upstream);
+    return outcome;
   };
 
   return (upstream) => {
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -29,6 +29,11 @@
   head: Promise<AttemptResponse | AttemptFailure>;
   bodyEnd: Exchange['bodyEnd'];
   readBody: Exchange['readBody'];
+  /**
+   * Whether the upstream's process exited although it had not announced that. The connections of a process that crashes
+   * may close like those of a complete response, and only its length or chunks tell the two apart.
+   */
+  hasUpstreamExited(): Promise<boolean>;
   /** Reports to the quarantine how this attempt ends. */
   run: MonitoredAttempt;
   abort(): void;
@@ -149,5 +154,8 @@
   };
 
   const { bodyEnd, readBody } = exchange;
-  return { upstream, head, bodyEnd, readBody, run, abort: end, end };
+  const hasUpstreamExited = async (): Promise<boolean> =>
+    upstream.record.state === 'ready' && (await deps.checkExit(upstream.record)) === 'refused';
+
+  return { upstream, head, bodyEnd, readBody, hasUpstreamExited, run, abort: end, end };
 };
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -7,7 +7,7 @@
 import { onCallerDisconnected } from './caller-disconnected.js';
 import { createRequestCompletion } from './request-completion.js';
 import type { AttemptProgress, FullResponse } from './request-completion.js';
-import { endToEnd } from './response-headers.js';
+import { endToEnd, hasFraming } from './response-headers.js';
 import type { CallerRequest, RefusalReason, ServingDeps } from './types.js';
 import { waitForService } from './wait-for-service.js';
 
@@ -64,8 +64,10 @@
 export const readFullResponse: HandleResponse = async (attempt, response) => {
   const body = await attempt.readBody(response.res, MAX_RESPONSE_BYTES);
   if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
-  const { headers } = response.res;
-  const isFramed = ['content-length', 'transfer-encoding'].some((name) => name in headers);
+  const isFramed = hasFraming(response.res);
+  if (!isFramed && (await attempt.hasUpstreamExited())) {
+    return { outcome: 'unknown', why: 'upstream-ended' };
+  }
   return {
     outcome: 'whole',
     status: response.status,
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -5,7 +5,7 @@
 import { createEventSplitter, isOversized } from '../streams/events.js';
 import type { StreamEvent } from '../streams/events.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
-import { endToEnd, sendHead } from './response-headers.js';
+import { endToEnd, hasFraming, sendHead } from './response-headers.js';
 import { createRetryLoop, readFullResponse } from './retry-loop.js';
 import type { AttemptOutcome, TryMove } from './retry-loop.js';
 import type { CallerRequest, ServingDeps } from './types.js';
@@ -140,7 +140,9 @@
     const end = await ended;
     if (fault !== undefined) return fault;
     if (end === 'broken') return 'stream-broke-off';
-    return splitter.pending() > 0 ? 'event-cut' : undefined;
+    if (splitter.pending() > 0) return 'event-cut';
+    const mayBeCut = !hasFraming(response.res) && (await attempt.hasUpstreamExited());
+    return mayBeCut ? 'upstream-ended' : undefined;
   };
 
   return loop.run(async (attempt, response): Promise<AttemptOutcome> => {
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -2,6 +2,7 @@
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import type { Admission } from '../admission/admission.js';
 import type { ServiceOutages } from '../admission/service-outages.js';
+import type { ConnectOutcome } from '../attempts/exit-check.js';
 import type { RouteTable } from '../intent/route-table.js';
 import type { RequestQuarantine } from '../quarantine/index.js';
 import type { RetryBudget } from '../retry/budget.js';
@@ -18,8 +19,8 @@
   rateLimits: RateLimits;
   outages: ServiceOutages;
   quarantine: RequestQuarantine;
-  /** Checks whether the upstream's process has exited, after an attempt there failed without a response. */
-  checkExit: (upstream: UpstreamRecord) => Promise<void>;
+  /** Checks whether the upstream's process has exited, after a response there has failed or may have. */
+  checkExit: (upstream: UpstreamRecord) => Promise<ConnectOutcome>;
   /** Number of entries that may be running, including this one. */
   entries: () => number;
   clock: Clock;
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -1,6 +1,12 @@
 import { expect } from 'chai';
-import { refuseNotRun, validHeaders, streamEvents } from './support/fake-upstream.js';
-import type { Handler } from './support/fake-upstream.js';
+import { startEntry } from './support/entry.js';
+import {
+  refuseNotRun,
+  startFakeUpstream,
+  streamEvents,
+  validHeaders,
+} from './support/fake-upstream.js';
+import type { FakeUpstream, Handler } from './support/fake-upstream.js';
 import { eventIdsOf, countRequests, streamRoute, wait, withEntry } from './support/with-entry.js';
 
 describe('serving a stream', () => {
@@ -71,6 +77,48 @@
     });
   });
 
+  // A process that crashes closes its connections like one that has sent its whole answer, if that has no chunks.
+  it('resumes a stream without chunks whose upstream has ended between two events', async () => {
+    const upstreams: FakeUpstream[] = [];
+    const cutAfter =
+      (n: number): Handler =>
+      (req, res) => {
+        res.useChunkedEncodingByDefault = false;
+        streamEvents([1, 2], 'whole')(req, res);
+        void upstreams[n]?.close();
+      };
+    const rest = streamEvents([3], 'whole');
+    let isFirst = true;
+    const handler =
+      (n: number): Handler =>
+      (req, res) => {
+        (isFirst ? cutAfter(n) : rest)(req, res);
+        isFirst = false;
+      };
+    upstreams.push(await startFakeUpstream(handler(0)), await startFakeUpstream(handler(1)));
+    const entry = await startEntry({ upstreams, route: streamRoute });
+    try {
+      const response = await entry.send();
+      expect(eventIdsOf(response.body)).to.deep.equal([1, 2, 3]);
+      expect(response.isComplete).to.equal(true);
+    } finally {
+      await entry.close();
+    }
+  });
+
+  it('ends a stream without chunks whose upstream goes on running', async () => {
+    const handler: Handler = (req, res) => {
+      res.useChunkedEncodingByDefault = false;
+      streamEvents([1, 2], 'whole')(req, res);
+    };
+    await withEntry([handler, handler], { route: streamRoute }, async (entry, upstreams) => {
+      const response = await entry.send();
+      expect(eventIdsOf(response.body)).to.deep.equal([1, 2]);
+      expect(response.isComplete).to.equal(true);
+      expect(countRequests(upstreams)).to.equal(1);
+    });
+  });
+
   it('tells a caller that nothing ran when the stream was refused before its first event', async () => {
     await withEntry([refuseNotRun], { route: streamRoute }, async (entry) => {
       const response = await entry.send();
