Quarantine: an error answer of an upstream is no success of the request

What callers saw: nothing yet; found while looking for the same cause elsewhere. A request that crashes upstreams stays unknown while some upstreams fail part of their requests with errors: each error cleared its evidence. Cause: any complete answer counted as a success, also a 5xx, which shows only that this upstream survived. Change: answers from 500 on no longer clear a request. The observation of one attempt is a module of its own. Test red before: expected undefined to equal 'quarantined'.

--- a/packages/gateway/src/quarantine/part-quarantine.ts
+++ b/packages/gateway/src/quarantine/part-quarantine.ts
@@ -1,6 +1,7 @@
 /** Refuses requests with parts of prompts that crash upstreams, and shares the evidence with the other entries. */
 
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
+import { BEGUN_AFTER_MS } from './monitored-attempt.js';
 import { createPartEvidence } from './part-evidence.js';
 import type { PartCrash } from './part-evidence.js';
 import {
@@ -28,6 +29,8 @@
    * entry's record.
    */
   recordCrashed(attempts: readonly CrashedAttempt[]): boolean;
+  /** Records attempts that broke off at an upstream that goes on running. */
+  recordBroken(attempts: readonly CrashedAttempt[]): void;
   /** Records that a request with these parts succeeded at a time (monotonic, ms). */
   recordSuccess(sharedParts: readonly string[], at: number): void;
   applyPeerReports(peer: string, reports: PartReports): void;
@@ -50,11 +53,6 @@
   log: EventLog;
 }
 
-/**
- * Time after its first event from which an attempt proves that its upstream doesn't crash on the prompt, in ms. The
- * first event may still arrive from an upstream that crashes when it begins an answer.
- */
-export const BEGUN_AFTER_MS = 250;
 /**
  * Attempts that ended longer before the last one at an upstream ended for another reason than its crash, in ms: a crash
  * resets all connections at once.
@@ -109,6 +107,12 @@
       broadcaster.add('soundParts', { part, agoMs: ageOf(at) });
     });
 
+  /** Records the success of those attempts that had begun before they broke off. */
+  const recordBegun = (attempts: readonly CrashedAttempt[]): void =>
+    attempts
+      .filter(wasBegun)
+      .forEach(({ sharedParts, crash }) => recordSuccess(sharedParts, crash.endedAt));
+
   /** Tells the peers of successes that change what a report means, and that its sender doesn't know of. */
   const answerReports = ({ partCrashes, soundParts }: PartReports): void => {
     const now = clock.monotonic();
@@ -131,9 +135,7 @@
     causeIn: (sharedParts) => evidence.causeIn(sharedParts),
     recordCrashed: (attempts) => {
       const lastEndedAt = Math.max(...attempts.map(({ crash }) => crash.endedAt));
-      attempts.filter(wasBegun).forEach(({ sharedParts, crash }) => {
-        recordSuccess(sharedParts, crash.endedAt);
-      });
+      recordBegun(attempts);
       const crashes = attempts
         .filter((attempt) => !wasBegun(attempt))
         .filter(({ crash }) => crash.endedAt >= lastEndedAt - CRASH_SPREAD_MS)
@@ -148,6 +150,7 @@
       soundPartsOf(crashes).forEach((sound) => broadcaster.add('soundParts', sound));
       return crashes.length > 0;
     },
+    recordBroken: recordBegun,
     recordSuccess,
     applyPeerReports: (peer, reports) => {
       const now = clock.monotonic();
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -10,7 +10,9 @@
 import { createQuarantineBroadcaster, emptyQuarantineUpdate } from './quarantine-broadcaster.js';
 import { createRecordWriter } from './record-writer.js';
 import { decodeRecord, encodeRecord } from './record.js';
-import { BEGUN_AFTER_MS, createPartQuarantine } from './part-quarantine.js';
+import { createMonitoredAttempt } from './monitored-attempt.js';
+import type { MonitoredAttempt } from './monitored-attempt.js';
+import { createPartQuarantine } from './part-quarantine.js';
 import { nodeOfPartRecord } from './part-record.js';
 import { createUpstreamAttempts } from './upstream-attempts.js';
 import { createSuspectTrials } from './suspect-trials.js';
@@ -24,20 +26,6 @@
   /** It is suspect and under trial; the outcome is not known yet. */
   | { reason: 'crash-suspect' };
 
-/** One attempt, as observed by the quarantine. */
-export interface MonitoredAttempt {
-  /** The upstream refused without running the request. */
-  recordNotRun(): void;
-  /** An event of the stream has been received. */
-  recordEvent(): void;
-  /** The complete answer has been received; `status` is undefined for a stream. */
-  complete(status?: number): void;
-  /** Whether the upstream is known not to have crashed on the request. */
-  hasSurvived(): boolean;
-  /** The attempt has ended, for whatever reason. */
-  end(): void;
-}
-
 /** The quarantine of one entry. */
 export interface RequestQuarantine {
   /** Returns why a request may not be sent now; undefined if it may. */
@@ -81,19 +69,11 @@
   log: EventLog;
 }
 
-/**
- * Time after its first event from which a stream counts as a success, in ms. An upstream may crash on the first token
- * that it makes; one that keeps sending events for this long doesn't crash on the request.
- */
-const SUCCESS_AFTER_MS = 500;
 /** Number of crashes from which only one entry at a time may send a suspect request. */
 const EXCLUSIVE_TRIAL_CRASHES = 2;
 /** Time after which this entry writes the record of a quarantine that a peer reported but hasn't recorded, in ms. */
 const PEER_RECORD_DELAY_MS = 3_000;
 
-/** Status from which an answer is no success. */
-const FIRST_FAILURE_STATUS = 300;
-
 const startId = ({ instance, startedAt }: UpstreamStart): string => `${instance}@${startedAt}`;
 
 /** Creates the quarantine of one entry; it writes quarantine records until `close`. */
@@ -261,46 +241,17 @@
         trials.begin(fingerprint);
         broadcaster.schedule();
       }
-      const attempt = attempts.begin({ fingerprint, sharedParts }, startId(upstream));
-      let firstEventAt: number | undefined;
-      let hasSucceeded = false;
-      let isRefused = false;
-      let hasBegun = false;
-      const markBegun = (): void => {
-        if (!hasBegun) partQuarantine.recordSuccess(sharedParts, clock.monotonic());
-        hasBegun = true;
-      };
-      const markSucceeded = (): void => {
-        attempt.recordSurvived();
-        if (!hasSucceeded) handleSuccess(fingerprint);
-        hasSucceeded = true;
-      };
-      return {
-        recordNotRun: () => {
-          isRefused = true;
-          attempt.recordSurvived();
-        },
-        recordEvent: () => {
-          firstEventAt ??= clock.monotonic();
-          attempt.recordFirstEvent();
-          if (elapsedSince(firstEventAt) >= BEGUN_AFTER_MS) markBegun();
-          if (!hasSucceeded && elapsedSince(firstEventAt) >= SUCCESS_AFTER_MS) markSucceeded();
-        },
-        complete: (status) => {
-          // An error or an empty stream doesn't show that the upstream begins an answer on this prompt.
-          const isBegun =
-            status === undefined ? firstEventAt !== undefined : status < FIRST_FAILURE_STATUS;
-          if (isBegun) markBegun();
-          markSucceeded();
-        },
-        hasSurvived: () => hasSucceeded || isRefused,
-        end: () => {
-          attempt.end();
+      return createMonitoredAttempt({
+        attempt: attempts.begin({ fingerprint, sharedParts }, startId(upstream)),
+        onBegun: () => partQuarantine.recordSuccess(sharedParts, clock.monotonic()),
+        onSuccess: () => handleSuccess(fingerprint),
+        onEnd: () => {
           if (!isExclusiveTrial) return;
           trials.end(fingerprint);
           broadcaster.schedule();
         },
-      };
+        clock,
+      });
     },
     handleEnd: (upstream, proof) => {
       const crashed = attempts.handleUpstreamEnded(startId(upstream));
@@ -308,11 +259,7 @@
       log.event('upstream-ended', { upstream: startId(upstream), proof, underWay: crashed.length });
       handleCrashes(crashed);
     },
-    handleAlive: (upstream) =>
-      attempts.lostAt(startId(upstream)).forEach(({ sharedParts, firstEventAt, crash }) => {
-        if (firstEventAt === undefined || crash.endedAt - firstEventAt < BEGUN_AFTER_MS) return;
-        partQuarantine.recordSuccess(sharedParts, crash.endedAt);
-      }),
+    handleAlive: (upstream) => partQuarantine.recordBroken(attempts.lostAt(startId(upstream))),
     handlePeerUpdate: (peer, value) => {
       const update = readQuarantineUpdate(value);
       if (update) applyPeerUpdate(peer, update);
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -220,6 +220,21 @@
     expect(reported).to.deep.equal([HARMFUL]);
   });
 
+  // A request crashes an upstream, gets an error from one that fails half of its requests without running them, and
+  // crashes the next one. If the error cleared it, it would never be quarantined.
+  it('does not take an error answer for a success', async () => {
+    const clock = clockForNodes();
+    const node = startNode(clock);
+    for (const instance of ['a', 'b', 'c']) {
+      const failed = node.quarantine.begin(HARMFUL, start(`failing-${instance}`));
+      failed.complete(500);
+      expect(failed.hasSurvived()).to.equal(true);
+      failed.end();
+      await crashAt(node, clock, instance);
+    }
+    expect(node.quarantine.refusal(HARMFUL)?.reason).to.equal('quarantined');
+  });
+
   // All ranks lose power while 300 different requests are in flight. Each is sent again and must be served.
   it('refuses no request that was in flight when all upstreams ended together', async () => {
     const clock = clockForNodes();
