Experiment hot-entry: most new connections come to one of four entries

Real processes; 80 requests a second, nine tenths of them at one entry, each on a new connection, with answers that end with their connection at half of the upstreams.

--- a/packages/lab/src/experiments/crashing-part/callers.ts
+++ b/packages/lab/src/experiments/crashing-part/callers.ts
@@ -21,7 +21,7 @@
 export interface PromptCallers {
   calls: readonly PromptCall[];
   /** Sends a request to an entry, once. */
-  send(entryIp: string, prompt: PromptRequest): void;
+  send(entryIp: string, prompt: PromptRequest, connection?: 'kept' | 'new'): void;
   /** Waits for all requests, and closes the connections. */
   close(): Promise<void>;
 }
@@ -35,7 +35,12 @@
   const calls: PromptCall[] = [];
   const pending = new Set<Promise<void>>();
 
-  const sendOnce = (entryIp: string, prompt: PromptRequest, call: PromptCall): Promise<void> =>
+  const sendOnce = (
+    entryIp: string,
+    prompt: PromptRequest,
+    call: PromptCall,
+    connection: 'kept' | 'new',
+  ): Promise<void> =>
     new Promise((resolve) => {
       const headers = {
         ...callerHeaders(call.id, prompt.key, WAIT_MS),
@@ -43,7 +48,8 @@
       };
       const path = `/${prompt.kind}/${call.id}`;
       const target = { host: entryIp, port: SITE_PORTS.callers, path, method: 'POST', headers };
-      const req = request({ ...target, agent, timeout: 2 * WAIT_MS }, (res) => {
+      const options = { ...target, agent: connection === 'kept' && agent, timeout: 2 * WAIT_MS };
+      const req = request(options, (res) => {
         const chunks: Buffer[] = [];
         Object.assign(call, { status: res.statusCode ?? 0 });
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -62,12 +68,12 @@
 
   return {
     calls,
-    send: (entryIp, prompt) => {
+    send: (entryIp, prompt, connection = 'kept') => {
       const sentAt = performance.now();
       const id = `c${calls.length + 1}`;
       const call = { id, request: prompt, sentAt, status: 0, reason: '', isComplete: false };
       calls.push(call);
-      const sent = sendOnce(entryIp, prompt, call);
+      const sent = sendOnce(entryIp, prompt, call, connection);
       pending.add(sent);
       void sent.then(() => pending.delete(sent));
     },
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -24,6 +24,7 @@
   'crashing-part',
   'drain',
   'faults',
+  'hot-entry',
   'intent',
   'overload',
   'overload-processes',
