Soak: a part of prompts that crashes servers, answers without framing, most calls at one entry

Each soak now has calls whose prompts share a part on which model servers crash (they are back after 0.7 s under the same id), a quarter of the answers end with their connection, and for a part of the time most calls go to one entry. Calls with the part don't count as cut by a planned stop, as the server breaks them off.

--- a/packages/lab/src/soak/callers.ts
+++ b/packages/lab/src/soak/callers.ts
@@ -2,8 +2,8 @@
 
 import { request } from 'node:http';
 import type { Random } from '@plantaindrum/common';
-import { callerHeaders, hasServerStamp } from '@plantaindrum/stand-ins';
-import { SOAK_PORTS } from './soak-site.js';
+import { callerHeaders, hasServerStamp, promptHeaders } from '@plantaindrum/stand-ins';
+import { CRASH_PART, SOAK_PORTS } from './soak-site.js';
 import type { Vm, SoakSite } from './soak-site.js';
 
 /** Kind of a request, named as the route that serves it. */
@@ -27,24 +27,40 @@
   isWhole: boolean;
   /** Whether the connection was established. */
   isConnected: boolean;
+  /** Whether its prompt has the part on which servers crash. */
+  isHarmful: boolean;
 }
 
+/** Parts of prompts that calls share. */
+const SHARED_PARTS = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6'];
+const OWN_PART_DIGITS = 8;
+
 const KINDS: readonly CallKind[] = ['safe', 'once', 'gen'];
 /** Time that a caller declares to wait: a little more than its route's. */
 const DECLARED_WAIT_MS = 3_010;
 const TIMEOUT_MS = 6_000;
 const MS_PER_S = 1_000;
 
-const sendRequest = (vm: Vm, kind: CallKind, id: string, key: string): Promise<SoakCall> =>
+const sendRequest = (
+  vm: Vm,
+  kind: CallKind,
+  id: string,
+  key: string,
+  parts: readonly string[],
+): Promise<SoakCall> =>
   new Promise((resolve) => {
     const sentAt = performance.now();
     const call: SoakCall = {
       ...{ id, kind, key, entry: vm.name, boot: vm.boot, sentAt, endedAt: sentAt },
       ...{ status: 0, hasReceipt: false, body: '', isWhole: false, isConnected: false },
+      isHarmful: parts.includes(CRASH_PART),
     };
     const end = (response: Partial<SoakCall>): void =>
       resolve({ ...call, ...response, endedAt: performance.now() });
-    const headers = callerHeaders(id, key, DECLARED_WAIT_MS);
+    const headers = {
+      ...callerHeaders(id, key, DECLARED_WAIT_MS),
+      ...(parts.length > 0 ? promptHeaders(parts) : {}),
+    };
     const target = {
       host: vm.ip,
       port: SOAK_PORTS.callers,
@@ -83,6 +99,10 @@
   sendCall(vm: Vm, kind: CallKind, key: string): Promise<SoakCall>;
   /** Changes the number of calls a second. */
   setRate(perSecond: number): void;
+  /** Sets the fraction of the calls with a prompt that have the part on which servers crash. */
+  setHarmfulFraction(fraction: number): void;
+  /** Sets the fraction of the calls that all go to the same entry. */
+  setHotFraction(fraction: number): void;
   /** Stops sending and waits for the pending calls. */
   stop(): Promise<void>;
 }
@@ -98,17 +118,27 @@
   const calls: SoakCall[] = [];
   const pending = new Set<Promise<unknown>>();
   let n = 0;
+  let harmfulFraction = 0;
+  let hotFraction = 0;
+
+  const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(random() * from.length)];
+  /** A prompt of two shared parts and one of its own, or in a few requests of three shared ones. */
+  const drawParts = (): string[] => [
+    pick(SHARED_PARTS) ?? '',
+    ...(random() < harmfulFraction ? [CRASH_PART] : []),
+    pick(SHARED_PARTS) ?? '',
+    n.toString(16).padStart(OWN_PART_DIGITS, '0'),
+  ];
 
   const sendCall = async (vm: Vm, kind: CallKind, key: string): Promise<SoakCall> => {
     n += 1;
-    const call = await sendRequest(vm, kind, `c${n}`, key);
+    const call = await sendRequest(vm, kind, `c${n}`, key, kind === 'gen' ? drawParts() : []);
     calls.push(call);
     return call;
   };
-  const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(random() * from.length)];
 
   const sendNext = (): void => {
-    const vm = pick(entries);
+    const vm = random() < hotFraction ? entries[0] : pick(entries);
     const kind = pick(KINDS);
     const key = pick(keys);
     if (!vm || !kind || key === undefined) return;
@@ -125,6 +155,12 @@
       clearInterval(timer);
       timer = setInterval(sendNext, MS_PER_S / next);
     },
+    setHarmfulFraction: (fraction) => {
+      harmfulFraction = fraction;
+    },
+    setHotFraction: (fraction) => {
+      hotFraction = fraction;
+    },
     stop: async () => {
       clearInterval(timer);
       await Promise.all(pending);
--- a/packages/lab/src/soak/checks.ts
+++ b/packages/lab/src/soak/checks.ts
@@ -58,6 +58,7 @@
       calls
         .filter(
           (call) =>
+            !call.isHarmful &&
             call.entry === stop.on &&
             call.boot === stop.boot &&
             call.isConnected &&
--- a/packages/lab/src/soak/soak-site.ts
+++ b/packages/lab/src/soak/soak-site.ts
@@ -47,6 +47,9 @@
   close(): Promise<void>;
 }
 
+/** Part of prompts on which the servers crash. */
+export const CRASH_PART = 'bad0';
+
 /** Ports of all programs of the soak; each program has a loopback address of its own. */
 export const SOAK_PORTS = { callers: 19_227, readiness: 19_220, links: 19_340, engine: 19_228 };
 
@@ -108,8 +111,12 @@
     const rankPosition = rank === undefined ? undefined : { group, rank };
     const server = await startServerStandIn(listen, instance, rankPosition);
     const write = (): void =>
-      listServer(store, instance, service, `${ip}:${SOAK_PORTS.engine}`, { sequence: heartbeats });
+      listServer(store, instance, service, `${ip}:${SOAK_PORTS.engine}`, {
+        sequence: heartbeats,
+        born: server.startedAt(),
+      });
     serverRecordWriters.push(write);
+    server.crashOnPart(CRASH_PART, write);
     write();
     return server;
   };
--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -6,6 +6,7 @@
 import type { Callers } from './callers.js';
 import { findServedRevokedKeys, findSoakViolations } from './checks.js';
 import type { Violation } from './checks.js';
+import { findCrashViolations } from './crash-check.js';
 import { startFaults } from './faults.js';
 import { findLimitViolations } from './limit-check.js';
 import { findLostVersionViolations } from './lost-version.js';
@@ -50,6 +51,12 @@
 const KILLS_IN_A_ROW = 3;
 /** The operators' limit on retries, at its highest: settings are changed during a soak. */
 const RETRY_LIMIT = { ratio: 0.2, windowMs: 10_000, allowance: MAX_RETRY_ALLOWANCE };
+/** Fraction of the calls with a prompt on which servers crash. */
+const HARMFUL_FRACTION = 0.15;
+/** Fraction of the calls that go to one entry for a part of the soak. */
+const HOT_FRACTION = 0.85;
+/** Fraction of the answers that end with their connection. */
+const UNFRAMED_FRACTION = 0.25;
 const KEPT_KEY = 'key-a';
 const REVOKED_KEY = 'key-b';
 /** Revoked by the last change, after the store was restored from an older copy. */
@@ -101,7 +108,11 @@
   try {
     await delay(STARTUP_MS);
     const keys = [KEPT_KEY, REVOKED_KEY];
+    const unframedRandom = createSeededRandom(seed + 2);
     const callers = startCallers(site, createSeededRandom(seed), CALLS_PER_SECOND, keys);
+    site.servers.forEach((server) =>
+      server.omitFraming(() => unframedRandom() < UNFRAMED_FRACTION),
+    );
     const faults = startFaults(site, createSeededRandom(seed + 1), FAULT_EVERY_MS);
     const killsInARow = (async (): Promise<void> => {
       callers.setRate(BURST_PER_SECOND);
@@ -113,10 +124,13 @@
       await lost;
       callers.setRate(CALLS_PER_SECOND);
     })();
+    callers.setHarmfulFraction(HARMFUL_FRACTION);
     await delay(lengthMs * LIMIT_AT_FRACTION);
+    callers.setHotFraction(HOT_FRACTION);
     const advertisedAt = performance.now();
     site.limitedServer.advertiseLimit(LIMIT_PER_S);
     await delay(lengthMs * (REVOKE_AT_FRACTION - LIMIT_AT_FRACTION));
+    callers.setHotFraction(0);
     site.putIntent(2, [KEPT_KEY, LAST_REVOKED_KEY]);
     // The store may return an old version again, which the programs must not apply.
     await delay(lengthMs * (1 - REVOKE_AT_FRACTION) * 0.5);
@@ -126,6 +140,7 @@
     await restored;
     site.putIntent(3, [KEPT_KEY]);
     await killsInARow;
+    callers.setHarmfulFraction(0);
     await faults.stop();
     const recoveryViolations = await findRecoveryViolations(site, callers);
     const versions = { firstVersion: 4, keptKey: KEPT_KEY };
@@ -138,6 +153,14 @@
         callers.calls,
         faults.injected,
       ),
+      ...findCrashViolations(
+        {
+          arrivals: site.servers.flatMap(({ arrivals }) => arrivals),
+          crashes: site.servers.flatMap(({ crashes }) => crashes),
+        },
+        callers.calls,
+        faults.injected,
+      ),
       ...findServedRevokedKeys(callers.calls, REVOKED_KEY),
       ...findRetryViolations(trafficOf(site, callers, 'book'), RETRY_LIMIT),
       ...findRetryViolations(trafficOf(site, callers, 'llm'), RETRY_LIMIT),
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -24,6 +24,7 @@
 export * from './weight-store-stand-in.js';
 export * from './users-platform/model-server.js';
 export * from './users-platform/operator-stand-in.js';
+export * from './users-platform/prompt-headers.js';
 export * from './users-platform/rank-orders.js';
 export * from './users-platform/server-stand-in.js';
 export * from './users-platform/store-stand-in.js';
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { promptPartsOf } from './prompt-headers.js';
 import { evaluateRankOrder } from './rank-orders.js';
 
 /** State of the rank that the stand-in simulates. */
@@ -137,6 +138,9 @@
 const FIRST_START_MS = 1_796_000_000_000;
 const RESTART_DELAY_MS = 1_500;
 
+/** Time from a crash until the server listens again, in milliseconds. */
+const CRASH_MS = 700;
+
 /** A running server. */
 export interface ServerStandIn {
   /** Ids of the requests that were executed. */
@@ -147,6 +151,17 @@
   advertiseLimit(perSecond: number | undefined): void;
   /** Sets whether the response to an executed request is lost: its connection is reset instead. */
   loseAnswers(isLost: () => boolean): void;
+  /** Sets whether an answer has neither a length nor chunks and ends with its connection. */
+  omitFraming(isOmitted: () => boolean): void;
+  /**
+   * Has the server crash on requests whose prompt has this part: its connections are reset, and it refuses new ones until
+   * it has restarted. Calls `onRestart` after each restart.
+   */
+  crashOnPart(part: string | undefined, onRestart: () => void): void;
+  /** Times of the crashes (monotonic, in milliseconds). */
+  crashes: readonly number[];
+  /** Unix time of the current start, in milliseconds. */
+  startedAt(): number;
   /**
    * Simulates a crash and restart under the same instance id: holds and selection counts are lost.
    */
@@ -166,6 +181,11 @@
   const arrivals: { id: string; at: number }[] = [];
   let limit: Record<string, string> = {};
   let isAnswerLost = (): boolean => false;
+  let isFramingOmitted = (): boolean => false;
+  let crashPart: { part: string | undefined; onRestart: () => void } | undefined;
+  const crashes: number[] = [];
+  const server: Server = createServer();
+  let isClosed = false;
   let startedAt = FIRST_START_MS;
   let lastHeaders: IncomingMessage['headers'] = {};
   const state = group?.group.ranks[group.rank];
@@ -191,6 +211,23 @@
         }
       : { born: startedAt, step: state?.step, epoch: state?.epoch, counts: state?.counts };
 
+  const restart = (): void => {
+    startedAt += RESTART_DELAY_MS;
+    group?.group.reform(group.rank);
+  };
+
+  const crash = (): void => {
+    crashes.push(performance.now());
+    server.close();
+    server.closeAllConnections();
+    restart();
+    setTimeout(() => {
+      if (isClosed) return;
+      server.listen(listen.port, listen.host);
+      crashPart?.onRestart();
+    }, CRASH_MS);
+  };
+
   const handleRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const id = String(req.headers['x-request-id']);
     arrivals.push({ id, at: performance.now() });
@@ -200,10 +237,15 @@
       return;
     }
     executedIds.push(id);
+    if (crashPart?.part !== undefined && promptPartsOf(req).includes(crashPart.part)) {
+      crash();
+      return;
+    }
     if (isAnswerLost()) {
       req.socket.resetAndDestroy();
       return;
     }
+    if (isFramingOmitted()) res.useChunkedEncodingByDefault = false;
     const successHeaders = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}`, ...limit };
     if (!group) {
       res.writeHead(200, { ...successHeaders, 'X-Server-Load': '1,0,6' }).end('done');
@@ -225,7 +267,7 @@
     } else reply(res, executeOrder(state, group.rank, JSON.parse(body) as Order));
   };
 
-  const server: Server = createServer((req, res) => {
+  server.on('request', (req, res) => {
     void serve(req, res);
   });
   await new Promise<void>((resolve) => {
@@ -240,13 +282,19 @@
     loseAnswers: (isLost) => {
       isAnswerLost = isLost;
     },
-    restart: () => {
-      startedAt += RESTART_DELAY_MS;
-      group?.group.reform(group.rank);
+    omitFraming: (isOmitted) => {
+      isFramingOmitted = isOmitted;
+    },
+    crashOnPart: (part, onRestart) => {
+      crashPart = { part, onRestart };
     },
+    crashes,
+    startedAt: () => startedAt,
+    restart,
     lastHeaders: () => lastHeaders,
     close: () =>
       new Promise((resolve) => {
+        isClosed = true;
         server.close(() => resolve());
         server.closeAllConnections();
       }),
