--- a/packages/lab/src/experiments/crashing-part.ts
+++ b/packages/lab/src/experiments/crashing-part.ts
@@ -3,6 +3,7 @@
  * requests are alike: how many reach upstreams, and how sound requests that share their other parts fare.
  */
 
+import { measureCost } from './crashing-part/cost.js';
 import type { CaseFigures } from './crashing-part/figures.js';
 import { playScenario } from './crashing-part/play.js';
 import { SCENARIOS } from './crashing-part/scenarios.js';
@@ -32,6 +33,7 @@
     soundBegunBefore: leastBegun?.soundBegunBefore ?? 0,
     soundBegunDuring: leastBegun?.soundBegunDuring ?? 0,
     soundRefused: Math.max(...cases.map(({ soundRefused }) => soundRefused)),
+    knownMs: cases.find(({ scenario }) => scenario === 'nothing')?.knownMs,
   };
 };
 
@@ -59,5 +61,7 @@
     await playNext();
   };
   await Promise.all(Array.from({ length: PARALLEL }, playNext));
-  return { ...worst(cases), cases };
+  const cost = await measureCost();
+  print(`cost: ${JSON.stringify(cost)}`);
+  return { ...worst(cases), cost, cases };
 };
--- a/packages/lab/src/experiments/crashing-part/figures.ts
+++ b/packages/lab/src/experiments/crashing-part/figures.ts
@@ -12,6 +12,8 @@
   beginsAt: number;
   endsAt: number;
   isCompanion: (call: PromptCall) => boolean;
+  /** When entries first refused requests with a part. */
+  refusals: readonly { entry: number; part: string; at: number }[];
 }
 
 /** Figures of a case; the fields of the same name of the experiment are those of all cases. */
@@ -22,6 +24,8 @@
   soundBegunBefore: number;
   soundBegunDuring: number;
   soundRefused: number;
+  /** Time from a crash until all entries refuse requests with the part that caused it, in ms; undefined if not all did. */
+  knownMs: number | undefined;
 }
 
 /** Time from which a machine that is calm has to keep the rules, in ms. */
@@ -46,6 +50,20 @@
   return own[FREE_CRASHES - 1]?.at ?? own.at(-1)?.at ?? Infinity;
 };
 
+/** Time from the last crash that was needed as evidence until all entries knew the first part that they refuse. */
+const computeKnownMs = ({ refusals, crashes }: Observed, entries: number): number | undefined => {
+  const [first] = refusals;
+  if (!first) return undefined;
+  const knownAt = Array.from(
+    { length: entries },
+    (_, n) =>
+      refusals.find(({ entry, part }) => entry === n && part === first.part)?.at ?? Infinity,
+  );
+  const crashAt = crashes.filter(({ at }) => at <= first.at).at(-1)?.at ?? Infinity;
+  const ms = Math.max(...knownAt) - crashAt;
+  return Number.isFinite(ms) ? Math.round(ms) : undefined;
+};
+
 /** Computes the figures. */
 export const computeFigures = (observed: Observed, entries: number): CaseFigures => {
   const { calls, arrivals, crashes, beginsAt, endsAt } = observed;
@@ -71,6 +89,7 @@
     sentAfterBound: Math.max(0, ...parts.map(countLate)),
     soundBegunBefore: begunShare(companions.filter(({ sentAt }) => sentAt < beginsAt)),
     soundBegunDuring: begunShare(companions.filter(isDuring)),
+    knownMs: computeKnownMs(observed, entries),
     soundRefused: sound.filter(
       ({ sentAt, reason }) => sentAt >= refusedFrom && CRASH_REASONS.has(reason),
     ).length,
--- a/packages/lab/src/experiments/crashing-part/play.ts
+++ b/packages/lab/src/experiments/crashing-part/play.ts
@@ -115,8 +115,12 @@
     await callers.close();
     const isCompanion = ({ request }: (typeof callers.calls)[number]): boolean =>
       prompts.isCompanion(request);
-    const observed = { calls: callers.calls, arrivals, crashes, beginsAt, endsAt, isCompanion };
-    return computeFigures(observed, ENTRIES);
+    const refusals = site.lines
+      .filter(({ event }) => event === 'part-quarantined')
+      .map(({ entry, at, fields }) => ({ entry, part: String(fields.parts), at }));
+    const times = { beginsAt, endsAt };
+    const seen = { calls: callers.calls, arrivals, crashes, refusals };
+    return computeFigures({ ...seen, ...times, isCompanion }, ENTRIES);
   } finally {
     timers.forEach(clearInterval);
     await Promise.all(restarts);
