Quarantine: an attempt that began after its upstream had ended is no evidence

Cause: a crash counted as having happened when it was noticed, some 80 ms after the connections were reset. A request that is retried meanwhile at others of these upstreams was being connected there, and counted as in flight in several crashes one after the other: in the trace, sent 21 and 2 ms before the end of two upstreams was noticed that had ended 100 ms before. Change: an upstream's end is dated to the first reset of its connections; attempts that were sent later don't count. Test red before: expected { reason: 'quarantined' } to equal undefined.

--- a/packages/gateway/src/quarantine/upstream-attempts.ts
+++ b/packages/gateway/src/quarantine/upstream-attempts.ts
@@ -45,6 +45,8 @@
 const LOST_ATTEMPT_TTL_MS = 12_000;
 /** Time after an upstream's end was noticed in which attempts there that end count as crashed, in ms. */
 const ENDED_UPSTREAM_TTL_MS = 2_000;
+/** Time from the end of an upstream, which resets its connections, until it is noticed at the latest, in ms. */
+const MAX_NOTICE_MS = 1_000;
 /** Max attempts without an answer that are remembered; the oldest are dropped first. */
 const MAX_LOST = 1_024;
 
@@ -83,6 +85,19 @@
     crash: { instance, sentAt, endedAt: Math.min(endedAt ?? at, at) },
   });
 
+  /**
+   * When an upstream ended whose end has just been noticed: when the first of its connections was reset. Attempts that
+   * were sent later never reached it.
+   */
+  const findEnd = (instance: string): number => {
+    const now = clock.monotonic();
+    const resetTimes = [...lost]
+      .filter((attempt) => attempt.instance === instance)
+      .map((attempt) => attempt.endedAt ?? now)
+      .filter((at) => now - at <= MAX_NOTICE_MS);
+    return Math.min(now, ...resetTimes);
+  };
+
   return {
     begin: ({ fingerprint, sharedParts }, instance) => {
       const sentAt = clock.monotonic();
@@ -118,14 +133,16 @@
     },
     handleUpstreamEnded: (instance) => {
       dropExpired();
-      const now = clock.monotonic();
-      endedUpstreams.set(instance, now);
-      const crashed = [...inFlight, ...lost].filter((attempt) => attempt.instance === instance);
+      const endedAt = findEnd(instance);
+      endedUpstreams.set(instance, endedAt);
+      const crashed = [...inFlight, ...lost]
+        .filter((attempt) => attempt.instance === instance)
+        .filter(({ sentAt }) => sentAt <= endedAt);
       crashed.forEach((attempt) => {
         inFlight.delete(attempt);
         lost.delete(attempt);
       });
-      return crashed.map((attempt) => toCrash(attempt, now));
+      return crashed.map((attempt) => toCrash(attempt, endedAt));
     },
   };
 };
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -197,6 +197,30 @@
     ).to.deep.equal(['a@0', 'b@0']);
   });
 
+  // Many upstreams end together. A request is retried at others that have ended as well, before that is noticed, and its
+  // connections there are still being established when it is. Counted as crashes one after the other, these would
+  // quarantine a sound request.
+  it('does not count an attempt that began after its upstream had ended', async () => {
+    const clock = clockForNodes();
+    const node = startNode(clock);
+    for (const instance of ['a', 'b', 'c', 'd'])
+      node.quarantine.begin(fingerprint(9), start(instance)).end();
+    for (const instance of ['a', 'b', 'c', 'd']) {
+      await clock.advance(20);
+      const connecting = node.quarantine.begin(HARMFUL, start(instance));
+      await clock.advance(5);
+      node.quarantine.handleEnd(start(instance), 'refused-connection');
+      connecting.recordNotRun();
+      connecting.end();
+    }
+    await clock.advance(50);
+    expect(node.quarantine.refusal(HARMFUL)).to.equal(undefined);
+    const reported = node.updates.flatMap(({ crashes }) =>
+      crashes.map((crash) => crash.fingerprint),
+    );
+    expect(new Set(reported)).to.deep.equal(new Set([fingerprint(9)]));
+  });
+
   // An upstream that crashes on its first token may still have sent an event. Only one that keeps sending events
   // doesn't crash on the request.
   it('counts a stream as a success only when its events continue', async () => {
