Quarantine: parts are accused only by crashes that they mostly explain

Causes: an attempt whose connection was still being established counted as in flight when another attempt's refused connection showed that its upstream had ended; and a part that was in flight at one of three upstreams that ended together counted the crash in full, so that a popular part got four in a row by chance. Change: an attempt counts from when it is connected; a crash counts for a part if it explains half of the upstreams that ended at that moment. Tests red before: 'accuses no part that explains few of the upstreams that end together' (expected true to equal false); 'does not count an attempt that was never connected' was written with the fix.

--- a/packages/gateway/src/attempts/exchange.ts
+++ b/packages/gateway/src/attempts/exchange.ts
@@ -16,6 +16,8 @@
   body: Uint8Array;
   /** Timeout of the connection attempt, in milliseconds. */
   connectTimeoutMs: number;
+  /** Called when the connection is established, from when on the request may run. */
+  onConnected?: () => void;
 }
 
 /** Result of waiting for the head of a response. */
@@ -75,6 +77,7 @@
       socket.setNoDelay(true);
       socket.once('connect', () => {
         isConnected = true;
+        options.onConnected?.();
         stopTimer();
       });
     });
--- a/packages/gateway/src/quarantine/monitored-attempt.ts
+++ b/packages/gateway/src/quarantine/monitored-attempt.ts
@@ -5,6 +5,8 @@
 
 /** An attempt; reports to the quarantine how it ends. */
 export interface MonitoredAttempt {
+  /** A pending connection has been established. */
+  recordConnected(): void;
   /** The upstream refused without running the request. */
   recordNotRun(): void;
   /** An event of the stream has been received. */
@@ -65,6 +67,7 @@
   };
 
   return {
+    recordConnected: attempt.recordConnected,
     recordNotRun: markSurvived,
     recordEvent: () => {
       const now = clock.monotonic();
--- a/packages/gateway/src/quarantine/part-evidence.ts
+++ b/packages/gateway/src/quarantine/part-evidence.ts
@@ -54,6 +54,8 @@
 const MIN_EXPLAINED_FRACTION = 0.4;
 /** Successive crashes from which a part is a cause whatever else crashes. */
 const MIN_CRASHES_AMONG_OTHERS = 6;
+/** Fraction of the upstreams that ended together of which a part has to explain the end: few of many are chance. */
+const MIN_MOMENT_FRACTION = 0.5;
 /** Upstreams whose ends are no further apart ended together, for example by a loss of power, in ms. */
 const SAME_MOMENT_MS = 250;
 /** How often the causes are computed again for crashes that have become too old, in ms. */
@@ -101,9 +103,20 @@
   return count;
 };
 
+/** Keeps those of a suspect's crashes that are most of the crashes at their moment. */
+const explainedMoments = (
+  own: readonly PartCrash[],
+  all: readonly PartCrash[],
+): readonly PartCrash[] =>
+  own.filter((crash) => {
+    const isSameMoment = ({ endedAt }: PartCrash): boolean =>
+      Math.abs(endedAt - crash.endedAt) <= SAME_MOMENT_MS;
+    return own.filter(isSameMoment).length >= MIN_MOMENT_FRACTION * all.filter(isSameMoment).length;
+  });
+
 /** Whether a suspect's crashes, among all that nothing else explains, prove that it is a cause. */
 const isProven = (suspect: Suspect, unexplained: readonly PartCrash[]): boolean => {
-  const own = crashesByInstance(suspect.crashes);
+  const own = explainedMoments(crashesByInstance(suspect.crashes), crashesByInstance(unexplained));
   const successive = countSuccessiveCrashes(own);
   const minCrashes = suspect.hasSucceeded ? MIN_CRASHES_AFTER_SUCCESS : MIN_CRASHES;
   if (successive < minCrashes || suspect.requests.size < MIN_REQUESTS) return false;
--- a/packages/gateway/src/quarantine/quarantine.ts
+++ b/packages/gateway/src/quarantine/quarantine.ts
@@ -16,7 +16,7 @@
 import { nodeOfPartRecord } from './part-record.js';
 import { createUpstreamAttempts } from './upstream-attempts.js';
 import { createSuspectTrials } from './suspect-trials.js';
-import type { CrashedAttempt } from './upstream-attempts.js';
+import type { ConnectionState, CrashedAttempt } from './upstream-attempts.js';
 
 /** Why a request is not sent to an upstream. */
 export type QuarantineRefusal =
@@ -36,6 +36,7 @@
     fingerprint: string,
     upstream: UpstreamStart,
     sharedParts?: readonly string[],
+    connection?: ConnectionState,
   ): MonitoredAttempt;
   /** Handles the end of an upstream's process; `proof` says how it was established. */
   handleEnd(upstream: UpstreamStart, proof: EndProof): void;
@@ -233,7 +234,7 @@
       return isUnderTrial ? { reason: 'crash-suspect' } : undefined;
     },
     isSuspect: (fingerprint) => evidence.verdict(fingerprint) === 'suspect',
-    begin: (fingerprint, upstream, sharedParts = []) => {
+    begin: (fingerprint, upstream, sharedParts = [], connection = 'established') => {
       const { crashes = [] } = evidence.suspectRecord(fingerprint) ?? {};
       const isExclusiveTrial =
         crashes.length >= EXCLUSIVE_TRIAL_CRASHES && evidence.verdict(fingerprint) === 'suspect';
@@ -242,7 +243,7 @@
         broadcaster.schedule();
       }
       return createMonitoredAttempt({
-        attempt: attempts.begin({ fingerprint, sharedParts }, startId(upstream)),
+        attempt: attempts.begin({ fingerprint, sharedParts }, startId(upstream), connection),
         onBegun: () => partQuarantine.recordSuccess(sharedParts, clock.monotonic()),
         onSuccess: () => handleSuccess(fingerprint),
         onEnd: () => {
--- a/packages/gateway/src/quarantine/upstream-attempts.ts
+++ b/packages/gateway/src/quarantine/upstream-attempts.ts
@@ -7,6 +7,8 @@
 export interface TrackedAttempt {
   /** Records that the upstream has answered, or refused without running the request: it didn't crash on it. */
   recordSurvived(): void;
+  /** Records that a pending connection has been established. */
+  recordConnected(): void;
   /** Records the first event of the answer. */
   recordFirstEvent(): void;
   /** Ends the attempt; unless the upstream is known to have survived, the attempt is remembered for a while. */
@@ -20,6 +22,9 @@
   sharedParts: readonly string[];
 }
 
+/** Whether an attempt has a connection; without one its upstream can't crash on it. */
+export type ConnectionState = 'pending' | 'established';
+
 /** A request that was in flight in a crash. */
 export interface CrashedAttempt extends AttemptedRequest {
   /** When the first event of the answer was received (monotonic, ms); undefined if none was. */
@@ -29,7 +34,7 @@
 
 /** Attempts by the upstream that they were sent to. */
 export interface UpstreamAttempts {
-  begin(request: AttemptedRequest, instance: string): TrackedAttempt;
+  begin(request: AttemptedRequest, instance: string, connection: ConnectionState): TrackedAttempt;
   /** Number of attempts with a request that are in flight at this entry. */
   countInFlight(fingerprint: string): number;
   /** Returns the attempts at an upstream that ended without an answer, of the last seconds. */
@@ -52,6 +57,7 @@
 
 interface Attempt extends AttemptedRequest {
   instance: string;
+  connection: ConnectionState;
   sentAt: number;
   firstEventAt: number | undefined;
   endedAt: number | undefined;
@@ -99,10 +105,10 @@
   };
 
   return {
-    begin: ({ fingerprint, sharedParts }, instance) => {
+    begin: ({ fingerprint, sharedParts }, instance, connection) => {
       const sentAt = clock.monotonic();
       const attempt: Attempt = {
-        ...{ fingerprint, sharedParts, instance, sentAt },
+        ...{ fingerprint, sharedParts, instance, connection, sentAt },
         ...{ firstEventAt: undefined, endedAt: undefined },
       };
       inFlight.add(attempt);
@@ -110,6 +116,10 @@
         recordSurvived: () => {
           inFlight.delete(attempt);
         },
+        recordConnected: () => {
+          attempt.connection = 'established';
+          attempt.sentAt = clock.monotonic();
+        },
         recordFirstEvent: () => {
           attempt.firstEventAt ??= clock.monotonic();
         },
@@ -118,8 +128,9 @@
           dropExpired();
           attempt.endedAt = clock.monotonic();
           const exitedAt = endedUpstreams.get(instance);
-          if (exitedAt !== undefined && exitedAt >= sentAt) onCrash(toCrash(attempt, exitedAt));
-          else lost.add(attempt);
+          if (exitedAt !== undefined && exitedAt >= attempt.sentAt) {
+            onCrash(toCrash(attempt, exitedAt));
+          } else lost.add(attempt);
         },
       };
     },
@@ -137,7 +148,7 @@
       endedUpstreams.set(instance, endedAt);
       const crashed = [...inFlight, ...lost]
         .filter((attempt) => attempt.instance === instance)
-        .filter(({ sentAt }) => sentAt <= endedAt);
+        .filter(({ connection, sentAt }) => connection === 'established' && sentAt <= endedAt);
       crashed.forEach((attempt) => {
         inFlight.delete(attempt);
         lost.delete(attempt);
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -73,6 +73,8 @@
     urgency: urgencyOf(request),
     lastEventId,
   };
+  const { fingerprint, sharedParts } = request;
+  const run = deps.quarantine.begin(fingerprint, record, sharedParts, 'pending');
   const exchange: Exchange = startExchange(
     {
       host: record.host,
@@ -82,12 +84,12 @@
       headers: dialect.writeAttempt(request.req.rawHeaders, attemptFields, request.body.length),
       body: request.body,
       connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, attemptFields.deadlineMs),
+      onConnected: run.recordConnected,
     },
     clock,
   );
   upstream.begin();
   rateLimits.recordSent(upstream);
-  const run = deps.quarantine.begin(request.fingerprint, record, request.sharedParts);
   metrics.count('gateway_attempts', { service: record.service });
   let ended = false;
 
--- a/packages/gateway/test/part-quarantine.test.ts
+++ b/packages/gateway/test/part-quarantine.test.ts
@@ -101,6 +101,24 @@
     expect(isRefused(evidence, [HARMLESS])).to.equal(false);
   });
 
+  // Three of eight upstreams are killed at a time, again and again. A part that requests at one of the three share each
+  // time explains a third of each loss only.
+  it('accuses no part that explains few of the upstreams that end together', async () => {
+    const { clock, evidence } = startEvidence();
+    for (let loss = 0; loss < 5; loss += 1) {
+      const endedAt = clock.monotonic();
+      for (let n = 0; n < 3; n += 1) {
+        evidence.recordCrash({
+          ...{ instance: `i${loss}-${n}`, fingerprint: `f${loss}-${n}` },
+          ...{ sharedParts: n === 0 ? [HARMLESS] : [`${100 + loss}`], reporter: 'e' },
+          ...{ sentAt: endedAt - 200, endedAt: endedAt + 10 * n },
+        });
+      }
+      await clock.advance(900);
+    }
+    expect(isRefused(evidence, [HARMLESS])).to.equal(false);
+  });
+
   // All upstreams lose power at one moment, three times in a row, with hundreds of requests in flight. Requests with the
   // popular part succeed in between.
   it('accuses no part when many upstreams end together', async () => {
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -203,8 +203,9 @@
   it('does not count an attempt that began after its upstream had ended', async () => {
     const clock = clockForNodes();
     const node = startNode(clock);
-    for (const instance of ['a', 'b', 'c', 'd'])
+    for (const instance of ['a', 'b', 'c', 'd']) {
       node.quarantine.begin(fingerprint(9), start(instance)).end();
+    }
     for (const instance of ['a', 'b', 'c', 'd']) {
       await clock.advance(20);
       const connecting = node.quarantine.begin(HARMFUL, start(instance));
@@ -221,6 +222,28 @@
     expect(new Set(reported)).to.deep.equal(new Set([fingerprint(9)]));
   });
 
+  // The same, where this entry has lost no connection to these upstreams before: their ends are noticed by another
+  // attempt whose connection is refused.
+  it('does not count an attempt that was never connected', async () => {
+    const clock = clockForNodes();
+    const node = startNode(clock);
+    for (const instance of ['a', 'b', 'c', 'd']) {
+      const connecting = node.quarantine.begin(HARMFUL, start(instance), [], 'pending');
+      await clock.advance(5);
+      node.quarantine.handleEnd(start(instance), 'refused-connection');
+      connecting.recordNotRun();
+      connecting.end();
+      await clock.advance(20);
+    }
+    expect(node.quarantine.refusal(HARMFUL)).to.equal(undefined);
+    expect(node.updates).to.deep.equal([]);
+    const connected = node.quarantine.begin(HARMFUL, start('e'), [], 'pending');
+    connected.recordConnected();
+    node.quarantine.handleEnd(start('e'), 'refused-connection');
+    await clock.advance(50);
+    expect(node.updates.flatMap(({ crashes }) => crashes)).to.have.lengthOf(1);
+  });
+
   // An upstream that crashes on its first token may still have sent an event. Only one that keeps sending events
   // doesn't crash on the request.
   it('counts a stream as a success only when its events continue', async () => {
