Own interface: connections that callers keep open leave room for new callers

Change: above half the limit each response closes its connection. Test red before: not all of 12 callers at an entry with a limit of 6 were served.

--- a/packages/plantaindrum/src/core/callers/caller-server.ts
+++ b/packages/plantaindrum/src/core/callers/caller-server.ts
@@ -54,6 +54,12 @@
     });
   });
 
+/**
+ * Fraction of the connections above which each response closes its connection, so that the connections that callers
+ * keep open don't use up those for new callers.
+ */
+const CROWDED_FRACTION = 0.5;
+
 /** Formats a refusal as raw HTTP, for connections without a parsed request. */
 const formatRawRefusal = (refusal: Refusal): string => {
   const body = JSON.stringify(refusalBody(refusal));
@@ -75,6 +81,7 @@
     reason: 'too-many-connections',
     data: { limit: limits.connections },
   };
+  let connections = 0;
   let inFlight = 0;
   let onIdle = (): void => {};
 
@@ -87,6 +94,7 @@
   };
 
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    if (connections > limits.connections * CROWDED_FRACTION) res.setHeader('connection', 'close');
     const refusal = overLimit.has(req.socket) ? tooManyConnections : newRequestRefusal();
     if (refusal) {
       res.setHeader('connection', 'close');
@@ -147,7 +155,6 @@
   // Connections above `DROP_CONNECTIONS_FACTOR` times the limit are dropped without a refusal.
   server.maxConnections = limits.connections * DROP_CONNECTIONS_FACTOR;
   server.on('drop', () => countRefusal(tooManyConnections));
-  let connections = 0;
   server.on('connection', (socket: Socket) => {
     connections += 1;
     if (connections > limits.connections) overLimit.add(socket);
--- a/packages/plantaindrum/test/requests.test.ts
+++ b/packages/plantaindrum/test/requests.test.ts
@@ -1,12 +1,14 @@
 import { once } from 'node:events';
+import { Agent, request } from 'node:http';
 import { connect } from 'node:net';
 import { expect } from 'chai';
 import type { Link, PeerFrame } from '@plantaindrum/link';
 import type { FakeAgent } from './support/fake-agent.js';
 import { idleLoad, sendAnswer, startFakeAgent } from './support/fake-agent.js';
 import type { TestSite } from './support/site.js';
-import { startSite, upstreamVm } from './support/site.js';
+import { KEY, startSite, upstreamVm } from './support/site.js';
 
+const CONNECTIONS = 6;
 const body = JSON.stringify({ model: 'lot-writer', prompt: 'a car' });
 const exportsLabels = { kind: 'service', service: 'exports' };
 
@@ -134,6 +136,35 @@
     ]);
   });
 
+  /*
+   * Callers keep their connections open after their answers, more of them than the server may hold. Later callers would
+   * be refused though nothing is in flight.
+   */
+  it('is served while earlier callers keep more connections open than the limit', async () => {
+    const site = await start(sendEmptyAnswer, exportsLabels, { connections: CONNECTIONS });
+    const { hostname, port } = new URL(site.entry.callers);
+    const callers: Agent[] = [];
+    const callOnce = (agent: Agent): Promise<number> =>
+      new Promise((resolve) => {
+        const headers = { authorization: `Bearer ${KEY}` };
+        const target = { hostname, port, path: '/exports/1', method: 'POST', agent, headers };
+        const req = request(target, (res) => {
+          res.resume();
+          res.on('end', () => resolve(res.statusCode ?? 0));
+        });
+        req.on('error', () => resolve(0));
+        req.end('{}');
+      });
+    const statuses: number[] = [];
+    for (let n = 0; n < 2 * CONNECTIONS; n += 1) {
+      const agent = new Agent({ keepAlive: true });
+      callers.push(agent);
+      statuses.push(await callOnce(agent));
+    }
+    callers.forEach((agent) => agent.destroy());
+    expect(statuses).to.deep.equal(new Array(2 * CONNECTIONS).fill(200));
+  });
+
   /*
    * A caller connects while the server has its maximum of connections. Its request is read and
    * refused as not run, and reaches no upstream; once a connection has closed, callers are served.
