Exit check: an answer without a length waits milliseconds for it, not 80

What callers saw: since a short call whose answer ends with its connection came 80 ms and more later (90 ms in a test whose upstream answers at once; the users' targets of such calls are 123 and 194 ms). Cause: the check was made for failed attempts, and gives an ending process time to close its listening socket. The new test, at most 60 ms, would be red before (80 ms of delay by construction); it was not run on that code.

--- a/packages/gateway/src/attempts/exit-check.ts
+++ b/packages/gateway/src/attempts/exit-check.ts
@@ -7,20 +7,31 @@
 /** Result of connecting to an address. */
 export type ConnectOutcome = 'open' | 'refused' | 'silent';
 
-/** Timeout of a connection, in ms; a connection takes about a millisecond. */
-const CONNECT_TIMEOUT_MS = 350;
-/** Delay before the check, in ms: a process may exit a moment after its connections have closed. */
-const CHECK_DELAY_MS = 80;
+/** Delay before a check and timeout of its connection, in ms. A connection takes about a millisecond. */
+export interface ExitCheckTiming {
+  delayMs: number;
+  timeoutMs: number;
+}
+
+/** After a failed attempt: a process may exit a moment after its connections have closed. */
+export const FAILURE_CHECK: ExitCheckTiming = { delayMs: 80, timeoutMs: 350 };
+/** After an answer that may be complete, which its caller waits for. */
+export const ANSWER_CHECK: ExitCheckTiming = { delayMs: 5, timeoutMs: 100 };
 
 /** Connects to an address, and closes the connection at once. */
-export const tryConnect = (host: string, port: number, clock: Clock): Promise<ConnectOutcome> =>
+export const tryConnect = (
+  host: string,
+  port: number,
+  timeoutMs: number,
+  clock: Clock,
+): Promise<ConnectOutcome> =>
   new Promise((resolve) => {
     const socket = connect({ host, port });
     const finish = (outcome: ConnectOutcome): void => {
       resolve(outcome);
       socket.destroy();
     };
-    const stopTimer = clock.after(CONNECT_TIMEOUT_MS, () => finish('silent'));
+    const stopTimer = clock.after(timeoutMs, () => finish('silent'));
     socket.once('connect', () => {
       stopTimer();
       finish('open');
@@ -44,33 +55,39 @@
   onExited: (upstream: Upstream) => void;
   /** Called if a connection is accepted. */
   onAlive: (upstream: Upstream) => void;
-  connectTo: (host: string, port: number) => Promise<ConnectOutcome>;
+  connectTo: (host: string, port: number, timeoutMs: number) => Promise<ConnectOutcome>;
   clock: Clock;
 }
 
-/** Creates the check. It runs once at a time for each upstream. */
+/** Checks whether an upstream's process has exited. */
+export type ExitCheck<Upstream> = (
+  upstream: Upstream,
+  timing: ExitCheckTiming,
+) => Promise<ConnectOutcome>;
+
+/** Creates the check. It runs once at a time for each upstream and timing. */
 export const createExitCheck = <Upstream extends UpstreamAddress>({
   onExited,
   onAlive,
   connectTo,
   clock,
-}: ExitCheckOptions<Upstream>): ((upstream: Upstream) => Promise<ConnectOutcome>) => {
+}: ExitCheckOptions<Upstream>): ExitCheck<Upstream> => {
   const pendingChecks = new Map<string, Promise<ConnectOutcome>>();
 
-  const check = async (upstream: Upstream): Promise<ConnectOutcome> => {
-    await sleep(clock, CHECK_DELAY_MS);
-    const outcome = await connectTo(upstream.host, upstream.port);
+  const check: ExitCheck<Upstream> = async (upstream, { delayMs, timeoutMs }) => {
+    await sleep(clock, delayMs);
+    const outcome = await connectTo(upstream.host, upstream.port, timeoutMs);
     if (outcome === 'refused') onExited(upstream);
     if (outcome === 'open') onAlive(upstream);
     return outcome;
   };
 
-  return (upstream) => {
-    const { instance } = upstream;
-    const running = pendingChecks.get(instance);
+  return (upstream, timing) => {
+    const key = `${timing.delayMs} ${upstream.instance}`;
+    const running = pendingChecks.get(key);
     if (running) return running;
-    const pending = check(upstream).finally(() => pendingChecks.delete(instance));
-    pendingChecks.set(instance, pending);
+    const pending = check(upstream, timing).finally(() => pendingChecks.delete(key));
+    pendingChecks.set(key, pending);
     return pending;
   };
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,7 @@
   const checkExit = createExitCheck<UpstreamRecord>({
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
-    connectTo: (host, port) => tryConnect(host, port, clock),
+    connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, clock),
     clock,
   });
 
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage } from 'node:http';
 import { startExchange } from '../attempts/exchange.js';
+import { ANSWER_CHECK } from '../attempts/exit-check.js';
 import type { Exchange } from '../attempts/exchange.js';
 import type { ResponseFields } from '../types.js';
 import type { MonitoredAttempt } from '../quarantine/index.js';
@@ -157,7 +158,8 @@
 
   const { bodyEnd, readBody } = exchange;
   const hasUpstreamExited = async (): Promise<boolean> =>
-    upstream.record.state === 'ready' && (await deps.checkExit(upstream.record)) === 'refused';
+    upstream.record.state === 'ready' &&
+    (await deps.checkExit(upstream.record, ANSWER_CHECK)) === 'refused';
 
   return { upstream, head, bodyEnd, readBody, hasUpstreamExited, run, abort: end, end };
 };
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -1,6 +1,7 @@
 /** Runs the attempts of one request: whether to retry after each of them, and how the request ends. */
 
 import { sleep } from '@plantaindrum/common';
+import { FAILURE_CHECK } from '../attempts/exit-check.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
@@ -151,7 +152,7 @@
     const hasFailed = !isAbandoned && !attempt.run.hasSurvived();
     attempt.end();
     // A suspect request is retried only once it is known whether it has crashed this upstream as well.
-    const exitCheck = hasFailed ? deps.checkExit(upstream.record) : undefined;
+    const exitCheck = hasFailed ? deps.checkExit(upstream.record, FAILURE_CHECK) : undefined;
     if (quarantine.isSuspect(request.fingerprint)) await exitCheck;
     lastEndedAt = clock.monotonic();
     updateAvailability(head.outcome === 'answered', upstream);
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -2,7 +2,7 @@
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
 import type { Admission } from '../admission/admission.js';
 import type { ServiceOutages } from '../admission/service-outages.js';
-import type { ConnectOutcome } from '../attempts/exit-check.js';
+import type { ExitCheck } from '../attempts/exit-check.js';
 import type { RouteTable } from '../intent/route-table.js';
 import type { RequestQuarantine } from '../quarantine/index.js';
 import type { RetryBudget } from '../retry/budget.js';
@@ -20,7 +20,7 @@
   outages: ServiceOutages;
   quarantine: RequestQuarantine;
   /** Checks whether the upstream's process has exited, after a response there has failed or may have. */
-  checkExit: (upstream: UpstreamRecord) => Promise<ConnectOutcome>;
+  checkExit: ExitCheck<UpstreamRecord>;
   /** Number of entries that may be running, including this one. */
   entries: () => number;
   clock: Clock;
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -268,6 +268,19 @@
     });
   });
 
+  // A short call is on time only if the entry adds little to it.
+  it('checks within a moment that the upstream of a response without a length goes on running', async () => {
+    const unframed: Handler = (req, res) => {
+      res.useChunkedEncodingByDefault = false;
+      res.writeHead(200, validHeaders(req)).end('done');
+    };
+    await withEntry([unframed], { route: unsafeRoute }, async (entry) => {
+      const times: number[] = [];
+      for (let n = 0; n < 5; n += 1) times.push((await entry.send({}, '/p/x', 'a')).ms);
+      expect(Math.min(...times)).to.be.below(60);
+    });
+  });
+
   // After a power failure all upstreams are new instances, and their old entries stay listed for some seconds. Each of
   // these is tried once at most; otherwise every request would use up the retry budget on several of them.
   it('does not retry an instance whose address another one has taken', async () => {
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -94,7 +94,7 @@
   const checkExit = createExitCheck<UpstreamRecord>({
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
-    connectTo: (host, at) => tryConnect(host, at, clock),
+    connectTo: (host, at, timeoutMs) => tryConnect(host, at, timeoutMs, clock),
     clock,
   });
   const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
