Quarantine: an attempt without a connection doesn't date a crash

Found by reading: an attempt that was given up while it was being connected counted as the first reset of its upstream's connections, so that requests sent after it were left out of the evidence. Test red before: expected [] to deeply equal [ HARMFUL ].

--- a/packages/gateway/src/quarantine/upstream-attempts.ts
+++ b/packages/gateway/src/quarantine/upstream-attempts.ts
@@ -124,7 +124,7 @@
           attempt.firstEventAt ??= clock.monotonic();
         },
         end: () => {
-          if (!inFlight.delete(attempt)) return;
+          if (!inFlight.delete(attempt) || attempt.connection === 'pending') return;
           dropExpired();
           attempt.endedAt = clock.monotonic();
           const exitedAt = endedUpstreams.get(instance);
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -244,6 +244,23 @@
     expect(node.updates.flatMap(({ crashes }) => crashes)).to.have.lengthOf(1);
   });
 
+  // A caller leaves while its request is being connected, and the upstream crashes half a second later. If the end of that
+  // attempt were taken for the crash, requests that were sent after it would not count as in flight in the crash.
+  it('does not date a crash to the end of an attempt that was never connected', async () => {
+    const clock = clockForNodes();
+    const node = startNode(clock);
+    node.quarantine.begin(fingerprint(2), start('a'), [], 'pending').end();
+    await clock.advance(400);
+    node.quarantine.begin(HARMFUL, start('a'));
+    await clock.advance(100);
+    node.quarantine.handleEnd(start('a'), 'refused-connection');
+    await clock.advance(50);
+    const reported = node.updates.flatMap(({ crashes }) =>
+      crashes.map((crash) => crash.fingerprint),
+    );
+    expect(reported).to.deep.equal([HARMFUL]);
+  });
+
   // An upstream that crashes on its first token may still have sent an event. Only one that keeps sending events
   // doesn't crash on the request.
   it('counts a stream as a success only when its events continue', async () => {
