--- a/packages/lab/src/experiments/crashing-part/figures.ts
+++ b/packages/lab/src/experiments/crashing-part/figures.ts
@@ -45,11 +45,19 @@
     : calls.filter(({ status }) => status >= 200 && status < 300).length / calls.length;
 
 /** The crash from which the part has to be known: the fifth of a part, or its last one if there are fewer. */
-const boundCrashAt = ({ crashes }: Observed, part: string): number => {
-  const own = crashes.filter((crash) => crash.part === part);
+const boundCrashAt = ({ crashes }: Pick<Observed, 'crashes'>, part: string): number => {
+  const own = crashes.filter((crash) => (crash.part ?? '') === part);
   return own[FREE_CRASHES - 1]?.at ?? own.at(-1)?.at ?? Infinity;
 };
 
+/** The crash from which all parts have to be known; undefined before the first one. */
+export const lastBoundCrashAt = (observed: Pick<Observed, 'crashes'>): number | undefined => {
+  const parts = new Set(observed.crashes.map(({ part }) => part ?? ''));
+  return parts.size === 0
+    ? undefined
+    : Math.max(...[...parts].map((part) => boundCrashAt(observed, part)));
+};
+
 /** Time from the last crash that was needed as evidence until all entries knew the first part that they refuse. */
 const computeKnownMs = ({ refusals, crashes }: Observed, entries: number): number | undefined => {
   const [first] = refusals;
--- a/packages/lab/src/experiments/crashing-part/play.ts
+++ b/packages/lab/src/experiments/crashing-part/play.ts
@@ -4,7 +4,7 @@
 import { createSeededRandom } from '@plantaindrum/common';
 import type { CrashPoint } from '@plantaindrum/stand-ins';
 import { createPromptCallers } from './callers.js';
-import { computeFigures, STABILITY_WINDOW_MS } from './figures.js';
+import { computeFigures, lastBoundCrashAt, STABILITY_WINDOW_MS } from './figures.js';
 import type { CaseFigures } from './figures.js';
 import { createPromptSource } from './prompts.js';
 import type { Scenario } from './scenarios.js';
@@ -33,11 +33,10 @@
 const MASS_CRASHES = 8;
 const MASS_CRASH_EVERY_MS = 900;
 const MASS_CRASH_SERVERS = 3;
-const FREE_CRASHES = 5;
 const POLL_MS = 50;
 const MS_PER_S = 1_000;
 
-/** Waits until the crashes have stopped for twice the stability window, or the time is up. */
+/** Waits for twice the stability window after the crash from which the parts have to be known, or until the time is up. */
 const waitForCalm = async (lastCrashAt: () => number | undefined, sinceMs: number) => {
   const deadline = performance.now() + CRASHES_MS;
   while (performance.now() < deadline) {
@@ -107,7 +106,7 @@
     else {
       const perSecond = HARMFUL_PER_S.least + random() * HARMFUL_PER_S.spread;
       timers.push(setInterval(() => sendTo(prompts.drawHarmful), MS_PER_S / perSecond));
-      await waitForCalm(() => crashes.slice(0, FREE_CRASHES).at(-1)?.at, beginsAt);
+      await waitForCalm(() => lastBoundCrashAt({ crashes }), beginsAt);
     }
     await delay(countMs);
     const endsAt = performance.now();
