Quarantine: a record of crashes stays within what the platform takes

With parts of the most and longest ids the record of 128 crashes has 564 KB, and the platform takes 262 KB: the entry would have tried to write it again each second. It now holds 48 crashes, 206 KB at most.

--- a/packages/gateway/src/quarantine/part-record.ts
+++ b/packages/gateway/src/quarantine/part-record.ts
@@ -19,8 +19,8 @@
   sound: { part: string; at: number }[];
 }
 
-/** Maximum number of crashes in a record. */
-export const MAX_RECORDED_CRASHES = 128;
+/** Maximum number of crashes in a record: the platform takes 262,144 bytes, with parts of the most and longest ids. */
+export const MAX_RECORDED_CRASHES = 48;
 /** Maximum number of a request's parts that count as evidence. */
 export const MAX_SHARED_PARTS = 64;
 /** Maximum number of parts in a record that are known to have succeeded. */
