Quarantine: a record that changes while it is written is written again

What callers saw: nothing yet. An entry that starts after the loss of all entries would have known of one of several crashes that came within a few ms, found by the test of the record's size. Cause: the writer dropped a key after its write had succeeded, also when it had been asked to write it again meanwhile. Records of quarantined requests don't change; those of crashes do. Change: the key is removed before the write and comes back if the write fails. Test red before: expected 1 crash to be 3.

--- a/packages/gateway/src/quarantine/record-writer.ts
+++ b/packages/gateway/src/quarantine/record-writer.ts
@@ -36,8 +36,10 @@
     isWriting = true;
     while (waiting.size > 0 && !isClosed) {
       const [fingerprint = ''] = waiting;
-      if (await publish(fingerprint, recordOf(fingerprint))) waiting.delete(fingerprint);
-      else {
+      // Removed first: a record that changes during the write is written again.
+      waiting.delete(fingerprint);
+      if (!(await publish(fingerprint, recordOf(fingerprint)))) {
+        waiting.add(fingerprint);
         log.event('quarantine-record-failed', { fingerprint, waiting: waiting.size });
         await pause.wait(RETRY_DELAY_MS);
       }
--- a/packages/gateway/test/part-quarantine.test.ts
+++ b/packages/gateway/test/part-quarantine.test.ts
@@ -8,6 +8,7 @@
 import type { QuarantineUpdate } from '../src/quarantine/quarantine-update.js';
 
 const HARMFUL = 'bad0';
+const MAX_PLATFORM_RECORD_BYTES = 262_144;
 const HARMLESS = '0a';
 const COMPANION = '0c';
 
@@ -310,6 +311,36 @@
     expect(refusalOf(entry, [HARMFUL])).to.equal('part-quarantined');
   });
 
+  // A second upstream crashes while the record of the first crash is being written. An entry that starts later would know of
+  // one crash only.
+  it('writes its record again when it has changed during the write', async () => {
+    const clock = createManualClock(5_000_000);
+    const entry = startEntry(clock, 'e0');
+    for (const n of [0, 1, 2]) {
+      entry.quarantine.begin(fingerprint(n), upstream(`i${n}`), [HARMFUL]);
+      entry.quarantine.handleEnd(upstream(`i${n}`), 'refused-connection');
+    }
+    await clock.advance(100);
+    const [[key = '', value] = []] = [...entry.records];
+    const started = startEntry(clock, 'e1');
+    started.quarantine.applyRecord({ key, value });
+    expect(started.quarantine.fullUpdate().partCrashes).to.have.lengthOf(3);
+  });
+
+  // The platform refuses larger records, and the entry would try to write it again and again.
+  it('writes no record that is larger than the platform takes', async () => {
+    const clock = createManualClock(5_000_000);
+    const entry = startEntry(clock, 'e0');
+    const parts = Array.from({ length: 64 }, (_, n) => n.toString(16).padStart(64, '0'));
+    for (let n = 0; n < 200; n += 1) {
+      entry.quarantine.begin(fingerprint(n), upstream(`i${n}`), parts);
+      entry.quarantine.handleEnd(upstream(`i${n}`), 'refused-connection');
+    }
+    await clock.advance(100);
+    const sizes = [...entry.records.values()].map((value) => value?.length ?? 0);
+    expect(Math.max(...sizes)).to.be.within(1, MAX_PLATFORM_RECORD_BYTES);
+  });
+
   it('ignores invalid reports and records, and accepts updates of earlier versions', () => {
     const clock = createManualClock(5_000_000);
     const entry = startEntry(clock, 'e0');
