--- a/packages/gateway/src/quarantine/crash-evidence.ts
+++ b/packages/gateway/src/quarantine/crash-evidence.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Clock } from '@plantaindrum/common';
+import { dropOldest } from './drop-oldest.js';
 
 /** The end of an upstream's process while a request was in flight there (times monotonic, ms). */
 export interface Crash {
@@ -92,12 +93,6 @@
   return count;
 };
 
-/** Drops a map's oldest entry when it exceeds the size. */
-const dropOldest = (map: Map<string, unknown>, maxSize: number): void => {
-  const [oldest] = map.keys();
-  if (map.size > maxSize && oldest !== undefined) map.delete(oldest);
-};
-
 /** Creates an empty collection of evidence. */
 export const createCrashEvidence = (clock: Clock): CrashEvidence => {
   const suspects = new Map<string, MutableSuspectRecord>();
--- a/packages/gateway/src/quarantine/part-evidence.ts
+++ b/packages/gateway/src/quarantine/part-evidence.ts
@@ -9,6 +9,7 @@
 
 import type { Clock } from '@plantaindrum/common';
 import { countSuccessiveCrashes } from './crash-evidence.js';
+import { dropOldest } from './drop-oldest.js';
 
 /** A request that was in flight at an upstream when its process ended (times monotonic, ms). */
 export interface PartCrash {
@@ -73,12 +74,6 @@
   hasSucceeded: boolean;
 }
 
-/** Drops a map's oldest entry when it exceeds the size. */
-const dropOldest = (map: Map<string, unknown>, maxSize: number): void => {
-  const [oldest] = map.keys();
-  if (map.size > maxSize && oldest !== undefined) map.delete(oldest);
-};
-
 /** Reduces the requests at each upstream to one crash, sent with the last of them. */
 const crashesByInstance = (crashes: readonly PartCrash[]): PartCrash[] => {
   const byInstance = new Map<string, PartCrash>();
