Experiments on the platform: two runs at a time use different addresses

Cause: the network was (3 x process id + site) modulo 100, so processes with near ids shared networks. Now a network by process id, and parts of it by site.

--- a/packages/lab/src/experiments/crashing-part/site.ts
+++ b/packages/lab/src/experiments/crashing-part/site.ts
@@ -46,7 +46,7 @@
 
 /** Options of `startSite`. */
 export interface SiteOptions {
-  /** Distinguishes the addresses of sites that run at the same time. */
+  /** Distinguishes the addresses of sites that run at the same time in one process. */
   block: number;
   entries: number;
   servers: number;
@@ -77,8 +77,10 @@
 /** Ports of all processes; each process has a loopback address of its own. */
 export const SITE_PORTS = { callers: 19_427, readiness: 19_420, links: 19_540, engine: 19_428 };
 
-const ADDRESS_BLOCKS = 100;
-const FIRST_ADDRESS_BLOCK = 20;
+/** Loopback networks by process id, as several runs may share a machine, and parts of one network for each site. */
+const NETWORKS = 200;
+const FIRST_NETWORK = 20;
+const PARTS_PER_SITE = 2;
 const RETRY_ALLOWANCE = 90;
 const ENTRY_PROGRAM = 'platform/dist/main.js';
 const SERVER_PROGRAM = 'packages/stand-ins/dist/users-platform/model-server-main.js';
@@ -118,7 +120,10 @@
 
 /** Starts the site; resolves when all processes run. */
 export const startSite = async (options: SiteOptions): Promise<CrashSite> => {
-  const prefix = `127.${FIRST_ADDRESS_BLOCK + ((process.pid * 3 + options.block) % ADDRESS_BLOCKS)}`;
+  const networkOf = (part: number): string =>
+    `127.${FIRST_NETWORK + (process.pid % NETWORKS)}.${PARTS_PER_SITE * options.block + part}`;
+  const entryNetwork = networkOf(0);
+  const serverNetwork = networkOf(1);
   const folder = await mkdtemp(join(tmpdir(), 'plantaindrum-crash-'));
   const store = await startStoreStandIn();
   const partialStore = await startPartialStore(store.port);
@@ -139,7 +144,7 @@
 
   const spawnServer = async (n: number): Promise<SiteServer> => {
     starts += 1;
-    const ip = `${prefix}.2.${n + 1}`;
+    const ip = `${serverNetwork}.${n + 1}`;
     const instance = `i-${starts}`;
     const settings: ModelServerSettings = {
       ...{ host: ip, port: SITE_PORTS.engine, instance, crashParts: options.crashParts },
@@ -185,7 +190,7 @@
   };
 
   const startEntry = async (n: number): Promise<SiteProcess> => {
-    const ip = `${prefix}.1.${n + 1}`;
+    const ip = `${entryNetwork}.${n + 1}`;
     const isCutOff = options.isEntryCutOff && n === options.entries - 1;
     const path = join(folder, `entry-${n}.toml`);
     const storePort = isCutOff ? (partialStore.address() as AddressInfo).port : store.port;
