--- a/packages/lab/src/experiments/crashing-part/site.ts
+++ b/packages/lab/src/experiments/crashing-part/site.ts
@@ -10,11 +10,13 @@
 import {
   listServer,
   MODEL_SERVER_VARIABLE,
+  NODE_REGISTRY,
   putDesiredState,
   setGroupState,
   SETTINGS_VARIABLE,
   settingsText,
   startStoreStandIn,
+  unlistServer,
 } from '@plantaindrum/stand-ins';
 import type {
   GroupState,
@@ -84,7 +86,6 @@
 const RETRY_ALLOWANCE = 90;
 const ENTRY_PROGRAM = 'platform/dist/main.js';
 const SERVER_PROGRAM = 'packages/stand-ins/dist/users-platform/model-server-main.js';
-const NODE_REGISTRY = 'keyed.plantaindrum-nodes';
 const HEARTBEAT_MS = 1_000;
 /** Time until a server that has crashed starts again, until its record lapses, and until its group is open again, in ms. */
 const RESTART_MS = 1_500;
@@ -179,7 +180,7 @@
     void server.child.exited.then(async () => {
       if (isClosed) return;
       options.onCrash();
-      setTimeout(() => store.put('keyed.servers', server.instance, undefined), LAPSE_MS);
+      setTimeout(() => unlistServer(store, server.instance), LAPSE_MS);
       await waitForRestart(n);
       if (isClosed) return;
       await runServer(n);
--- a/packages/stand-ins/src/users-platform/operator-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -66,6 +66,13 @@
     ...{ state: 'ready', warmup_left_ms: 0, sequence: 1, ...overrides },
   });
 
+/** Removes a server's record, as after a few missed heartbeats. */
+export const unlistServer = (store: StoreStandIn, instance: string): void =>
+  store.put('keyed.servers', instance, undefined);
+
+/** Topic of the registry of nodes. */
+export const NODE_REGISTRY = 'keyed.plantaindrum-nodes';
+
 /** Values for the settings file of one VM. */
 export interface VmSettings {
   node: string;
