Gateway: log how an answer without length or chunks ended, and what checked it

The hypotheses on ORDER differ in what became of the connection and in when the check of the upstream began; no line showed either. unframed-answer-ended names the state of the connection at its end (closed, or reset: no peer address), the outcome of the check, and when it began relative to the end; gateway_unframed_answers counts them. No decision is changed.

--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -21,6 +21,8 @@
   gateway_attempts: 'Attempts sent to an upstream, by service.',
   gateway_attempts_rate_limited: 'Attempts at upstreams that advertise a rate limit, by service.',
   gateway_connections_dropped: 'Connections of callers refused because too many were open.',
+  gateway_unframed_answers:
+    'Answers that ended with their connection, by how it ended and what a check of the upstream showed.',
   gateway_crashes_seen: 'Requests in flight at an upstream when its process ended.',
   gateway_events_repeated: 'Events of resumed streams that the caller already had; dropped.',
   gateway_faults: 'Requests that failed because of an internal error of this process.',
--- a/packages/gateway/src/attempts/exchange.ts
+++ b/packages/gateway/src/attempts/exchange.ts
@@ -31,9 +31,14 @@
 /** How a response's body ended. */
 export type BodyEnd = 'whole' | 'broken';
 
+/** How the upstream's side of a connection ended: a connection that was reset has no peer address any more. */
+export type ConnectionEnd = 'closed' | 'reset';
+
 /** An exchange in flight. */
 export interface Exchange {
   head: Promise<HeadOutcome>;
+  /** How the connection ended; undefined while the upstream has not ended it, and after an error. */
+  connectionEnd(): ConnectionEnd | undefined;
   /** Resolves when the body has ended; any other than a clean end is `broken`. */
   bodyEnd(res: IncomingMessage): Promise<BodyEnd>;
   /** Buffers a body; undefined when it broke off or is larger than `maxBytes`. */
@@ -54,6 +59,7 @@
   let isConnected = false;
   let isSettled = false;
   let hasFailed = false;
+  let connectionEnd: ConnectionEnd | undefined;
   let req: ClientRequest | undefined;
 
   const head = new Promise<HeadOutcome>((resolve) => {
@@ -75,6 +81,10 @@
     });
     clientRequest.on('socket', (socket) => {
       socket.setNoDelay(true);
+      // Node.js looks the address up when it is first read, and keeps it.
+      socket.prependOnceListener('end', () => {
+        connectionEnd = socket.remoteAddress === undefined ? 'reset' : 'closed';
+      });
       socket.once('connect', () => {
         isConnected = true;
         options.onConnected?.();
@@ -100,6 +110,7 @@
 
   return {
     head,
+    connectionEnd: () => connectionEnd,
     bodyEnd,
     readBody: async (res, maxBytes) => {
       const chunks: Uint8Array[] = [];
--- a/packages/gateway/src/attempts/exit-check.ts
+++ b/packages/gateway/src/attempts/exit-check.ts
@@ -59,11 +59,17 @@
   clock: Clock;
 }
 
+/** Result of a check, and when its connection attempt began (monotonic, ms). */
+export interface ExitCheckResult {
+  outcome: ConnectOutcome;
+  startedAt: number;
+}
+
 /** Checks whether an upstream's process has exited. */
 export type ExitCheck<Upstream> = (
   upstream: Upstream,
   timing: ExitCheckTiming,
-) => Promise<ConnectOutcome>;
+) => Promise<ExitCheckResult>;
 
 /** Creates the check. It runs once at a time for each upstream and timing. */
 export const createExitCheck = <Upstream extends UpstreamAddress>({
@@ -72,14 +78,15 @@
   connectTo,
   clock,
 }: ExitCheckOptions<Upstream>): ExitCheck<Upstream> => {
-  const pendingChecks = new Map<string, Promise<ConnectOutcome>>();
+  const pendingChecks = new Map<string, Promise<ExitCheckResult>>();
 
   const check: ExitCheck<Upstream> = async (upstream, { delayMs, timeoutMs }) => {
     await sleep(clock, delayMs);
+    const startedAt = clock.monotonic();
     const outcome = await connectTo(upstream.host, upstream.port, timeoutMs);
     if (outcome === 'refused') onExited(upstream);
     if (outcome === 'open') onAlive(upstream);
-    return outcome;
+    return { outcome, startedAt };
   };
 
   return (upstream, timing) => {
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -157,9 +157,27 @@
   };
 
   const { bodyEnd, readBody } = exchange;
-  const hasUpstreamExited = async (): Promise<boolean> =>
-    upstream.record.state === 'ready' &&
-    (await deps.checkExit(upstream.record, ANSWER_CHECK)) === 'refused';
+  const hasUpstreamExited = async (): Promise<boolean> => {
+    const endedAt = clock.monotonic();
+    const isChecked = record.state === 'ready';
+    const check = isChecked ? await deps.checkExit(record, ANSWER_CHECK) : undefined;
+    const outcome = check?.outcome ?? 'skipped';
+    const connection = exchange.connectionEnd();
+    metrics.count('gateway_unframed_answers', {
+      connection: connection ?? 'unknown',
+      check: outcome,
+    });
+    deps.log.event('unframed-answer-ended', {
+      id: request.id,
+      upstream: record.instance,
+      state: record.state,
+      connection,
+      check: outcome,
+      checkBegunMs: check && Math.round(check.startedAt - endedAt),
+      ms: Math.round(clock.monotonic() - endedAt),
+    });
+    return outcome === 'refused';
+  };
 
   return { upstream, head, bodyEnd, readBody, hasUpstreamExited, run, abort: end, end };
 };
