--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -67,6 +67,15 @@
     expect(body).to.equal(undefined);
   });
 
+  // Guards against a truncated body that looks complete: the reset arrives together with the last bytes.
+  it('rejects a body without a length whose connection is reset with its last bytes', async () => {
+    const body = await read((socket) => {
+      socket.write(`${HEAD_WITHOUT_LENGTH}cut`);
+      socket.resetAndDestroy();
+    });
+    expect(body).to.equal(undefined);
+  });
+
   it('rejects a body that is shorter than its length', async () => {
     const body = await read((socket) =>
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'),
