Exchange: a reset that arrives with the last bytes breaks an answer off

Cause: such an answer counted as whole unless an error showed otherwise. When the last bytes and the reset are read in one turn of the event loop, libuv reads the bytes, finds the hang-up beside them and reports an end of the stream; the error is never raised, and the parser marks the answer as complete. The class: the absence of a failure is taken for the proof of a success.

Change: an answer without framing is whole only if the upstream is seen to have closed its connection. Ruled out: waiting for an error (none comes).

--- a/packages/gateway/src/attempts/exchange.ts
+++ b/packages/gateway/src/attempts/exchange.ts
@@ -39,7 +39,7 @@
   head: Promise<HeadOutcome>;
   /** How the connection ended; undefined while the upstream has not ended it, and after an error. */
   connectionEnd(): ConnectionEnd | undefined;
-  /** Resolves when the body has ended; any other than a clean end is `broken`. */
+  /** Resolves when the body has ended. It is `whole` if its framing says so, or if the upstream closed the connection. */
   bodyEnd(res: IncomingMessage): Promise<BodyEnd>;
   /** Buffers a body; undefined when it broke off or is larger than `maxBytes`. */
   readBody(res: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined>;
@@ -47,6 +47,10 @@
   abort(): void;
 }
 
+/** Whether a response's end is marked by a length or by chunks, and not only by the end of its connection. */
+export const hasFraming = ({ headers }: IncomingMessage): boolean =>
+  'content-length' in headers || 'transfer-encoding' in headers;
+
 const codeOf = (err: Error): string => (err as NodeJS.ErrnoException).code ?? err.message;
 
 /**
@@ -100,12 +104,14 @@
     clientRequest.end(body);
   });
 
-  // A body without a length ends with its connection. Node's parser accepts a connection reset as this end, too,
-  // and marks the response as complete; only the error distinguishes a truncated body from a complete one.
+  // Data, a reset and an end of the connection may be read in one turn of the event loop, which then reports the end only.
+  const isWhole = (res: IncomingMessage): boolean =>
+    res.complete && !hasFailed && (hasFraming(res) || connectionEnd === 'closed');
+
   const bodyEnd = (res: IncomingMessage): Promise<BodyEnd> =>
     new Promise((resolve) => {
       res.once('error', () => resolve('broken'));
-      res.once('close', () => resolve(res.complete && !hasFailed ? 'whole' : 'broken'));
+      res.once('close', () => resolve(isWhole(res) ? 'whole' : 'broken'));
     });
 
   return {
--- a/packages/gateway/src/serving/response-headers.ts
+++ b/packages/gateway/src/serving/response-headers.ts
@@ -19,10 +19,6 @@
 export const hasField = (headers: readonly string[], name: string): boolean =>
   headers.some((field, index) => index % 2 === 0 && field.toLowerCase() === name);
 
-/** Whether a response's end is marked by a length or by chunks, and not only by the end of its connection. */
-export const hasFraming = ({ headers }: IncomingMessage): boolean =>
-  'content-length' in headers || 'transfer-encoding' in headers;
-
 /** Sends the head of a response with an upstream's status and header fields. */
 export const sendHead = (
   res: ServerResponse,
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -1,6 +1,7 @@
 /** Runs the attempts of one request: whether to retry after each of them, and how the request ends. */
 
 import { sleep } from '@plantaindrum/common';
+import { hasFraming } from '../attempts/exchange.js';
 import { FAILURE_CHECK } from '../attempts/exit-check.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import { startAttempt } from './attempt.js';
@@ -8,7 +9,7 @@
 import { onCallerDisconnected } from './caller-disconnected.js';
 import { createRequestCompletion } from './request-completion.js';
 import type { AttemptProgress, FullResponse } from './request-completion.js';
-import { endToEnd, hasFraming } from './response-headers.js';
+import { endToEnd } from './response-headers.js';
 import type { CallerRequest, RefusalReason, ServingDeps } from './types.js';
 import { waitForService } from './wait-for-service.js';
 
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -2,10 +2,11 @@
  * Serves a stream of events: forwards them as they arrive, and resumes the stream at another upstream if it breaks off.
  */
 
+import { hasFraming } from '../attempts/exchange.js';
 import { createEventSplitter, isOversized } from '../streams/events.js';
 import type { StreamEvent } from '../streams/events.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
-import { endToEnd, hasFraming, sendHead } from './response-headers.js';
+import { endToEnd, sendHead } from './response-headers.js';
 import { createRetryLoop, readFullResponse } from './retry-loop.js';
 import type { AttemptOutcome, TryMove } from './retry-loop.js';
 import type { CallerRequest, ServingDeps } from './types.js';
