Exchange: an answer without framing needs its upstream's process to live on

Callers got truncated answers without length or chunks as complete when the process that sent them had exited: its kernel closes the connections like those of a whole answer.

Cause: the evidence was of another moment or another process. A check of an upstream that ran already was joined, though its connection may be older than the end of the answer; a successor at the address answered for its predecessor; no answer within the timeout counted as alive; an upstream that was leaving was not checked.

While answers without framing are to be expected, an idle connection to each upstream in use is held; it closes with the process. Such an answer is whole if a connection made after its end is accepted and the held one is still open; where none was open before, the upstream is asked for its instance (health path). Anything else is not whole.

The unit tests of the check came with it.

--- a/packages/gateway/src/attempts/exchange.ts
+++ b/packages/exchange/src/exchange.ts
@@ -1,7 +1,8 @@
-/** One HTTP exchange with an upstream, on a separate connection. */
+/** One HTTP exchange with an upstream. */
 
 import { request } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Clock } from '@plantaindrum/common';
 
 /** The request of an exchange and where it is sent. */
@@ -11,11 +12,13 @@
   method: string;
   /** Path and query as the caller sent them. */
   path: string;
-  /** Names and values in turn. */
-  headers: string[];
+  /** Names and values in turn, or by name. */
+  headers: readonly string[] | OutgoingHttpHeaders;
   body: Uint8Array;
   /** Timeout of the connection attempt, in milliseconds. */
   connectTimeoutMs: number;
+  /** Pool of kept connections; without one, the exchange has a connection of its own. */
+  connections?: Agent;
   /** Called when the connection is established, from when on the request may run. */
   onConnected?: () => void;
 }
@@ -54,18 +57,27 @@
 const codeOf = (err: Error): string => (err as NodeJS.ErrnoException).code ?? err.message;
 
 /**
- * Starts an exchange on a new connection. Connections are not reused: on a reused one, a second or late response would
- * be read as the response to the next request, an idle timeout of the upstream could hit a request that must not be
- * repeated, and only a failed request would show that the connection is closed.
+ * Starts an exchange. On a kept connection a second or late response would be read as the response to the next request,
+ * and an idle timeout of the upstream could hit a request that must not be repeated; it is for trusted upstreams and
+ * requests that may be repeated.
  */
 export const startExchange = (options: ExchangeRequest, clock: Clock): Exchange => {
-  const { host, port, method, path, headers, body, connectTimeoutMs } = options;
+  const { host, port, method, path, headers, body, connectTimeoutMs, connections } = options;
   let isConnected = false;
   let isSettled = false;
   let hasFailed = false;
   let connectionEnd: ConnectionEnd | undefined;
   let req: ClientRequest | undefined;
 
+  const observeEnd = (socket: Socket, clientRequest: ClientRequest): void => {
+    // Node.js looks the address up when it is first read, and keeps it.
+    const handleEnd = (): void => {
+      connectionEnd = socket.remoteAddress === undefined ? 'reset' : 'closed';
+    };
+    socket.prependOnceListener('end', handleEnd);
+    clientRequest.once('close', () => socket.off('end', handleEnd));
+  };
+
   const head = new Promise<HeadOutcome>((resolve) => {
     const settle = (outcome: HeadOutcome): void => {
       isSettled = true;
@@ -74,7 +86,8 @@
     const fail = (why: string): void =>
       settle(isConnected ? { outcome: 'unknown', why } : { outcome: 'not-sent', why });
     try {
-      req = request({ host, port, method, path, headers, agent: false, setHost: false });
+      const target = { host, port, method, path, setHost: false, agent: connections ?? false };
+      req = request({ ...target, headers: headers as OutgoingHttpHeaders });
     } catch (err) {
       fail(codeOf(err as Error));
       return;
@@ -83,17 +96,16 @@
     const stopTimer = clock.after(connectTimeoutMs, () => {
       if (!isConnected) clientRequest.destroy(new Error('connect-timeout'));
     });
+    const handleConnected = (): void => {
+      isConnected = true;
+      options.onConnected?.();
+      stopTimer();
+    };
     clientRequest.on('socket', (socket) => {
       socket.setNoDelay(true);
-      // Node.js looks the address up when it is first read, and keeps it.
-      socket.prependOnceListener('end', () => {
-        connectionEnd = socket.remoteAddress === undefined ? 'reset' : 'closed';
-      });
-      socket.once('connect', () => {
-        isConnected = true;
-        options.onConnected?.();
-        stopTimer();
-      });
+      observeEnd(socket, clientRequest);
+      if (socket.connecting) socket.once('connect', handleConnected);
+      else handleConnected();
     });
     clientRequest.on('error', (err) => {
       stopTimer();
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/exchange/test/exchange.test.ts
@@ -2,8 +2,8 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { expect } from 'chai';
 import { systemClock } from '@plantaindrum/common';
-import { startExchange } from '../src/attempts/exchange.js';
-import type { Exchange, HeadOutcome } from '../src/attempts/exchange.js';
+import { startExchange } from '../src/exchange.js';
+import type { Exchange, HeadOutcome } from '../src/exchange.js';
 
 /** Starts a server that calls `act` for each connection once data has been received. */
 const serveOnce = async (
--- /dev/null
+++ b/packages/exchange/test/liveness.test.ts
@@ -0,0 +1,113 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { expect } from 'chai';
+import { systemClock } from '@plantaindrum/common';
+import { confirmSurvival, createExitCheck, createLiveness, tryConnect } from '../src/index.js';
+import type { LivenessHold, UpstreamAddress } from '../src/index.js';
+
+/** A listener on loopback that can be closed like one whose process exits. */
+const startListener = async (port = 0) => {
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      sockets.forEach((socket) => socket.destroy());
+    });
+  return { port: (server.address() as AddressInfo).port, close, sockets };
+};
+
+const waitUntilHeld = async (hold: LivenessHold) => {
+  for (;;) {
+    const connection = hold.connection();
+    if (connection) return connection;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2);
+    });
+  }
+};
+
+const checkExit = createExitCheck<UpstreamAddress>({
+  ...{ delayMs: 0, timeoutMs: 100, onExited: () => {}, onAlive: () => {}, clock: systemClock },
+  connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, systemClock),
+});
+const unknown = async () => 'unknown' as const;
+
+describe('liveness connections', () => {
+  const liveness = createLiveness({ onClosed: () => {}, clock: systemClock });
+  const upstreamAt = (port: number) => ({ instance: `i${port}`, host: '127.0.0.1', port });
+  after(liveness.close);
+
+  it('prove that a process lives on', async () => {
+    const listener = await startListener();
+    const upstream = upstreamAt(listener.port);
+    const hold = liveness.hold(upstream);
+    const connection = await waitUntilHeld(hold);
+    const outcome = await confirmSurvival(upstream, connection, { checkExit, identify: unknown });
+    hold.release();
+    await listener.close();
+    expect(outcome).to.equal('alive');
+  });
+
+  it('show that a process has exited', async () => {
+    const listener = await startListener();
+    const upstream = upstreamAt(listener.port);
+    const hold = liveness.hold(upstream);
+    const connection = await waitUntilHeld(hold);
+    await listener.close();
+    const outcome = await confirmSurvival(upstream, connection, { checkExit, identify: unknown });
+    hold.release();
+    expect(outcome).to.equal('exited');
+  });
+
+  // Guards against a truncated answer that looks complete because another process listens at the address by now.
+  it('do not take a successor at the same address for the process that answered', async () => {
+    const listener = await startListener();
+    const upstream = upstreamAt(listener.port);
+    const hold = liveness.hold(upstream);
+    const connection = await waitUntilHeld(hold);
+    await listener.close();
+    const successor = await startListener(listener.port);
+    const outcome = await confirmSurvival(upstream, connection, { checkExit, identify: unknown });
+    hold.release();
+    await successor.close();
+    expect(outcome).to.equal('unconfirmed');
+  });
+
+  it('are not needed when the process states its instance', async () => {
+    const listener = await startListener();
+    const upstream = upstreamAt(listener.port);
+    const ask = (identity: 'same' | 'other') =>
+      confirmSurvival(upstream, undefined, { checkExit, identify: async () => identity });
+    const outcomes = [await ask('same'), await ask('other')];
+    await listener.close();
+    expect(outcomes).to.deep.equal(['alive', 'exited']);
+  });
+
+  // Guards against a truncated answer that looks complete because the check had no answer in time.
+  it('do not take silence for a sign of life', async () => {
+    const upstream = upstreamAt(1);
+    const outcome = await confirmSurvival(upstream, undefined, {
+      checkExit: async () => 'silent',
+      identify: unknown,
+    });
+    expect(outcome).to.equal('unconfirmed');
+  });
+
+  it('are shared by those who hold the same upstream', async () => {
+    const listener = await startListener();
+    const upstream = upstreamAt(listener.port);
+    const holds = [liveness.hold(upstream), liveness.hold(upstream)];
+    const [first, second] = await Promise.all(holds.map(waitUntilHeld));
+    expect(first).to.equal(second);
+    expect(listener.sockets.size).to.equal(1);
+    holds.forEach((hold) => hold.release());
+    await listener.close();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/attempts/survival.ts
@@ -0,0 +1,102 @@
+/** Whether an upstream's process has lived through the end of an answer. */
+
+import {
+  confirmSurvival,
+  createExitCheck,
+  createLiveness,
+  startExchange,
+  tryConnect,
+} from '@plantaindrum/exchange';
+import type { LivenessConnection, LivenessHold, SurvivalOutcome } from '@plantaindrum/exchange';
+import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
+import type { HeaderDialect, UpstreamRecord } from '../types.js';
+import { createFramingHistory } from './framing-history.js';
+
+/** Checks the ends of answers that have neither a length nor chunks. */
+export interface AnswerSurvival {
+  /** Keeps a connection to an upstream open during an attempt; undefined if its answers have a framing. */
+  hold(upstream: UpstreamRecord): LivenessHold | undefined;
+  recordFraming(service: string, isFramed: boolean): void;
+  /** Checks the process after its answer has ended; `connection` was open when the answer began. */
+  confirm(
+    upstream: UpstreamRecord,
+    connection: LivenessConnection | undefined,
+  ): Promise<SurvivalOutcome>;
+  close(): void;
+}
+
+/** Options of `createAnswerSurvival`. */
+export interface AnswerSurvivalOptions {
+  dialect: HeaderDialect;
+  healthPath: (service: string) => string | undefined;
+  /** Called if an upstream that is not leaving refuses connections. */
+  onExited: (upstream: UpstreamRecord) => void;
+  clock: Clock;
+  metrics: Metrics;
+  log: EventLog;
+}
+
+const CONNECT_TIMEOUT_MS = 100;
+const IDENTIFY_TIMEOUT_MS = 350;
+
+/** Creates the checks of one entry. */
+export const createAnswerSurvival = (options: AnswerSurvivalOptions): AnswerSurvival => {
+  const { dialect, healthPath, onExited, clock, metrics, log } = options;
+  const framing = createFramingHistory(clock);
+  const liveness = createLiveness({
+    onClosed: ({ instance }) => log.event('liveness-connection-closed', { upstream: instance }),
+    clock,
+  });
+  const checkExit = createExitCheck<UpstreamRecord>({
+    ...{ delayMs: 0, timeoutMs: CONNECT_TIMEOUT_MS },
+    // An upstream that is leaving may exit as soon as its last answer has been sent.
+    onExited: (upstream) => {
+      if (upstream.state === 'ready') onExited(upstream);
+    },
+    onAlive: () => {},
+    connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, clock),
+    clock,
+  });
+
+  const readIdentity = async (upstream: UpstreamRecord): Promise<string | undefined> => {
+    const path = healthPath(upstream.service);
+    if (path === undefined) return undefined;
+    const { host, port } = upstream;
+    const headers = ['Host', `${host}:${port}`, 'Connection', 'close'];
+    const exchange = startExchange(
+      {
+        host,
+        port,
+        method: 'GET',
+        path,
+        headers,
+        body: new Uint8Array(),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      },
+      clock,
+    );
+    const stopTimer = clock.after(IDENTIFY_TIMEOUT_MS, exchange.abort);
+    const head = await exchange.head;
+    stopTimer();
+    if (head.outcome === 'head') head.res.on('error', () => {});
+    exchange.abort();
+    return head.outcome === 'head' ? dialect.readInstance(head.res.headers) : undefined;
+  };
+
+  const identify = async (upstream: UpstreamRecord): Promise<'same' | 'other' | 'unknown'> => {
+    const instance = await readIdentity(upstream);
+    const outcome =
+      instance === undefined ? 'unknown' : instance === upstream.instance ? 'same' : 'other';
+    metrics.count('gateway_identity_probes', { outcome });
+    return outcome;
+  };
+
+  return {
+    hold: (upstream) =>
+      framing.expectsUnframed(upstream.service) ? liveness.hold(upstream) : undefined,
+    recordFraming: framing.record,
+    confirm: (upstream, connection) =>
+      confirmSurvival(upstream, connection, { checkExit, identify }),
+    close: liveness.close,
+  };
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** An entry that reaches its upstreams directly: assembles its parts, and starts and stops them. */
 
 import { sleep } from '@plantaindrum/common';
+import { createExitCheck, tryConnect } from '@plantaindrum/exchange';
 import { createAdmission } from './admission/admission.js';
 import { createServiceOutages } from './admission/service-outages.js';
 import { createCallerServer } from './caller-server.js';
@@ -14,7 +15,7 @@
 import { createLoadBroadcaster } from './mesh/load-broadcast.js';
 import { createMesh } from './mesh/mesh.js';
 import type { Mesh } from './mesh/mesh.js';
-import { createExitCheck, tryConnect } from './attempts/exit-check.js';
+import { createAnswerSurvival } from './attempts/survival.js';
 import { createQuarantine } from './quarantine/index.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudget } from './retry/budget.js';
@@ -32,6 +33,9 @@
 /** How often a request that arrived before the first intent checks for it, in ms. */
 const INTENT_POLL_MS = 10;
 
+/** Timing of the check after a failed attempt, in ms: a process may exit a moment after its connections have closed. */
+const FAILURE_CHECK = { delayMs: 80, timeoutMs: 350 };
+
 /** Starts an entry; rejects when one of its addresses is in use. */
 export const createGateway = async (options: GatewayOptions): Promise<Gateway> => {
   const { self, topics, clock, random, metrics, log } = options;
@@ -62,11 +66,20 @@
     log,
   });
   const checkExit = createExitCheck<UpstreamRecord>({
+    ...FAILURE_CHECK,
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
     connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, clock),
     clock,
   });
+  const survival = createAnswerSurvival({
+    dialect: options.dialect,
+    healthPath: (service) => routeTable?.service(service)?.healthPath,
+    onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
+    clock,
+    metrics,
+    log,
+  });
 
   const directory = createDirectory({
     decode: options.decodeUpstream,
@@ -110,6 +123,7 @@
     outages,
     quarantine,
     checkExit,
+    survival,
     entries,
     clock,
     random,
@@ -241,6 +255,7 @@
     log.event('stopped', { cut: callerServer.openRequests() });
     followedTopics.close();
     quarantine.close();
+    survival.close();
     entryTopics.close();
     readinessServer.close();
     metricsServer.close();
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -1,9 +1,8 @@
 /** One attempt at one upstream, until the head of its response. */
 
 import type { IncomingMessage } from 'node:http';
-import { startExchange } from '../attempts/exchange.js';
-import { ANSWER_CHECK } from '../attempts/exit-check.js';
-import type { Exchange } from '../attempts/exchange.js';
+import { hasFraming, startExchange } from '@plantaindrum/exchange';
+import type { Exchange, LivenessConnection } from '@plantaindrum/exchange';
 import type { ResponseFields } from '../types.js';
 import type { MonitoredAttempt } from '../quarantine/index.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -31,10 +30,10 @@
   bodyEnd: Exchange['bodyEnd'];
   readBody: Exchange['readBody'];
   /**
-   * Whether the upstream's process exited although it had not announced that. The connections of a process that crashes
-   * may close like those of a complete response, and only its length or chunks tell the two apart.
+   * Whether an answer whose body has ended without a fault is proved to be complete. One that ends with its connection
+   * needs the upstream's process to live on: the kernel closes the connections of a process that crashes.
    */
-  hasUpstreamExited(): Promise<boolean>;
+  isProvedComplete(res: IncomingMessage): Promise<boolean>;
   /** Reports to the quarantine how this attempt ends. */
   run: MonitoredAttempt;
   abort(): void;
@@ -64,7 +63,7 @@
   lastEventId: number | undefined,
   deps: ServingDeps,
 ): Attempt => {
-  const { clock, dialect, metrics, rateLimits } = deps;
+  const { clock, dialect, metrics, log, rateLimits, survival } = deps;
   const { record } = upstream;
   const startedAt = clock.monotonic();
   const attemptFields = {
@@ -76,6 +75,8 @@
   };
   const { fingerprint, sharedParts } = request;
   const run = deps.quarantine.begin(fingerprint, record, sharedParts, 'pending');
+  const liveness = survival.hold(record);
+  let connectionAtHead: LivenessConnection | undefined;
   const exchange: Exchange = startExchange(
     {
       host: record.host,
@@ -135,10 +136,12 @@
     if (status < 300 && !fields.hasReceipt) {
       return fail({ outcome: 'unknown', why: 'no-receipt' });
     }
+    survival.recordFraming(record.service, hasFraming(res));
     return { outcome: 'answered', res, fields, status };
   };
 
   const head = exchange.head.then((outcome) => {
+    connectionAtHead = liveness?.connection();
     if (outcome.outcome === 'head') return classifyResponse(outcome.res);
     if (outcome.outcome === 'not-sent') {
       const failure = fail({ outcome: 'not-run', why: outcome.why, wasSent: false });
@@ -153,31 +156,27 @@
     ended = true;
     upstream.end();
     run.end();
+    liveness?.release();
     exchange.abort();
   };
 
   const { bodyEnd, readBody } = exchange;
-  const hasUpstreamExited = async (): Promise<boolean> => {
+  const isProvedComplete = async (res: IncomingMessage): Promise<boolean> => {
+    if (hasFraming(res)) return true;
     const endedAt = clock.monotonic();
-    const isChecked = record.state === 'ready';
-    const check = isChecked ? await deps.checkExit(record, ANSWER_CHECK) : undefined;
-    const outcome = check?.outcome ?? 'skipped';
-    const connection = exchange.connectionEnd();
-    metrics.count('gateway_unframed_answers', {
-      connection: connection ?? 'unknown',
-      check: outcome,
-    });
-    deps.log.event('unframed-answer-ended', {
+    const isHeld = connectionAtHead?.isOpen() ?? false;
+    const outcome = await survival.confirm(upstream.record, connectionAtHead);
+    metrics.count('gateway_unframed_answers', { survival: outcome });
+    log.event('unframed-answer-ended', {
       id: request.id,
       upstream: record.instance,
-      state: record.state,
-      connection,
-      check: outcome,
-      checkBegunMs: check && Math.round(check.startedAt - endedAt),
+      state: upstream.record.state,
+      isHeld,
+      survival: outcome,
       ms: Math.round(clock.monotonic() - endedAt),
     });
-    return outcome === 'refused';
+    return outcome === 'alive';
   };
 
-  return { upstream, head, bodyEnd, readBody, hasUpstreamExited, run, abort: end, end };
+  return { upstream, head, bodyEnd, readBody, isProvedComplete, run, abort: end, end };
 };
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -1,8 +1,7 @@
 /** Runs the attempts of one request: whether to retry after each of them, and how the request ends. */
 
 import { sleep } from '@plantaindrum/common';
-import { hasFraming } from '../attempts/exchange.js';
-import { FAILURE_CHECK } from '../attempts/exit-check.js';
+import { hasFraming } from '@plantaindrum/exchange';
 import type { Upstream } from '../upstreams/upstream.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
@@ -67,7 +66,7 @@
   const body = await attempt.readBody(response.res, MAX_RESPONSE_BYTES);
   if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
   const isFramed = hasFraming(response.res);
-  if (!isFramed && (await attempt.hasUpstreamExited())) {
+  if (!(await attempt.isProvedComplete(response.res))) {
     return { outcome: 'unknown', why: 'upstream-ended' };
   }
   return {
@@ -153,7 +152,7 @@
     const hasFailed = !isAbandoned && !attempt.run.hasSurvived();
     attempt.end();
     // A suspect request is retried only once it is known whether it has crashed this upstream as well.
-    const exitCheck = hasFailed ? deps.checkExit(upstream.record, FAILURE_CHECK) : undefined;
+    const exitCheck = hasFailed ? deps.checkExit(upstream.record) : undefined;
     if (quarantine.isSuspect(request.fingerprint)) await exitCheck;
     lastEndedAt = clock.monotonic();
     updateAvailability(head.outcome === 'answered', upstream);
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -2,7 +2,6 @@
  * Serves a stream of events: forwards them as they arrive, and resumes the stream at another upstream if it breaks off.
  */
 
-import { hasFraming } from '../attempts/exchange.js';
 import { createEventSplitter, isOversized } from '../streams/events.js';
 import type { StreamEvent } from '../streams/events.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
@@ -142,8 +141,7 @@
     if (fault !== undefined) return fault;
     if (end === 'broken') return 'stream-broke-off';
     if (splitter.pending() > 0) return 'event-cut';
-    const mayBeCut = !hasFraming(response.res) && (await attempt.hasUpstreamExited());
-    return mayBeCut ? 'upstream-ended' : undefined;
+    return (await attempt.isProvedComplete(response.res)) ? undefined : 'upstream-ended';
   };
 
   return loop.run(async (attempt, response): Promise<AttemptOutcome> => {
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, EventLog, Metrics, Random } from '@plantaindrum/common';
+import type { ExitCheck } from '@plantaindrum/exchange';
 import type { Admission } from '../admission/admission.js';
 import type { ServiceOutages } from '../admission/service-outages.js';
-import type { ExitCheck } from '../attempts/exit-check.js';
+import type { AnswerSurvival } from '../attempts/survival.js';
 import type { RouteTable } from '../intent/route-table.js';
 import type { RequestQuarantine } from '../quarantine/index.js';
 import type { RetryBudget } from '../retry/budget.js';
@@ -19,8 +20,9 @@
   rateLimits: RateLimits;
   outages: ServiceOutages;
   quarantine: RequestQuarantine;
-  /** Checks whether the upstream's process has exited, after a response there has failed or may have. */
+  /** Checks whether the upstream's process has exited, after an attempt there has failed. */
   checkExit: ExitCheck<UpstreamRecord>;
+  survival: AnswerSurvival;
   /** Number of entries that may be running, including this one. */
   entries: () => number;
   clock: Clock;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -59,6 +59,8 @@
   name: string;
   /** Maximum number of connections that one upstream accepts from all entries together. */
   maxConnections: number;
+  /** Path at which an upstream states its instance; undefined if there is none. */
+  healthPath: string | undefined;
   engine: ExpertLayout | undefined;
 }
 
@@ -164,4 +166,6 @@
   /** The caller's headers, with those of the connection and of the gateway replaced. */
   writeAttempt(headers: RawHeaders, fields: AttemptFields, bodyBytes: number): string[];
   readResponse(headers: NodeJS.Dict<string | string[]>): ResponseFields;
+  /** The instance that answered a request on the health path; undefined if it doesn't say. */
+  readInstance(headers: NodeJS.Dict<string | string[]>): string | undefined;
 }
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -174,7 +174,7 @@
   // One upstream has its only connection in use, the other one can't be reached. If the request were retried at the
   // first one, its connection would be reset there, and it would be unknown whether it ran.
   it('is not exceeded by a retry', async () => {
-    const services = [{ name: 's', maxConnections: 1, engine: undefined }];
+    const services = [{ name: 's', maxConnections: 1, healthPath: undefined, engine: undefined }];
     await withEntry(
       [answerOk(), answerOk()],
       { intent: { services } },
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -10,9 +10,10 @@
   systemClock,
 } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
+import { createExitCheck, tryConnect } from '@plantaindrum/exchange';
 import { createAdmission } from '../../src/admission/admission.js';
 import { createServiceOutages } from '../../src/admission/service-outages.js';
-import { createExitCheck, tryConnect } from '../../src/attempts/exit-check.js';
+import { createAnswerSurvival } from '../../src/attempts/survival.js';
 import type { Intent, Route, UpstreamRecord } from '../../src/index.js';
 import { createRouteTable } from '../../src/intent/route-table.js';
 import { createQuarantine } from '../../src/quarantine/index.js';
@@ -92,6 +93,7 @@
     log,
   });
   const checkExit = createExitCheck<UpstreamRecord>({
+    ...{ delayMs: 80, timeoutMs: 350 },
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
     connectTo: (host, at, timeoutMs) => tryConnect(host, at, timeoutMs, clock),
@@ -106,6 +108,14 @@
     organisations: undefined,
     ...options.intent,
   });
+  const survival = createAnswerSurvival({
+    dialect: testDialect,
+    healthPath: (service) => routeTable.service(service)?.healthPath,
+    onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
+    clock,
+    metrics,
+    log,
+  });
   const directory = createDirectory({
     decode: (key, value) => ok({ ...JSON.parse(Buffer.from(value).toString()), instance: key }),
     dataCentre: 'd',
@@ -153,6 +163,7 @@
     outages: createServiceOutages({ clock, metrics, log }),
     quarantine,
     checkExit,
+    survival,
     entries: () => 1,
     waitForIntent: async () => {},
     routeTable: () => (options.withoutIntent ? undefined : routeTable),
@@ -212,6 +223,7 @@
     rateLimits,
     quarantine,
     close: async (): Promise<void> => {
+      survival.close();
       server.closeAllConnections();
       server.close();
       await Promise.all(options.upstreams.map((upstream) => upstream.close()));
--- a/packages/gateway/test/support/fake-upstream.ts
+++ b/packages/gateway/test/support/fake-upstream.ts
@@ -65,8 +65,8 @@
   return Buffer.concat(chunks).toString();
 };
 
-/** Starts a fake upstream. */
-export const startFakeUpstream = async (first: Handler): Promise<FakeUpstream> => {
+/** Starts a fake upstream, on any port by default. */
+export const startFakeUpstream = async (first: Handler, port = 0): Promise<FakeUpstream> => {
   let handler = first;
   let abortedRequests = 0;
   const seen: SeenRequest[] = [];
@@ -85,7 +85,7 @@
     );
   });
   await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
+    server.listen(port, '127.0.0.1', resolve);
   });
   return {
     port: (server.address() as AddressInfo).port,
--- a/packages/gateway/test/support/test-dialect.ts
+++ b/packages/gateway/test/support/test-dialect.ts
@@ -32,4 +32,5 @@
     load: undefined,
     rateLimit: number(headers['x-rate-limit']),
   }),
+  readInstance: (headers) => first(headers['x-instance']),
 };
