Exchange: an answer without framing whose body is cut off is not whole

Callers got a JSON body that ends in its middle, and a head without any event, as complete answers while their upstream lived on.

Cause: the bytes themselves were not asked; only an event that was cut off was seen. Change: without length or chunks, a JSON body must parse, and a stream that is not resumed has an event.

--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -1,3 +1,4 @@
+export * from './body-check.js';
 export * from './connect.js';
 export * from './exchange.js';
 export * from './exit-check.js';
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -1,7 +1,8 @@
 /** Runs the attempts of one request: whether to retry after each of them, and how the request ends. */
 
+import type { IncomingMessage } from 'node:http';
 import { sleep } from '@plantaindrum/common';
-import { hasFraming } from '@plantaindrum/exchange';
+import { createBodyCheck, hasFraming } from '@plantaindrum/exchange';
 import type { Upstream } from '../upstreams/upstream.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
@@ -61,11 +62,18 @@
 /** Maximum number of a request's attempts that are known not to have run, in addition to those that ran. */
 const MAX_NOT_RUN = 3;
 
+const isCutOff = (res: IncomingMessage, body: Uint8Array): boolean => {
+  const check = createBodyCheck(res.headers['content-type'] ?? '', false);
+  check.push(body);
+  return check.isCut();
+};
+
 /** Buffers a response that is not a stream. */
 export const readFullResponse: HandleResponse = async (attempt, response) => {
   const body = await attempt.readBody(response.res, MAX_RESPONSE_BYTES);
   if (body === undefined) return { outcome: 'unknown', why: 'answer-broke-off' };
   const isFramed = hasFraming(response.res);
+  if (!isFramed && isCutOff(response.res, body)) return { outcome: 'unknown', why: 'answer-cut' };
   if (!(await attempt.isProvedComplete(response.res))) {
     return { outcome: 'unknown', why: 'upstream-ended' };
   }
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -2,6 +2,7 @@
  * Serves a stream of events: forwards them as they arrive, and resumes the stream at another upstream if it breaks off.
  */
 
+import { hasFraming } from '@plantaindrum/exchange';
 import { createEventSplitter, isOversized } from '../streams/events.js';
 import type { StreamEvent } from '../streams/events.js';
 import type { Attempt, AttemptResponse } from './attempt.js';
@@ -141,6 +142,8 @@
     if (fault !== undefined) return fault;
     if (end === 'broken') return 'stream-broke-off';
     if (splitter.pending() > 0) return 'event-cut';
+    const isEmpty = loop.resumeAfter === undefined && !res.headersSent;
+    if (isEmpty && !hasFraming(response.res)) return 'no-event';
     return (await attempt.isProvedComplete(response.res)) ? undefined : 'upstream-ended';
   };
 
--- a/packages/gateway/test/unframed-answers.test.ts
+++ b/packages/gateway/test/unframed-answers.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import type { FakeUpstream, Handler } from './support/fake-upstream.js';
-import { startFakeUpstream, streamEvents } from './support/fake-upstream.js';
+import { startFakeUpstream, streamEvents, validHeaders } from './support/fake-upstream.js';
 import { startEntry } from './support/entry.js';
-import { streamRoute } from './support/with-entry.js';
+import { streamRoute, withEntry } from './support/with-entry.js';
 import type { Entry } from './support/with-entry.js';
 
 const HEALTH_PATH = '/health';
@@ -14,6 +14,14 @@
     handler(req, res);
   };
 
+const unframedBody =
+  (type: string, body: string): Handler =>
+  (req, res) => {
+    res.useChunkedEncodingByDefault = false;
+    res.writeHead(200, { ...validHeaders(req), 'content-type': type, connection: 'close' });
+    res.end(body);
+  };
+
 const drainingRecord = (port: number) => {
   const fields = { service: 's', host: '127.0.0.1', port, dataCentre: 'd', slots: 4 };
   const state = { state: 'draining', warmupLeftMs: 0, sequence: 2, startedAt: 0 };
@@ -67,4 +75,28 @@
       await entry.close();
     }
   });
+
+  // Guards against a body that is cut off in the middle and looks complete, as its upstream lives on.
+  it('are not complete when they are JSON that is cut off', async () => {
+    const handlers = [unframedBody('application/json', '{"a": [1,')];
+    await withEntry(handlers, { route: { maxAttempts: 1 } }, async (entry) => {
+      expect((await entry.send()).status).to.equal(502);
+    });
+  });
+
+  it('are complete when they are whole JSON', async () => {
+    const handlers = [unframedBody('application/json', '{"a": [1]}')];
+    await withEntry(handlers, {}, async (entry) => {
+      expect((await entry.send()).body).to.equal('{"a": [1]}');
+    });
+  });
+
+  // Guards against a head without any event that is forwarded as a complete stream.
+  it('are not complete when they are a stream without an event', async () => {
+    const handler = unframed(streamEvents([], 'whole'));
+    const route = { ...streamRoute, resumable: false };
+    await withEntry([handler], { route }, async (entry) => {
+      expect((await entry.send()).status).to.equal(502);
+    });
+  });
 });
