Callers: a response without chunks that is cut is reset

A caller of HTTP/1.0 knows no chunks, so its response ends with its connection. A stream that the entry gave up on ended there like a complete one, on both interfaces: the same class, in the answers that we give.

Red before: 'resets the connection when the end of the response would be its end' (the end was clean). Responses with chunks or a length end as before.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './abort-response.js';
 export * from './adaptive-timeouts.js';
 export * from './clock.js';
 export * from './errors/index.js';
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -1,6 +1,7 @@
 /** Refusals: the error responses that the entry itself sends. */
 
 import type { ServerResponse } from 'node:http';
+import { abortResponse } from '@plantaindrum/common';
 import type { QuarantineRefusal } from '../quarantine/index.js';
 import type { RefusalReason, ServingDeps } from './types.js';
 
@@ -88,7 +89,7 @@
   deps.metrics.count('gateway_refused', { reason });
   deps.log.event('refused', { ...request, reason, status, retryAfterMs, ...inputs });
   if (res.headersSent || res.destroyed) {
-    res.destroy();
+    abortResponse(res);
     return;
   }
   const headers: Record<string, string> = { 'Content-Type': 'text/plain' };
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -1,6 +1,7 @@
 /** Handles a caller's request: identifies it, reads its body, decides on admission and serves it. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { abortResponse } from '@plantaindrum/common';
 import type { RouteTable } from '../intent/route-table.js';
 import { pickService } from '../intent/route-table.js';
 import { fingerprintOf } from '../quarantine/index.js';
@@ -210,7 +211,7 @@
     serve(req, res).catch((err: unknown) => {
       metrics.count('gateway_faults');
       log.event('fault', { where: 'request', err: String(err) });
-      res.destroy();
+      abortResponse(res);
     });
   };
 };
--- a/packages/plantaindrum/src/core/callers/caller-response.ts
+++ b/packages/plantaindrum/src/core/callers/caller-response.ts
@@ -2,7 +2,13 @@
 
 import type { ServerResponse } from 'node:http';
 import type { Clock, Metrics, Refusal } from '@plantaindrum/common';
-import { refusalBody, refusalEvent, refusalHeaders, refusalStatus } from '@plantaindrum/common';
+import {
+  abortResponse,
+  refusalBody,
+  refusalEvent,
+  refusalHeaders,
+  refusalStatus,
+} from '@plantaindrum/common';
 import type { ResponseSink } from '../attempts/types.js';
 import { createDrainWait } from './drain-wait.js';
 import type { EventStreamParser, ServerSentEvent } from './event-stream-parser.js';
@@ -156,11 +162,11 @@
       return;
     }
     if (!isStreaming) {
-      res.destroy();
+      abortResponse(res);
       return;
     }
-    // The event carries the reason; destroying the connection shows that the stream is incomplete.
-    res.write(refusalEvent(refusal), () => res.destroy());
+    // The event carries the reason; ending the connection shows that the stream is incomplete.
+    res.write(refusalEvent(refusal), () => abortResponse(res));
   };
 
   return {
