Agent: an answer without framing needs proof that it is complete

Callers of our own interface got truncated answers without length or chunks as complete: undici, which the agent used beside its upstream, takes a reset for the end of such an answer, and nothing asked whether the upstream's process lived on.

Change: the agent sends its calls through the exchange of the gateway, with the same proof: the upstream closed the connection, the body is not cut off inside an event or JSON, and its process lives on. Calls that may be repeated still use kept connections. A coding other than chunks no longer counts as framing; answers that never have a body do (HEAD, 204, 304).

--- a/packages/agent/src/core/attempts/run-attempt.ts
+++ b/packages/agent/src/core/attempts/run-attempt.ts
@@ -51,7 +51,11 @@
   let firstByteSeen = false;
   let refused = false;
   const result = await upstream.call(
-    { method, path, headers, body: encodeBody(dispatch), runsAtMostOnce: runsAtMostOnce(dispatch) },
+    {
+      ...{ method, path, headers, body: encodeBody(dispatch) },
+      runsAtMostOnce: runsAtMostOnce(dispatch),
+      isResumed: dispatch.resumeAfter !== undefined,
+    },
     {
       sent: () => {
         attempt.start();
--- a/packages/agent/src/core/attempts/serving.ts
+++ b/packages/agent/src/core/attempts/serving.ts
@@ -85,7 +85,7 @@
 export const createServing = (options: ServingOptions): Serving => {
   const { settings, instance, platformLog, refusesEntry, clock, random, metrics } = options;
   const { queue: capacity, concurrency } = settings.limits;
-  const upstream = createUpstream(settings.upstream.url);
+  const upstream = createUpstream({ url: settings.upstream.url, clock, metrics });
   const queue = createAgentQueue<QueuedAttempt>({ clock, random, capacity, concurrency });
   const claims = createClaims({ clock, log: platformLog, metrics, instance });
 
@@ -120,7 +120,7 @@
     close: async () => {
       claims.close();
       attemptManager.close();
-      await upstream.close();
+      upstream.close();
     },
   };
 };
--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -1,7 +1,19 @@
 /** HTTP client of the engine or service beside this agent. */
 
-import { Pool } from 'undici';
-import type { Dispatcher } from 'undici';
+import { Agent } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import { Agent as SecureAgent } from 'node:https';
+import type { Clock, Metrics } from '@plantaindrum/common';
+import {
+  confirmSurvival,
+  createBodyCheck,
+  createExitCheck,
+  createLiveness,
+  hasFraming,
+  startExchange,
+  tryConnect,
+} from '@plantaindrum/exchange';
+import type { Exchange, LivenessHold, UpstreamAddress } from '@plantaindrum/exchange';
 import { answerHeaders } from './headers.js';
 
 /** One call to the upstream. */
@@ -12,11 +24,13 @@
   body: Uint8Array;
   /** Uses a connection of its own, see `createUpstream`. */
   runsAtMostOnce: boolean;
+  /** Whether the call resumes a stream, which may have no event left. */
+  isResumed: boolean;
 }
 
 /** Receives the upstream's answer as it arrives. */
 export interface ResponseSink {
-  /** Called right before the first byte is written to the upstream. */
+  /** Called when the connection is established, from when on the call may run. */
   sent(): void;
   head(status: number, headers: Record<string, string>): void;
   /** Receives bytes; a returned promise pauses reading from the upstream until it resolves. */
@@ -32,76 +46,134 @@
 /** The upstream beside this agent. */
 export interface Upstream {
   call(req: UpstreamRequest, sink: ResponseSink, signal: AbortSignal): Promise<UpstreamOutcome>;
-  close(): Promise<void>;
+  close(): void;
 }
 
-const ABORT_ERROR = new Error('the call was cancelled');
+/** Options of `createUpstream`. */
+export interface UpstreamOptions {
+  /** Base address of the upstream. */
+  url: string;
+  clock: Clock;
+  metrics: Metrics;
+}
 
-const dispatchOptions = (req: UpstreamRequest): Dispatcher.DispatchOptions => ({
-  method: req.method,
-  path: req.path,
-  headers: req.headers,
-  body: req.body.length > 0 ? req.body : null,
-  idempotent: false,
-  reset: req.runsAtMostOnce,
-});
+const CONNECT_TIMEOUT_MS = 10_000;
+/** Timeout of the connection with which the end of an answer is checked, in ms; the upstream is beside the agent. */
+const EXIT_CHECK_TIMEOUT_MS = 100;
 
-const runCall = (
-  pool: Pool,
-  req: UpstreamRequest,
-  sink: ResponseSink,
-  signal: AbortSignal,
-): Promise<UpstreamOutcome> =>
-  new Promise((resolve) => {
-    let sent = false;
-    let abort = (): void => {};
-    const onAbort = (): void => abort();
-    signal.addEventListener('abort', onAbort);
-    const finish = (outcome: UpstreamOutcome): void => {
-      signal.removeEventListener('abort', onAbort);
-      resolve(outcome);
-    };
-    pool.dispatch(dispatchOptions(req), {
-      onRequestStart: (controller) => {
-        if (signal.aborted) {
-          controller.abort(ABORT_ERROR);
-          return;
-        }
-        abort = () => controller.abort(ABORT_ERROR);
-        sent = true;
-        sink.sent();
-      },
-      onResponseStart: (_, status, headers) => {
-        if (status >= 200) sink.head(status, answerHeaders(headers));
-      },
-      onResponseData: (controller, bytes) => {
-        const resumed = sink.data(bytes);
-        if (!resumed) return;
-        controller.pause();
-        void resumed.then(() => controller.resume());
-      },
-      onResponseEnd: () => finish({ outcome: 'whole' }),
-      onResponseError: (_, err) => {
-        finish({ outcome: sent ? 'broken' : 'not-sent', detail: err.message });
-      },
-    });
+/** Idle connections are closed after this, in ms, before most upstreams close them. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** Address of the upstream, and whether it uses TLS. */
+interface UpstreamTarget extends UpstreamAddress {
+  isSecure: boolean;
+}
+
+const targetOf = (url: string): UpstreamTarget => {
+  const { hostname, port, protocol } = new URL(url);
+  const isSecure = protocol === 'https:';
+  const defaultPort = isSecure ? 443 : 80;
+  return {
+    instance: url,
+    host: hostname.replace(/^\[|\]$/g, ''),
+    port: port === '' ? defaultPort : Number(port),
+    isSecure,
+  };
+};
+
+/** Forwards a body, and pauses it while the sink asks for that. */
+const forwardBody = (res: IncomingMessage, sink: ResponseSink): void => {
+  res.on('data', (bytes: Uint8Array) => {
+    const resumed = sink.data(bytes);
+    if (!resumed) return;
+    res.pause();
+    void resumed.then(() => res.resume());
   });
+};
 
 /**
- * Creates the client of the upstream at `url`.
+ * Creates the client of the upstream.
  *
  * A call that runs at most once gets a new connection. The upstream may close a kept-alive connection
  * just as the request is sent, and then it is unknown whether the request ran.
  */
-export const createUpstream = (url: string): Upstream => {
-  const keepAlivePool = new Pool(url, { pipelining: 1 });
-  const singleUsePool = new Pool(url, { pipelining: 1 });
+export const createUpstream = ({ url, clock, metrics }: UpstreamOptions): Upstream => {
+  const target = targetOf(url);
+  const { host, port, isSecure } = target;
+  const agentOptions = { keepAlive: true, timeout: KEEP_ALIVE_MS };
+  const connections = isSecure ? new SecureAgent(agentOptions) : new Agent(agentOptions);
+  const liveness = createLiveness({
+    onClosed: () => metrics.count('upstream_connections_closed'),
+    clock,
+  });
+  const checkExit = createExitCheck<UpstreamAddress>({
+    ...{ delayMs: 0, timeoutMs: EXIT_CHECK_TIMEOUT_MS, onExited: () => {}, onAlive: () => {} },
+    connectTo: (at, on, timeoutMs) => tryConnect(at, on, timeoutMs, clock),
+    clock,
+  });
+  // Engines and services don't state an instance of theirs.
+  const identify = async (): Promise<'unknown'> => 'unknown';
+
+  /** Forwards an answer; resolves to why it is not complete, or to undefined. */
+  const forwardAnswer = async (
+    { bodyEnd }: Exchange,
+    res: IncomingMessage,
+    held: LivenessHold,
+    req: UpstreamRequest,
+    sink: ResponseSink,
+  ): Promise<string | undefined> => {
+    const connection = held.connection();
+    const isFramed = hasFraming(res);
+    const bodyCheck = createBodyCheck(res.headers['content-type'] ?? '', req.isResumed);
+    if (!isFramed) res.on('data', bodyCheck.push);
+    sink.head(res.statusCode ?? 0, answerHeaders(res.headers));
+    const ended = bodyEnd(res);
+    forwardBody(res, sink);
+    if ((await ended) === 'broken') return 'the answer broke off';
+    if (isFramed) return undefined;
+    if (bodyCheck.isCut()) return 'the answer is cut off';
+    const survival = await confirmSurvival(target, connection, { checkExit, identify });
+    metrics.count('unframed_answers', { survival });
+    return survival === 'alive' ? undefined : 'the upstream may have exited';
+  };
+
+  const call = async (
+    req: UpstreamRequest,
+    sink: ResponseSink,
+    signal: AbortSignal,
+  ): Promise<UpstreamOutcome> => {
+    if (signal.aborted) return { outcome: 'not-sent', detail: 'the call was cancelled' };
+    const held = liveness.hold(target);
+    const { method, path, body, runsAtMostOnce } = req;
+    const length = body.length > 0 ? { 'content-length': String(body.length) } : {};
+    const headers: OutgoingHttpHeaders = { ...req.headers, ...length, host: new URL(url).host };
+    const exchange = startExchange(
+      {
+        ...{ host, port, isSecure, method, path, headers, body },
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        onConnected: sink.sent,
+        ...(!runsAtMostOnce && { connections }),
+      },
+      clock,
+    );
+    signal.addEventListener('abort', exchange.abort);
+    try {
+      const head = await exchange.head;
+      if (head.outcome === 'not-sent') return { outcome: 'not-sent', detail: head.why };
+      if (head.outcome === 'unknown') return { outcome: 'broken', detail: head.why };
+      const fault = await forwardAnswer(exchange, head.res, held, req, sink);
+      return fault === undefined ? { outcome: 'whole' } : { outcome: 'broken', detail: fault };
+    } finally {
+      signal.removeEventListener('abort', exchange.abort);
+      held.release();
+    }
+  };
 
   return {
-    call: (req, sink, signal) =>
-      runCall(req.runsAtMostOnce ? singleUsePool : keepAlivePool, req, sink, signal),
-    close: async () => {
-      await Promise.all([keepAlivePool.destroy(), singleUsePool.destroy()]);
+    call,
+    close: () => {
+      connections.destroy();
+      liveness.close();
     },
   };
 };
--- a/packages/common/src/metric-help.ts
+++ b/packages/common/src/metric-help.ts
@@ -22,7 +22,8 @@
   gateway_attempts_rate_limited: 'Attempts at upstreams that advertise a rate limit, by service.',
   gateway_connections_dropped: 'Connections of callers refused because too many were open.',
   gateway_unframed_answers:
-    'Answers that ended with their connection, by how it ended and what a check of the upstream showed.',
+    'Answers that ended with their connection, by whether the process of the upstream lived on.',
+  gateway_identity_probes: 'Questions to upstreams for their instance, by outcome.',
   gateway_crashes_seen: 'Requests in flight at an upstream when its process ended.',
   gateway_events_repeated: 'Events of resumed streams that the caller already had; dropped.',
   gateway_faults: 'Requests that failed because of an internal error of this process.',
@@ -75,6 +76,9 @@
   attempt_tombstones: 'Attempts marked as never to run before they arrived, by reason.',
   attempts_abandoned: 'Attempts whose entry did not reconnect in time, by state.',
   attempts_ended: 'Attempts that ended, by outcome and reason.',
+  unframed_answers:
+    'Answers that ended with their connection, by whether the process of the upstream lived on.',
+  upstream_connections_closed: 'Idle connections to the upstream that it has closed.',
   attempts_started: 'Attempts sent to the upstream.',
   cancels_dropped: 'Cancel frames that could not be sent; the agent detects the lost link itself.',
   cancels_ignored: 'Cancel frames ignored because the call had started and may not be repeated.',
--- a/packages/exchange/src/exchange.ts
+++ b/packages/exchange/src/exchange.ts
@@ -1,6 +1,7 @@
 /** One HTTP exchange with an upstream. */
 
 import { request } from 'node:http';
+import { request as secureRequest } from 'node:https';
 import type { Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '@plantaindrum/common';
@@ -17,6 +18,8 @@
   body: Uint8Array;
   /** Timeout of the connection attempt, in milliseconds. */
   connectTimeoutMs: number;
+  /** Whether the connection uses TLS. */
+  isSecure?: boolean;
   /** Pool of kept connections; without one, the exchange has a connection of its own. */
   connections?: Agent;
   /** Called when the connection is established, from when on the request may run. */
@@ -50,9 +53,18 @@
   abort(): void;
 }
 
+/** Statuses of responses that never have a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
 /** Whether a response's end is marked by a length or by chunks, and not only by the end of its connection. */
-export const hasFraming = ({ headers }: IncomingMessage): boolean =>
-  'content-length' in headers || 'transfer-encoding' in headers;
+export const hasFraming = (res: IncomingMessage): boolean => {
+  const { headers, statusCode = 0 } = res;
+  const { method } = (res as IncomingMessage & { req: ClientRequest }).req;
+  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return true;
+  const coding = headers['transfer-encoding'];
+  // With another coding last, the body ends with its connection, whatever the length says.
+  return coding === undefined ? 'content-length' in headers : /\bchunked\s*$/i.test(coding);
+};
 
 const codeOf = (err: Error): string => (err as NodeJS.ErrnoException).code ?? err.message;
 
@@ -87,7 +99,8 @@
       settle(isConnected ? { outcome: 'unknown', why } : { outcome: 'not-sent', why });
     try {
       const target = { host, port, method, path, setHost: false, agent: connections ?? false };
-      req = request({ ...target, headers: headers as OutgoingHttpHeaders });
+      const send = options.isSecure ? secureRequest : request;
+      req = send({ ...target, headers: headers as OutgoingHttpHeaders });
     } catch (err) {
       fail(codeOf(err as Error));
       return;
--- a/packages/exchange/test/exchange.test.ts
+++ b/packages/exchange/test/exchange.test.ts
@@ -76,6 +76,20 @@
     expect(body).to.equal(undefined);
   });
 
+  // Guards against a truncated body that looks complete because of a coding that marks no end.
+  it('does not take a coding other than chunks for a framing', async () => {
+    const body = await read((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\ncut');
+      socket.resetAndDestroy();
+    });
+    expect(body).to.equal(undefined);
+  });
+
+  it('accepts a response that has no body without waiting for the end of its connection', async () => {
+    const body = await read((socket) => socket.write('HTTP/1.1 204 No Content\r\n\r\n'));
+    expect(body).to.equal('');
+  });
+
   it('rejects a body that is shorter than its length', async () => {
     const body = await read((socket) =>
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'),
