Exchange: calls in one turn share a check, and a running one is not waited for

The check of an answer's end waited for the one before it, so hundreds of answers that ended at once waited for two round trips of a busy event loop. Connections begun at the end of the turn are newer than all ends read in it, so calls in one turn share one.

--- a/packages/exchange/src/exit-check.ts
+++ b/packages/exchange/src/exit-check.ts
@@ -3,6 +3,7 @@
 import { sleep } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
 import type { ConnectOutcome, UpstreamAddress } from './connect.js';
+import { endOfTurn } from './end-of-turn.js';
 
 /** Options of `createExitCheck`. */
 export interface ExitCheckOptions<Upstream> {
@@ -21,15 +22,9 @@
 /** Checks whether an upstream's process has exited; the connection is begun after the call. */
 export type ExitCheck<Upstream> = (upstream: Upstream) => Promise<ConnectOutcome>;
 
-/** The check that is running for an upstream, and the one that follows it. */
-interface RunningChecks {
-  current: Promise<ConnectOutcome>;
-  next: Promise<ConnectOutcome> | undefined;
-}
-
 /**
- * Creates the check. It runs once at a time for each upstream. Calls meanwhile share the next one, as the
- * connection of a check that is running may be older than what they ask about.
+ * Creates the check. Calls in one turn of the event loop share a connection, which is begun at the end of the turn: what
+ * they ask about has happened before. A check that is running is not joined, as its connection may be older.
  */
 export const createExitCheck = <Upstream extends UpstreamAddress>({
   delayMs,
@@ -39,9 +34,11 @@
   connectTo,
   clock,
 }: ExitCheckOptions<Upstream>): ExitCheck<Upstream> => {
-  const checks = new Map<string, RunningChecks>();
+  const startingChecks = new Map<string, Promise<ConnectOutcome>>();
 
   const check = async (upstream: Upstream): Promise<ConnectOutcome> => {
+    await endOfTurn();
+    startingChecks.delete(upstream.instance);
     if (delayMs > 0) await sleep(clock, delayMs);
     const outcome = await connectTo(upstream.host, upstream.port, timeoutMs);
     if (outcome === 'refused') onExited(upstream);
@@ -49,20 +46,11 @@
     return outcome;
   };
 
-  const start = (upstream: Upstream): Promise<ConnectOutcome> => {
-    const current = check(upstream);
-    const running: RunningChecks = { current, next: undefined };
-    checks.set(upstream.instance, running);
-    void current.finally(() => {
-      if (!running.next) checks.delete(upstream.instance);
-    });
-    return current;
-  };
-
   return (upstream) => {
-    const running = checks.get(upstream.instance);
-    if (!running) return start(upstream);
-    running.next ??= running.current.then(() => start(upstream));
-    return running.next;
+    const starting = startingChecks.get(upstream.instance);
+    if (starting) return starting;
+    const started = check(upstream);
+    startingChecks.set(upstream.instance, started);
+    return started;
   };
 };
--- a/packages/exchange/src/liveness.ts
+++ b/packages/exchange/src/liveness.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import type { Clock } from '@plantaindrum/common';
 import type { ConnectOutcome, UpstreamAddress } from './connect.js';
+import { endOfTurn } from './end-of-turn.js';
 import type { ExitCheck } from './exit-check.js';
 
 /** An idle connection to an upstream's process. */
@@ -129,12 +130,6 @@
   identify: (upstream: Upstream) => Promise<'same' | 'other' | 'unknown'>;
 }
 
-/** Resolves after the events of the sockets that are ready now. */
-const nextTurn = (): Promise<void> =>
-  new Promise((resolve) => {
-    setImmediate(resolve);
-  });
-
 /**
  * Checks whether the process that sent an answer has lived through its end: `connection` was established before the end.
  * The connections of a process that exits are closed one after the other, so a new connection is made first.
@@ -146,7 +141,7 @@
 ): Promise<SurvivalOutcome> => {
   const outcome: ConnectOutcome = await checkExit(upstream);
   if (outcome === 'refused') return 'exited';
-  await nextTurn();
+  await endOfTurn();
   if (outcome === 'open' && connection?.isOpen()) return 'alive';
   const identity = await identify(upstream);
   if (identity === 'same') return 'alive';
--- a/packages/lab/src/experiments/table.ts
+++ b/packages/lab/src/experiments/table.ts
@@ -20,6 +20,7 @@
   'ablation',
   'admission',
   'balance',
+  'broken-answers',
   'claims',
   'crashing-part',
   'drain',
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,5 @@
+export * from './ending-server/answer-plan.js';
+export * from './ending-server/ending-server.js';
 export * from './engine/engine.js';
 export * from './engine/expert-map.js';
 export * from './engine/group-stand-in.js';
