Gateway: a test of a stream whose connection goes silent

The links' heartbeats and the store's connections have theirs (link.test.ts, silent-connections.test.ts). Green from the start; red with the watch removed (not committed).

--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -127,6 +127,36 @@
     });
   });
 
+  // Guards against a stream that stays silent until its caller gives up: its connection was lost without a reset, while
+  // the upstream and the connections of other streams work.
+  it('resumes a stream whose connection goes silent while others have events', async () => {
+    let silentStreams = 0;
+    const handler: Handler = (req, res) => {
+      const after = Number(req.headers['x-after'] ?? 0);
+      const isSilent = req.headers['x-extra'] !== undefined && after === 0;
+      if (isSilent) silentStreams += 1;
+      const events = isSilent ? [1, 2] : [1, 2, 3, 4].slice(after);
+      streamEvents(events, isSilent ? 'open' : 'whole')(req, res);
+    };
+    const route = { ...streamRoute, timeoutMs: 5_000 };
+    await withEntry([handler, handler], { route }, async (entry) => {
+      const silent = entry.send({ 'x-extra': 'silent', 'x-wait': '5000' });
+      let isDone = false;
+      void silent.then(() => {
+        isDone = true;
+      });
+      while (!isDone) {
+        await entry.send();
+        await wait(100);
+      }
+      const response = await silent;
+      expect(silentStreams).to.equal(1);
+      expect(eventIdsOf(response.body)).to.deep.equal([1, 2, 3, 4]);
+      expect(response.isComplete).to.equal(true);
+      expect(response.ms).to.be.below(2_000);
+    });
+  });
+
   it('ends a stream at its upstream when the caller disconnects', async () => {
     await withEntry([streamEvents([1, 2], 'open')], { route: streamRoute }, async (entry, [up]) => {
       await entry.send({}, '/p/x', '', 100);
