--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -13,7 +13,7 @@
   startExchange,
   tryConnect,
 } from '@plantaindrum/exchange';
-import type { Exchange, LivenessHold, UpstreamAddress } from '@plantaindrum/exchange';
+import type { Exchange, Identity, LivenessHold, UpstreamAddress } from '@plantaindrum/exchange';
 import { answerHeaders } from './headers.js';
 
 /** One call to the upstream. */
@@ -112,7 +112,7 @@
     clock,
   });
   // Engines and services don't state an instance of theirs.
-  const identify = async (): Promise<'unknown'> => 'unknown';
+  const identify = async (): Promise<Identity> => 'unknown';
 
   /** Forwards an answer; resolves to why it is not complete, or to undefined. */
   const forwardAnswer = async (
--- a/packages/exchange/src/liveness.ts
+++ b/packages/exchange/src/liveness.ts
@@ -123,11 +123,14 @@
   /** Nothing proves either. */
   | 'unconfirmed';
 
+/** Whether the process at an upstream's address is the one that is meant. */
+export type Identity = 'same' | 'other' | 'unknown';
+
 /** How a process is asked whether it is still the one that answered. */
 export interface SurvivalCheck<Upstream> {
   checkExit: ExitCheck<Upstream>;
   /** Asks the process at the upstream's address which instance it is; `unknown` if it doesn't say. */
-  identify: (upstream: Upstream) => Promise<'same' | 'other' | 'unknown'>;
+  identify: (upstream: Upstream) => Promise<Identity>;
 }
 
 /**
--- a/packages/gateway/src/attempts/survival.ts
+++ b/packages/gateway/src/attempts/survival.ts
@@ -7,7 +7,12 @@
   startExchange,
   tryConnect,
 } from '@plantaindrum/exchange';
-import type { LivenessConnection, LivenessHold, SurvivalOutcome } from '@plantaindrum/exchange';
+import type {
+  Identity,
+  LivenessConnection,
+  LivenessHold,
+  SurvivalOutcome,
+} from '@plantaindrum/exchange';
 import type { Clock, EventLog, Metrics } from '@plantaindrum/common';
 import type { HeaderDialect, UpstreamRecord } from '../types.js';
 import { createFramingHistory } from './framing-history.js';
@@ -39,6 +44,11 @@
 const CONNECT_TIMEOUT_MS = 100;
 const IDENTIFY_TIMEOUT_MS = 350;
 
+const compareInstance = (upstream: UpstreamRecord, stated: string | undefined): Identity => {
+  if (stated === undefined) return 'unknown';
+  return stated === upstream.instance ? 'same' : 'other';
+};
+
 /** Creates the checks of one entry. */
 export const createAnswerSurvival = (options: AnswerSurvivalOptions): AnswerSurvival => {
   const { dialect, healthPath, onExited, clock, metrics, log } = options;
@@ -83,10 +93,8 @@
     return head.outcome === 'head' ? dialect.readInstance(head.res.headers) : undefined;
   };
 
-  const identify = async (upstream: UpstreamRecord): Promise<'same' | 'other' | 'unknown'> => {
-    const instance = await readIdentity(upstream);
-    const outcome =
-      instance === undefined ? 'unknown' : instance === upstream.instance ? 'same' : 'other';
+  const identify = async (upstream: UpstreamRecord): Promise<Identity> => {
+    const outcome = compareInstance(upstream, await readIdentity(upstream));
     metrics.count('gateway_identity_probes', { outcome });
     return outcome;
   };
--- a/packages/lab/src/experiments/broken-answers/play.ts
+++ b/packages/lab/src/experiments/broken-answers/play.ts
@@ -73,18 +73,18 @@
   const leavingIds = new Set<string>();
   const succeededIds = new Set<string>();
   let lastId = 0;
-  let site: EndingSite | undefined;
-  site = await startSite({
+  let announceLeaving: EndingSite['announceLeaving'] = () => {};
+  const running = await startSite({
     pairs: size.pairs,
     runsFolder,
     onBegun: (upstream, id) => {
       // Only the first run of a request is broken off.
-      if (leavingIds.delete(id)) site?.announceLeaving(upstream);
+      if (leavingIds.delete(id)) announceLeaving(upstream);
       if (succeededIds.delete(id)) upstream.prepareSuccessor();
     },
     onEnded: (id, at) => endedAt.set(id, at),
   });
-  const running = site;
+  ({ announceLeaving } = running);
   const callers = createCallers();
 
   const nextId = (): string => {
