Exchange: the connection that shows a process lives is newer than the answer's

Cause: on the exit of a process the kernel runs the closing of its files as deferred work, the last one first. So the end of an answer's connection comes before that of older ones, and the listener goes last; between them the exiting thread may be preempted. A new connection was still accepted, and the held one, which was older, was still open.

Change: a connection is opened after each attempt's own, and takes the place of the one before; it closes before the answer's.

Lab: the experiment also counts processor time and connections for each kind of framing.

--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -122,7 +122,6 @@
     req: UpstreamRequest,
     sink: ResponseSink,
   ): Promise<string | undefined> => {
-    const connection = held.connection();
     const isFramed = hasFraming(res);
     const bodyCheck = createBodyCheck(res.headers['content-type'] ?? '', req.isResumed);
     if (!isFramed) res.on('data', bodyCheck.push);
@@ -132,7 +131,7 @@
     if ((await ended) === 'broken') return 'the answer broke off';
     if (isFramed) return undefined;
     if (bodyCheck.isCut()) return 'the answer is cut off';
-    const survival = await confirmSurvival(target, connection, { checkExit, identify });
+    const survival = await confirmSurvival(target, held.connection(), { checkExit, identify });
     metrics.count('unframed_answers', { survival });
     return survival === 'alive' ? undefined : 'the upstream may have exited';
   };
@@ -143,7 +142,6 @@
     signal: AbortSignal,
   ): Promise<UpstreamOutcome> => {
     if (signal.aborted) return { outcome: 'not-sent', detail: 'the call was cancelled' };
-    const held = liveness.hold(target);
     const { method, path, body, runsAtMostOnce } = req;
     const length = body.length > 0 ? { 'content-length': String(body.length) } : {};
     const headers: OutgoingHttpHeaders = { ...req.headers, ...length, host: new URL(url).host };
@@ -156,6 +154,7 @@
       },
       clock,
     );
+    const held = liveness.hold(target);
     signal.addEventListener('abort', exchange.abort);
     try {
       const head = await exchange.head;
--- a/packages/exchange/src/liveness.ts
+++ b/packages/exchange/src/liveness.ts
@@ -1,7 +1,7 @@
 /**
- * Idle connections to upstreams, which close when the upstream's process exits. A connection that was open before an
- * answer ended and is open after it shows that the process lives on; a new one may be accepted by a successor at the
- * same address.
+ * Idle connections to upstreams, which close when the upstream's process exits. The kernel closes the connections of a
+ * process one after the other, the newest first and its listener last. So the end of an answer proves nothing by itself,
+ * and a new connection may still be accepted; but one that is newer than the answer's own closes before it.
  */
 
 import { connect } from 'node:net';
@@ -16,16 +16,18 @@
   isOpen(): boolean;
 }
 
-/** Keeps a connection to an upstream open. */
+/** Keeps a connection to an upstream open during an attempt. */
 export interface LivenessHold {
-  /** The connection; undefined until it is established, and when the upstream has closed it. */
+  /**
+   * A connection that is newer than the attempt's; undefined until it is established, and when the upstream has closed it.
+   */
   connection(): LivenessConnection | undefined;
-  /** Lets the connection go; it stays open for a while, for the next holder. */
   release(): void;
 }
 
 /** Idle connections to upstreams, one for each that is held. */
 export interface Liveness {
+  /** Opens a new connection, which takes the place of earlier ones; called after the attempt has opened its own. */
   hold(upstream: UpstreamAddress): LivenessHold;
   close(): void;
 }
@@ -37,40 +39,55 @@
   clock: Clock;
 }
 
+/** The newest connection to a process, and what is known of the process by it and by those before it. */
+interface CurrentConnection {
+  number: number;
+  socket: Socket;
+  process: { isRunning: boolean };
+}
+
 interface HeldUpstream {
   holders: number;
-  socket: Socket | undefined;
-  connection: LivenessConnection | undefined;
-  stopLinger: () => void;
+  opened: number;
+  current: CurrentConnection | undefined;
 }
 
-/** Time for which a connection without a holder stays open, in ms. */
-const LINGER_MS = 5_000;
 const CONNECT_TIMEOUT_MS = 350;
 
 /** Creates the connections; none is open at first. */
 export const createLiveness = ({ onClosed, clock }: LivenessOptions): Liveness => {
   const heldUpstreams = new Map<string, HeldUpstream>();
 
+  /** Lets a new connection take the place of the current one, which shows that both are to the same process. */
+  const replace = (held: HeldUpstream, number: number, socket: Socket): void => {
+    const { current } = held;
+    if (held.holders === 0 || (current && current.number > number)) {
+      socket.destroy();
+      return;
+    }
+    Object.assign(held, {
+      current: { number, socket, process: current?.process ?? { isRunning: true } },
+    });
+    current?.socket.destroy();
+  };
+
   const open = (held: HeldUpstream, upstream: UpstreamAddress): void => {
+    const number = held.opened;
     const socket = connect({ host: upstream.host, port: upstream.port });
-    let isOpen = false;
-    const connection: LivenessConnection = { isOpen: () => isOpen };
     const stopTimer = clock.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
     const handleEnd = (): void => {
       stopTimer();
-      if (isOpen && held.socket === socket) onClosed(upstream);
-      isOpen = false;
-      if (held.socket !== socket) return;
-      Object.assign(held, { socket: undefined, connection: undefined });
+      const { current } = held;
+      if (current?.socket !== socket) return;
+      current.process.isRunning = false;
+      Object.assign(held, { current: undefined });
+      onClosed(upstream);
     };
-    Object.assign(held, { socket, connection: undefined });
     socket.unref();
     socket.resume();
     socket.once('connect', () => {
       stopTimer();
-      isOpen = true;
-      Object.assign(held, { connection });
+      replace(held, number, socket);
     });
     socket.on('error', handleEnd);
     socket.once('end', handleEnd);
@@ -78,41 +95,39 @@
   };
 
   const drop = (key: string, held: HeldUpstream): void => {
-    const { socket } = held;
-    Object.assign(held, { socket: undefined, connection: undefined });
-    socket?.destroy();
+    const { current } = held;
+    Object.assign(held, { current: undefined, holders: 0 });
+    current?.socket.destroy();
     heldUpstreams.delete(key);
   };
 
   const hold = (upstream: UpstreamAddress): LivenessHold => {
     const key = `${upstream.instance} ${upstream.host}:${upstream.port}`;
-    const held = heldUpstreams.get(key) ?? {
-      ...{ holders: 0, socket: undefined, connection: undefined, stopLinger: () => {} },
-    };
+    const held = heldUpstreams.get(key) ?? { holders: 0, opened: 0, current: undefined };
     heldUpstreams.set(key, held);
-    held.stopLinger();
     held.holders += 1;
-    if (!held.socket) open(held, upstream);
+    held.opened += 1;
+    const first = held.opened;
+    open(held, upstream);
     let isReleased = false;
     return {
-      connection: () => held.connection,
+      connection: () => {
+        const { current } = held;
+        if (!current || current.number < first) return undefined;
+        return { isOpen: () => current.process.isRunning };
+      },
       release: () => {
         if (isReleased) return;
         isReleased = true;
         held.holders -= 1;
-        if (held.holders === 0) held.stopLinger = clock.after(LINGER_MS, () => drop(key, held));
+        if (held.holders === 0) drop(key, held);
       },
     };
   };
 
   return {
     hold,
-    close: () => {
-      heldUpstreams.forEach((held, key) => {
-        held.stopLinger();
-        drop(key, held);
-      });
-    },
+    close: () => heldUpstreams.forEach((held, key) => drop(key, held)),
   };
 };
 
@@ -134,8 +149,8 @@
 }
 
 /**
- * Checks whether the process that sent an answer has lived through its end: `connection` was established before the end.
- * The connections of a process that exits are closed one after the other, so a new connection is made first.
+ * Checks whether the process that sent an answer has lived through its end: `connection` was open at the end, and newer
+ * than the answer's. A new connection is made first, which takes a round trip and tells when nobody listens any more.
  */
 export const confirmSurvival = async <Upstream extends UpstreamAddress>(
   upstream: Upstream,
--- a/packages/gateway/src/attempts/survival.ts
+++ b/packages/gateway/src/attempts/survival.ts
@@ -19,10 +19,12 @@
 
 /** Checks the ends of answers that have neither a length nor chunks. */
 export interface AnswerSurvival {
-  /** Keeps a connection to an upstream open during an attempt; undefined if its answers have a framing. */
+  /**
+   * Keeps a connection to an upstream open during an attempt that has begun; undefined if its answers have a framing.
+   */
   hold(upstream: UpstreamRecord): LivenessHold | undefined;
   recordFraming(service: string, isFramed: boolean): void;
-  /** Checks the process after its answer has ended; `connection` was open when the answer began. */
+  /** Checks the process right after its answer has ended, with the connection that was held then. */
   confirm(
     upstream: UpstreamRecord,
     connection: LivenessConnection | undefined,
--- a/packages/gateway/src/serving/attempt.ts
+++ b/packages/gateway/src/serving/attempt.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage } from 'node:http';
 import { hasFraming, startExchange } from '@plantaindrum/exchange';
-import type { Exchange, LivenessConnection } from '@plantaindrum/exchange';
+import type { Exchange } from '@plantaindrum/exchange';
 import type { ResponseFields } from '../types.js';
 import type { MonitoredAttempt } from '../quarantine/index.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -75,8 +75,6 @@
   };
   const { fingerprint, sharedParts } = request;
   const run = deps.quarantine.begin(fingerprint, record, sharedParts, 'pending');
-  const liveness = survival.hold(record);
-  let connectionAtHead: LivenessConnection | undefined;
   const exchange: Exchange = startExchange(
     {
       host: record.host,
@@ -90,6 +88,7 @@
     },
     clock,
   );
+  const liveness = survival.hold(record);
   upstream.begin();
   rateLimits.recordSent(upstream);
   metrics.count('gateway_attempts', { service: record.service });
@@ -141,7 +140,6 @@
   };
 
   const head = exchange.head.then((outcome) => {
-    connectionAtHead = liveness?.connection();
     if (outcome.outcome === 'head') return classifyResponse(outcome.res);
     if (outcome.outcome === 'not-sent') {
       const failure = fail({ outcome: 'not-run', why: outcome.why, wasSent: false });
@@ -164,14 +162,14 @@
   const isProvedComplete = async (res: IncomingMessage): Promise<boolean> => {
     if (hasFraming(res)) return true;
     const endedAt = clock.monotonic();
-    const isHeld = connectionAtHead?.isOpen() ?? false;
-    const outcome = await survival.confirm(upstream.record, connectionAtHead);
+    const connection = liveness?.connection();
+    const outcome = await survival.confirm(upstream.record, connection);
     metrics.count('gateway_unframed_answers', { survival: outcome });
     log.event('unframed-answer-ended', {
       id: request.id,
       upstream: record.instance,
       state: upstream.record.state,
-      isHeld,
+      isHeld: connection !== undefined,
       survival: outcome,
       ms: Math.round(clock.monotonic() - endedAt),
     });
--- a/packages/lab/src/experiments/broken-answers.ts
+++ b/packages/lab/src/experiments/broken-answers.ts
@@ -12,7 +12,6 @@
 import { playSite } from './broken-answers/play.js';
 import type { PlayedSite, PlaySize } from './broken-answers/play.js';
 import type { Interface } from './broken-answers/site.js';
-import { round } from '../harness/statistics.js';
 import type { ExperimentOptions } from './table.js';
 
 /** Figures of one case at one interface. */
@@ -86,7 +85,7 @@
       name,
       {
         ...figuresOf(allCalls(site), allTimed(site)),
-        cpuMsPerAnswer: round(site.cpuMsPerAnswer),
+        cost: site.cost,
         undecidable: undecidableFigures(site),
       },
     ]),
--- a/packages/lab/src/experiments/broken-answers/own-site.ts
+++ b/packages/lab/src/experiments/broken-answers/own-site.ts
@@ -66,7 +66,7 @@
 
 /** Starts the site. */
 export const startOwnSite = async (options: SiteOptions): Promise<EndingSite> => {
-  const { pairs, runsFolder, onBegun, onEnded } = options;
+  const { pairs, ...events } = options;
   const spec = specOf(pairs);
   const folder = createSettingsFolder();
   const children: Child<unknown>[] = [];
@@ -80,7 +80,7 @@
   const upstreams: TestUpstream[] = await Promise.all(
     Array.from({ length: 2 * pairs }, (_, n) => {
       const address = { host: HOST, port: FIRST_PORT + n, name: `own-${n}` };
-      return startUpstream({ ...address, runsFolder, onListening: () => {}, onBegun, onEnded });
+      return startUpstream({ ...address, ...events, onListening: () => {} });
     }),
   );
   const agents = await Promise.all(
--- a/packages/lab/src/experiments/broken-answers/platform-site.ts
+++ b/packages/lab/src/experiments/broken-answers/platform-site.ts
@@ -75,7 +75,7 @@
 
 /** Starts the site. */
 export const startPlatformSite = async (options: SiteOptions): Promise<EndingSite> => {
-  const { pairs, runsFolder, onBegun, onEnded } = options;
+  const { pairs, ...events } = options;
   const folder = await mkdtemp(join(tmpdir(), 'plantaindrum-endings-'));
   const store = await startStoreStandIn();
   const listed = new Map<TestUpstream, { instance: string; service: string; state: string }>();
@@ -101,7 +101,7 @@
       const service = serviceOf(Math.floor(n / 2));
       const onListening = (upstream: TestUpstream): void => handleListening(service, upstream);
       const address = { host: `${NETWORK}.1.${n + 1}`, port: PORTS.engine, name: `i-${n}` };
-      return startUpstream({ ...address, runsFolder, onListening, onBegun, onEnded });
+      return startUpstream({ ...address, ...events, onListening });
     }),
   );
   const entries = await Promise.all(
--- a/packages/lab/src/experiments/broken-answers/play.ts
+++ b/packages/lab/src/experiments/broken-answers/play.ts
@@ -41,7 +41,14 @@
   cases: PlayedCase[];
   /** Answers that no entry can tell from truncated ones, or truncated ones from whole ones. */
   undecidable: { ended: PlayedCall[]; cut: PlayedCall[] };
-  cpuMsPerAnswer: number;
+  /** Processor time of all entries and agents, and connections to upstreams, for each complete answer that is timed. */
+  cost: Record<Framing, AnswerCost>;
+}
+
+/** What answers cost with one kind of framing. */
+export interface AnswerCost {
+  cpuMs: number;
+  connections: number;
 }
 
 const SETTLE_MS = 1_200;
@@ -50,6 +57,8 @@
 const COMPANIONS = 4;
 const COMPANION_MS = 300;
 const ACTIVITY_MS = 150;
+/** Answers with which costs are measured, for each timed one: processor time is counted in steps of 10 ms. */
+const COST_FACTOR = 3;
 /** Part of the answers of a case that fall silent: each takes seconds. */
 const SILENT_FRACTION = 1 / 3;
 const UNDECIDABLE_CUTS = 12;
@@ -73,10 +82,14 @@
   const leavingIds = new Set<string>();
   const succeededIds = new Set<string>();
   let lastId = 0;
+  let connections = 0;
   let announceLeaving: EndingSite['announceLeaving'] = () => {};
   const running = await startSite({
     pairs: size.pairs,
     runsFolder,
+    onConnected: () => {
+      connections += 1;
+    },
     onBegun: (upstream, id) => {
       // Only the first run of a request is broken off.
       if (leavingIds.delete(id)) announceLeaving(upstream);
@@ -183,6 +196,17 @@
     return calls;
   };
 
+  const measureCost = async (framing: Framing): Promise<AnswerCost> => {
+    const cpuBefore = await running.cpuMs();
+    const connectionsBefore = connections;
+    const calls = size.timed * COST_FACTOR;
+    for (let n = 0; n < calls; n += 1) await send(0, drawComplete(random, nextId(), framing));
+    return {
+      cpuMs: ((await running.cpuMs()) - cpuBefore) / calls,
+      connections: (connections - connectionsBefore) / calls,
+    };
+  };
+
   const endingCasesOf = (load: EntryLoad): readonly EndingCase[] =>
     load === 'hundreds-at-once'
       ? ENDING_CASES.filter(({ fate, name }) => fate === 'runs' && name !== 'silence')
@@ -216,14 +240,17 @@
 
   try {
     await delay(SETTLE_MS);
-    const cpuBefore = await running.cpuMs();
+    const cost = {
+      length: await measureCost('length'),
+      chunks: await measureCost('chunks'),
+      none: await measureCost('none'),
+    };
     const cases: PlayedCase[] = [];
     for (const load of size.loads) cases.push(...(await playLoad(load)));
     const calls = cases.flatMap((played) => played.calls);
-    const cpuMs = (await running.cpuMs()) - cpuBefore;
     const cut = await playUndecidableCuts();
     const ended = calls.filter(({ isUndecidable }) => isUndecidable);
-    return { cases, undecidable: { ended, cut }, cpuMsPerAnswer: cpuMs / calls.length };
+    return { cases, undecidable: { ended, cut }, cost };
   } finally {
     callers.close();
     await running.close();
--- a/packages/lab/src/experiments/broken-answers/site.ts
+++ b/packages/lab/src/experiments/broken-answers/site.ts
@@ -24,6 +24,8 @@
 
 /** Called by a site for each upstream that it starts. */
 export interface SiteEvents {
+  /** Called for each connection to an upstream. */
+  onConnected: () => void;
   onBegun: (upstream: TestUpstream, id: string) => void;
   onEnded: (id: string, at: number) => void;
 }
--- a/packages/lab/src/experiments/broken-answers/upstreams.ts
+++ b/packages/lab/src/experiments/broken-answers/upstreams.ts
@@ -35,6 +35,7 @@
   runsFolder: string;
   /** Called when another process has taken the address, and for the first one. */
   onListening: (upstream: TestUpstream) => void;
+  onConnected: () => void;
   onBegun: (upstream: TestUpstream, id: string) => void;
   /** Called with the time at which the last byte of an answer was written (Unix time, ms). */
   onEnded: (id: string, at: number) => void;
@@ -86,6 +87,7 @@
 
   /** Follows a process that is to listen until it ends, then its successor. */
   const follow = async (process: UpstreamProcess): Promise<void> => {
+    process.lines.on('connected', options.onConnected);
     process.lines.on('begun', ({ id }: { id: string }) => options.onBegun(upstream, id));
     process.lines.on('ended', ({ id, at }: { id: string; at: number }) => options.onEnded(id, at));
     process.child.signal(LISTEN_SIGNAL);
--- a/packages/stand-ins/src/ending-server/ending-server.ts
+++ b/packages/stand-ins/src/ending-server/ending-server.ts
@@ -23,6 +23,7 @@
 /** Lines that the server prints after its ready line. */
 export type EndingServerLine =
   | { event: 'listening' }
+  | { event: 'connected' }
   /** The request has begun to run. */
   | { event: 'begun'; id: string }
   /** The last byte of an answer was written at this time (Unix time, ms). */
@@ -166,6 +167,7 @@
 
   const handleConnection = (socket: Socket): void => {
     let text = '';
+    print({ event: 'connected' });
     socket.setNoDelay(true);
     socket.on('error', () => {});
     const read = (bytes: Buffer): void => {
