--- a/packages/lab/src/experiments/broken-answers/play.ts
+++ b/packages/lab/src/experiments/broken-answers/play.ts
@@ -141,7 +141,7 @@
 
   /** Sends one broken answer, alone at its pair of upstreams but for what its case needs. */
   const playBroken = async (pair: number, ending: EndingCase): Promise<PlayedCall[]> => {
-    const call = drawBroken(random, nextId(), ending);
+    const call = drawBroken(random, nextId(), ending, 'idle');
     if (ending.fate === 'leaving') leavingIds.add(call.plan.id);
     if (ending.fate === 'succeeded') succeededIds.add(call.plan.id);
     const companions = ending.fate === 'checked' ? sendCompanions(pair) : [];
@@ -183,7 +183,7 @@
   const playBurst = (ending: EndingCase): Promise<PlayedCall[]> =>
     sendAtOnce((n) =>
       n % 3 === 0
-        ? drawBroken(random, nextId(), ending)
+        ? drawBroken(random, nextId(), ending, 'hundreds-at-once')
         : drawComplete(random, nextId(), framingOf(n % 3)),
     );
 
