Experiment broken-answers: retries of a burst stay within the retry budget

A retry budget allows ten retries at a moment (retry-policy.ts, burst). Fewer of the broken requests of a burst may be repeated now; the bound stays.

--- a/packages/lab/src/experiments/broken-answers/cases.ts
+++ b/packages/lab/src/experiments/broken-answers/cases.ts
@@ -87,7 +87,8 @@
 ];
 
 /** Of requests that come at once fewer may be repeated: a budget allows ten retries at a moment, however many come. */
-const BURST_KINDS: readonly RequestKind[] = [...KINDS, ...KINDS.filter((kind) => !mayRepeat(kind))];
+const SINGLE_KINDS = KINDS.filter((kind) => !mayRepeat(kind));
+const BURST_KINDS: readonly RequestKind[] = [...KINDS, ...SINGLE_KINDS, ...SINGLE_KINDS];
 
 /** Draws a request whose answer is broken off. */
 export const drawBroken = (
