--- a/packages/exchange/src/exchange.ts
+++ b/packages/exchange/src/exchange.ts
@@ -37,14 +37,9 @@
 /** How a response's body ended. */
 export type BodyEnd = 'whole' | 'broken';
 
-/** How the upstream's side of a connection ended: a connection that was reset has no peer address any more. */
-export type ConnectionEnd = 'closed' | 'reset';
-
 /** An exchange in flight. */
 export interface Exchange {
   head: Promise<HeadOutcome>;
-  /** How the connection ended; undefined while the upstream has not ended it, and after an error. */
-  connectionEnd(): ConnectionEnd | undefined;
   /** Resolves when the body has ended. It is `whole` if its framing says so, or if the upstream closed the connection. */
   bodyEnd(res: IncomingMessage): Promise<BodyEnd>;
   /** Buffers a body; undefined when it broke off or is larger than `maxBytes`. */
@@ -78,13 +73,13 @@
   let isConnected = false;
   let isSettled = false;
   let hasFailed = false;
-  let connectionEnd: ConnectionEnd | undefined;
+  let hasUpstreamClosed = false;
   let req: ClientRequest | undefined;
 
   const observeEnd = (socket: Socket, clientRequest: ClientRequest): void => {
-    // Node.js looks the address up when it is first read, and keeps it.
+    // A connection that was reset has no peer address. It is first read here, as Node.js keeps what it has read.
     const handleEnd = (): void => {
-      connectionEnd = socket.remoteAddress === undefined ? 'reset' : 'closed';
+      hasUpstreamClosed = socket.remoteAddress !== undefined;
     };
     socket.prependOnceListener('end', handleEnd);
     clientRequest.once('close', () => socket.off('end', handleEnd));
@@ -131,7 +126,7 @@
 
   // Data, a reset and an end of the connection may be read in one turn of the event loop, which then reports the end only.
   const isWhole = (res: IncomingMessage): boolean =>
-    res.complete && !hasFailed && (hasFraming(res) || connectionEnd === 'closed');
+    res.complete && !hasFailed && (hasFraming(res) || hasUpstreamClosed);
 
   const bodyEnd = (res: IncomingMessage): Promise<BodyEnd> =>
     new Promise((resolve) => {
@@ -141,7 +136,6 @@
 
   return {
     head,
-    connectionEnd: () => connectionEnd,
     bodyEnd,
     readBody: async (res, maxBytes) => {
       const chunks: Uint8Array[] = [];
