Entry: an answer that stalls while others make progress is given up

Callers of our own interface waited for a stream whose upstream fell silent until they gave up: an entry awaited an attempt without a frame for 60 s, whatever other answers of the same model or service did.

Change: an attempt that may run elsewhere is given up when its answer has made no progress for the target of its class (0.4 of it before it has begun; 900 ms at least) while another answer of its model or service made some within 250 ms. Requests that may not be repeated are awaited as before. A whole group that stalls moves nothing, as no other answer makes progress then.

--- a/packages/lab/src/experiments/broken-answers/own-site.ts
+++ b/packages/lab/src/experiments/broken-answers/own-site.ts
@@ -23,8 +23,8 @@
 const ENTRIES = 2;
 const DATA_CENTRE = 'kent';
 const REGION = 'northwest';
-/** A third of the time after which an entry takes an upstream for silent, in ms. */
-const TARGET_MS = 800;
+/** An answer that has begun may be stalled after this, in ms, well before its caller gives up. */
+const TARGET_MS = 2_000;
 const KEY = 'key-of-broken-answers';
 const FIRST_PORT = 21_000;
 const HOST = `127.${20 + (process.pid % 200)}.9.1`;
--- a/packages/plantaindrum/src/core/attempts/run-attempt.ts
+++ b/packages/plantaindrum/src/core/attempts/run-attempt.ts
@@ -35,6 +35,16 @@
   cancelReplyMs: 1_000,
 };
 
+/** Progress of the answers of one model or service, by which a stalled one is told from a slow service. */
+export interface AnswerProgress {
+  /** Time without progress after which an answer may be stalled, in milliseconds. */
+  stallMs(): number;
+  /** Records progress of this answer. */
+  record(): void;
+  /** Milliseconds since the last progress of any answer. */
+  quietMs(): number;
+}
+
 /** Options of an attempt. */
 export interface AttemptOptions {
   id: AttemptId;
@@ -48,10 +58,17 @@
   /** Reports the response times of the upstream to routing. */
   ticket: Pick<DispatchedRequest, 'started' | 'firstByte'>;
   timeouts: AttemptTimeouts;
+  /** Without it, an answer is awaited for as long as the timeouts allow. */
+  progress?: AnswerProgress;
   clock: Clock;
   metrics: Metrics;
 }
 
+/** Other answers are active if one of them made progress within this time, in ms. */
+const OTHERS_ACTIVE_MS = 250;
+/** How often an answer that may be stalled is checked, in ms. */
+const STALL_CHECK_INTERVAL_MS = 150;
+
 const parseReason = (text: string, fallback: RefusalReason): RefusalReason =>
   isRefusalReason(text) ? text : fallback;
 
@@ -70,6 +87,9 @@
   let unwrittenBytes = 0;
   let creditExceeded = false;
   let stopTimer = (): void => {};
+  let lastEventAt = clock.monotonic();
+  let lastProgressAt = lastEventAt;
+  const progress = options.mayRunElsewhere ? options.progress : undefined;
   const reconnectMs = options.mayRunElsewhere
     ? timeouts.reconnectRepeatableMs
     : timeouts.reconnectMs;
@@ -89,9 +109,28 @@
     events.push(creditExceeded ? { t: 'overrun' } : event);
   };
 
+  const elapsedSince = (at: number): number => clock.monotonic() - at;
+
+  const stallCheckMs = (): number =>
+    progress && linked
+      ? Math.max(STALL_CHECK_INTERVAL_MS, progress.stallMs() - elapsedSince(lastProgressAt))
+      : Infinity;
+
+  /** Whether this answer makes no progress while others do. */
+  const isStalled = (): boolean =>
+    progress !== undefined &&
+    elapsedSince(lastProgressAt) >= progress.stallMs() &&
+    progress.quietMs() < OTHERS_ACTIVE_MS;
+
+  const recordProgress = (): void => {
+    lastProgressAt = clock.monotonic();
+    progress?.record();
+  };
+
   const restartTimer = (): void => {
     stopTimer();
-    const idleMs = linked ? timeouts.silenceMs : reconnectMs;
+    const silenceMs = Math.max(0, timeouts.silenceMs - elapsedSince(lastEventAt));
+    const idleMs = linked ? Math.min(silenceMs, stallCheckMs()) : reconnectMs;
     stopTimer = clock.after(cancelled ? timeouts.cancelReplyMs : idleMs, () =>
       events.push({ t: 'timer' }),
     );
@@ -134,11 +173,15 @@
     if (!(await response.write(chunk.data))) return failInvalid('wrong-event');
     unwrittenBytes -= chunk.data.length;
     upstream.credit(id, chunk.data.length);
+    // Only now: a caller that reads slowly holds the answer up as well.
+    recordProgress();
     return undefined;
   };
 
   const handleTimeout = (): AttemptOutcome | undefined => {
     if (cancelled) return giveUp('answer-timeout');
+    if (linked && isStalled()) return failInvalid('stalled');
+    if (linked && elapsedSince(lastEventAt) < timeouts.silenceMs) return undefined;
     // The attempt may still be queued at the agent; the cancel leaves a tombstone in any case.
     cancel();
     if (!linked) return giveUp('link-lost');
@@ -167,6 +210,7 @@
       case 'head':
         if (headReceived) return failInvalid('second-head');
         headReceived = true;
+        recordProgress();
         record.apply({ kind: 'progress' });
         ticket.firstByte();
         return response.head(event.status, event.headers) ? undefined : failInvalid('wrong-head');
@@ -215,7 +259,9 @@
     record.apply({ kind: 'sent' });
     for (;;) {
       restartTimer();
-      const outcome = await handleEvent(await events.next());
+      const event = await events.next();
+      if (event.t !== 'timer') lastEventAt = clock.monotonic();
+      const outcome = await handleEvent(event);
       if (outcome) return outcome;
     }
   } finally {
--- a/packages/plantaindrum/src/core/entry/entry.ts
+++ b/packages/plantaindrum/src/core/entry/entry.ts
@@ -7,6 +7,7 @@
 import { createLinkServer, NODE_STATUS } from '@plantaindrum/link';
 import { createRetryPolicy } from '@plantaindrum/requests';
 import { defaultAttemptTimeouts } from '../attempts/run-attempt.js';
+import { createTargetActivity } from '../attempts/target-activity.js';
 import type { CallerServer } from '../callers/caller-server.js';
 import { createCallerServer } from '../callers/caller-server.js';
 import { createOperatorServer } from '../operators/operator-server.js';
@@ -56,6 +57,7 @@
       return `${instance}:${lastAttemptNumber}`;
     },
     timeouts: defaultAttemptTimeouts,
+    activity: createTargetActivity(clock),
     clock,
     metrics,
   };
--- a/packages/plantaindrum/src/core/requests/serve-request.ts
+++ b/packages/plantaindrum/src/core/requests/serve-request.ts
@@ -5,6 +5,7 @@
 import type { FailedAttempt, RetryPolicy } from '@plantaindrum/requests';
 import type { AttemptTimeouts } from '../attempts/run-attempt.js';
 import { runAttempt } from '../attempts/run-attempt.js';
+import type { TargetActivity } from '../attempts/target-activity.js';
 import type { AttemptOutcome } from '../attempts/types.js';
 import type { CallerResponse } from '../callers/caller-response.js';
 import type { SelectedUpstream } from '../routing/entry-router.js';
@@ -21,6 +22,7 @@
   retries: RetryPolicy;
   nextId: () => AttemptId;
   timeouts: AttemptTimeouts;
+  activity: TargetActivity;
   clock: Clock;
   metrics: Metrics;
 }
@@ -33,6 +35,10 @@
  * silent.
  */
 const SILENCE_TARGET_FACTOR = 3;
+/** Shortest time without progress after which an answer may be stalled, in ms: well above the time of a group's step. */
+const MIN_STALL_MS = 900;
+/** Fraction of the target after which an answer that has not begun may be stalled: another upstream needs the rest. */
+const STALL_TARGET_SHARE = 0.4;
 
 type FailedOutcome = Extract<AttemptOutcome, { reason: unknown }>;
 
@@ -54,7 +60,7 @@
   onCallerDisconnect: OnCallerDisconnect,
   options: ServeOptions,
 ): Promise<RequestEnd> => {
-  const { selectUpstream, retries, nextId, timeouts, clock, metrics } = options;
+  const { selectUpstream, retries, nextId, timeouts, activity, clock, metrics } = options;
   const { latestAnswerMs } = request.class;
   const tried = new Set<string>();
   const attemptTimeouts = {
@@ -77,6 +83,9 @@
   const deadline = (): number =>
     (response.hasStarted() ? clock.monotonic() : request.arrivedAt) + latestAnswerMs;
 
+  const stallMs = (): number =>
+    Math.max(MIN_STALL_MS, latestAnswerMs * (response.hasStarted() ? 1 : STALL_TARGET_SHARE));
+
   const makeAttempt = async ({ upstream, ticket }: SelectedUpstream): Promise<AttemptOutcome> => {
     tried.add(upstream.vm().name);
     attemptCount += 1;
@@ -91,6 +100,11 @@
         mayRunElsewhere: !mayNotRepeat,
         ticket,
         timeouts: attemptTimeouts,
+        progress: {
+          stallMs,
+          record: () => activity.record(request.target),
+          quietMs: () => activity.quietMs(request.target),
+        },
         clock,
         metrics,
       });
--- a/packages/plantaindrum/test/run-attempt.test.ts
+++ b/packages/plantaindrum/test/run-attempt.test.ts
@@ -3,6 +3,7 @@
 import type { AttemptId, PeerFrame } from '@plantaindrum/link';
 import { INITIAL_CREDIT_BYTES } from '@plantaindrum/link';
 import { defaultAttemptTimeouts, runAttempt } from '../src/core/attempts/run-attempt.js';
+import type { AnswerProgress } from '../src/core/attempts/run-attempt.js';
 import type { DispatchPayload, ResponseSink } from '../src/core/attempts/types.js';
 import { createUpstream } from '../src/core/upstreams/upstream.js';
 import { idleLoad } from './support/fake-agent.js';
@@ -66,8 +67,9 @@
     },
     end: () => true,
   };
-  const run = (id: AttemptId, mayRunElsewhere = false) =>
+  const run = (id: AttemptId, mayRunElsewhere = false, progress?: AnswerProgress) =>
     runAttempt({
+      ...(progress && { progress }),
       id,
       upstream,
       payload,
@@ -281,6 +283,34 @@
     expect((await once).outcome).to.equal('unknown');
   });
 
+  // Guards against a stream that stays silent for a minute while its upstream's agent and other upstreams work.
+  it('is given up when its answer stalls while others make progress', async () => {
+    const { clock, run, first, deliver } = setUp();
+    let quietMs = 0;
+    const progress = { stallMs: () => 900, record: () => {}, quietMs: () => quietMs };
+    const outcome = run('e:1', true, progress);
+    await first.waitForSent('dispatch');
+    [head('e:1'), chunk('e:1', 0, 'part')].forEach(deliver);
+    await flushMicrotasks();
+    quietMs = 5_000;
+    await clock.advance(2_000);
+    expect(first.sent.some(({ t }) => t === 'cancel')).to.equal(false);
+    quietMs = 100;
+    await clock.advance(200);
+    expect(await outcome).to.deep.equal({ outcome: 'unknown', reason: 'upstream-broke-off' });
+    expect(first.sent.at(-1)).to.deep.equal({ t: 'cancel', id: 'e:1' });
+  });
+
+  it('is awaited when its answer stalls and it may not run elsewhere', async () => {
+    const { clock, run, first, deliver } = setUp();
+    const progress = { stallMs: () => 900, record: () => {}, quietMs: () => 0 };
+    const outcome = run('e:1', false, progress);
+    await first.waitForSent('dispatch');
+    await clock.advance(5_000);
+    [head('e:1'), end('e:1', 0)].forEach(deliver);
+    expect(await outcome).to.deep.equal({ outcome: 'answered' });
+  });
+
   it('continues when any frame arrives before the silence limit', async () => {
     const { upstream, run, first, deliver } = setUp();
     const outcome = run('e:1', true);
