--- a/packages/lab/src/experiments/broken-answers/own-site.ts
+++ b/packages/lab/src/experiments/broken-answers/own-site.ts
@@ -2,11 +2,9 @@
 
 import { createHash } from 'node:crypto';
 import { intentDocumentSchema } from '@plantaindrum/intent';
-import { startChild } from '../../harness/child.js';
-import type { Child } from '../../harness/child.js';
+import { createChildGroup } from '../../harness/child-group.js';
 import { readCpuTimeMs } from '../../harness/cpu-time.js';
 import { createNodeProcesses } from '../../harness/node-processes.js';
-import type { StartChild } from '../../harness/node-processes.js';
 import { createSettingsFolder } from '../../harness/settings-folder.js';
 import { declareIntent } from '../../harness/site.js';
 import type { SiteSpec } from '../../harness/site-types.js';
@@ -69,12 +67,7 @@
   const { pairs, ...events } = options;
   const spec = specOf(pairs);
   const folder = createSettingsFolder();
-  const children: Child<unknown>[] = [];
-  const start: StartChild = async (childSpec) => {
-    const child = await startChild<never>(childSpec);
-    children.push(child);
-    return child;
-  };
+  const { start, killAll } = createChildGroup();
   const platform = await start<PlatformReady>(platformSpec({ 'lag-ms': VM_LIST_LAG_MS }));
   const nodes = createNodeProcesses(spec, platform.ready, folder, start);
   const upstreams: TestUpstream[] = await Promise.all(
@@ -122,7 +115,7 @@
       return times.reduce((sum, ms) => sum + ms, 0);
     },
     close: async () => {
-      await Promise.all(children.map((child) => child.kill()));
+      await killAll();
       await Promise.all(upstreams.map((upstream) => upstream.close()));
       folder.remove();
     },
--- a/packages/lab/src/harness/site.ts
+++ b/packages/lab/src/harness/site.ts
@@ -1,6 +1,5 @@
 import type { IntentDocument } from '@plantaindrum/intent';
-import type { Child } from './child.js';
-import { startChild } from './child.js';
+import { createChildGroup } from './child-group.js';
 import type { NodeProcesses, StartChild } from './node-processes.js';
 import { createNodeProcesses } from './node-processes.js';
 import { toInitialChanges } from './operators.js';
@@ -152,14 +151,9 @@
 /** Starts a site: stand-ins, agents, VM list and entries, then declares the intent. */
 export const startSite = async (spec: SiteSpec): Promise<Site> => {
   const folder = createSettingsFolder();
-  const children: Child<unknown>[] = [];
-  const start: StartChild = async (childSpec) => {
-    const child = await startChild<never>(childSpec);
-    children.push(child);
-    return child;
-  };
+  const { start, killAll } = createChildGroup();
   const close = async (): Promise<void> => {
-    await Promise.all(children.map((child) => child.kill()));
+    await killAll();
     folder.remove();
   };
   try {
