Exchange: the exit check connects by itself, and needs no callbacks

Four places passed the same wrapper around tryConnect, two of them empty callbacks. Only tests of the check vary how it connects. Behaviour stays; 69 tests of the exchange, the agent's upstream and the gateway's serving pass, lint, types and format are clean.

--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -11,7 +11,6 @@
   createLiveness,
   hasFraming,
   startExchange,
-  tryConnect,
 } from '@plantaindrum/exchange';
 import type { Exchange, Identity, LivenessHold, UpstreamAddress } from '@plantaindrum/exchange';
 import { answerHeaders } from './headers.js';
@@ -107,8 +106,7 @@
     clock,
   });
   const checkExit = createExitCheck<UpstreamAddress>({
-    ...{ delayMs: 0, timeoutMs: EXIT_CHECK_TIMEOUT_MS, onExited: () => {}, onAlive: () => {} },
-    connectTo: (at, on, timeoutMs) => tryConnect(at, on, timeoutMs, clock),
+    ...{ delayMs: 0, timeoutMs: EXIT_CHECK_TIMEOUT_MS },
     clock,
   });
   // Engines and services don't state an instance of theirs.
--- a/packages/exchange/src/exit-check.ts
+++ b/packages/exchange/src/exit-check.ts
@@ -2,6 +2,7 @@
 
 import { sleep } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
+import { tryConnect } from './connect.js';
 import type { ConnectOutcome, UpstreamAddress } from './connect.js';
 import { endOfTurn } from './end-of-turn.js';
 
@@ -12,10 +13,10 @@
   /** Timeout of the check's connection, in ms. A connection takes about a millisecond. */
   timeoutMs: number;
   /** Called if a connection is refused. */
-  onExited: (upstream: Upstream) => void;
+  onExited?: (upstream: Upstream) => void;
   /** Called if a connection is accepted. */
-  onAlive: (upstream: Upstream) => void;
-  connectTo: (host: string, port: number, timeoutMs: number) => Promise<ConnectOutcome>;
+  onAlive?: (upstream: Upstream) => void;
+  connectTo?: typeof tryConnect;
   clock: Clock;
 }
 
@@ -31,7 +32,7 @@
   timeoutMs,
   onExited,
   onAlive,
-  connectTo,
+  connectTo = tryConnect,
   clock,
 }: ExitCheckOptions<Upstream>): ExitCheck<Upstream> => {
   const startingChecks = new Map<string, Promise<ConnectOutcome>>();
@@ -40,9 +41,9 @@
     await endOfTurn();
     startingChecks.delete(upstream.instance);
     if (delayMs > 0) await sleep(clock, delayMs);
-    const outcome = await connectTo(upstream.host, upstream.port, timeoutMs);
-    if (outcome === 'refused') onExited(upstream);
-    if (outcome === 'open') onAlive(upstream);
+    const outcome = await connectTo(upstream.host, upstream.port, timeoutMs, clock);
+    if (outcome === 'refused') onExited?.(upstream);
+    if (outcome === 'open') onAlive?.(upstream);
     return outcome;
   };
 
--- a/packages/exchange/test/exit-check.test.ts
+++ b/packages/exchange/test/exit-check.test.ts
@@ -9,7 +9,7 @@
 const createSettledCheck = () => {
   const settles: ((outcome: ConnectOutcome) => void)[] = [];
   const check = createExitCheck({
-    ...{ delayMs: 0, timeoutMs: 100, onExited: () => {}, onAlive: () => {}, clock: systemClock },
+    ...{ delayMs: 0, timeoutMs: 100, clock: systemClock },
     connectTo: () =>
       new Promise((resolve) => {
         settles.push(resolve);
--- a/packages/exchange/test/liveness.test.ts
+++ b/packages/exchange/test/liveness.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { expect } from 'chai';
 import { systemClock } from '@plantaindrum/common';
-import { confirmSurvival, createExitCheck, createLiveness, tryConnect } from '../src/index.js';
+import { confirmSurvival, createExitCheck, createLiveness } from '../src/index.js';
 import type { LivenessHold, UpstreamAddress } from '../src/index.js';
 
 /** A listener on loopback that can be closed like one whose process exits. */
@@ -34,8 +34,7 @@
 };
 
 const checkExit = createExitCheck<UpstreamAddress>({
-  ...{ delayMs: 0, timeoutMs: 100, onExited: () => {}, onAlive: () => {}, clock: systemClock },
-  connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, systemClock),
+  ...{ delayMs: 0, timeoutMs: 100, clock: systemClock },
 });
 const unknown = async () => 'unknown' as const;
 
--- a/packages/gateway/src/attempts/survival.ts
+++ b/packages/gateway/src/attempts/survival.ts
@@ -5,7 +5,6 @@
   createExitCheck,
   createLiveness,
   startExchange,
-  tryConnect,
 } from '@plantaindrum/exchange';
 import type {
   Identity,
@@ -65,8 +64,6 @@
     onExited: (upstream) => {
       if (upstream.state === 'ready') onExited(upstream);
     },
-    onAlive: () => {},
-    connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, clock),
     clock,
   });
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 /** An entry that reaches its upstreams directly: assembles its parts, and starts and stops them. */
 
 import { sleep } from '@plantaindrum/common';
-import { createExitCheck, tryConnect } from '@plantaindrum/exchange';
+import { createExitCheck } from '@plantaindrum/exchange';
 import { createAdmission } from './admission/admission.js';
 import { createServiceOutages } from './admission/service-outages.js';
 import { createCallerServer } from './caller-server.js';
@@ -69,7 +69,6 @@
     ...FAILURE_CHECK,
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
-    connectTo: (host, port, timeoutMs) => tryConnect(host, port, timeoutMs, clock),
     clock,
   });
   const survival = createAnswerSurvival({
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -10,7 +10,7 @@
   systemClock,
 } from '@plantaindrum/common';
 import type { Clock } from '@plantaindrum/common';
-import { createExitCheck, tryConnect } from '@plantaindrum/exchange';
+import { createExitCheck } from '@plantaindrum/exchange';
 import { createAdmission } from '../../src/admission/admission.js';
 import { createServiceOutages } from '../../src/admission/service-outages.js';
 import { createAnswerSurvival } from '../../src/attempts/survival.js';
@@ -96,7 +96,6 @@
     ...{ delayMs: 80, timeoutMs: 350 },
     onExited: (upstream) => quarantine.handleEnd(upstream, 'refused-connection'),
     onAlive: quarantine.handleAlive,
-    connectTo: (host, at, timeoutMs) => tryConnect(host, at, timeoutMs, clock),
     clock,
   });
   const limits = { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 500, idleTimeoutMs: 500 };
