--- a/packages/gateway/test/part-quarantine.test.ts
+++ b/packages/gateway/test/part-quarantine.test.ts
@@ -1,11 +1,10 @@
 import { expect } from 'chai';
-import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
+import { createManualClock } from '@plantaindrum/common';
 import type { ManualClock } from '@plantaindrum/common';
 import { createPartEvidence } from '../src/quarantine/part-evidence.js';
 import type { PartEvidence } from '../src/quarantine/part-evidence.js';
-import { createQuarantine } from '../src/quarantine/index.js';
-import type { RequestQuarantine } from '../src/quarantine/index.js';
-import type { QuarantineUpdate } from '../src/quarantine/quarantine-update.js';
+import { startQuarantineNode } from './support/quarantine-node.js';
+import type { QuarantineNode } from './support/quarantine-node.js';
 
 const HARMFUL = 'bad0';
 const MAX_PLATFORM_RECORD_BYTES = 262_144;
@@ -182,35 +181,12 @@
   });
 });
 
-interface Entry {
-  quarantine: RequestQuarantine;
-  updates: QuarantineUpdate[];
-  records: Map<string, Uint8Array | undefined>;
-}
-
-const startEntry = (clock: ManualClock, node: string): Entry => {
-  const updates: QuarantineUpdate[] = [];
-  const records = new Map<string, Uint8Array | undefined>();
-  const quarantine = createQuarantine({
-    node,
-    broadcast: (update) => updates.push(update),
-    publish: async (key, value) => {
-      records.set(key, value);
-      return true;
-    },
-    clock,
-    metrics: createMetrics(),
-    log: silentEventLog,
-  });
-  return { quarantine, updates, records };
-};
-
 const fingerprint = (n: number): string => n.toString(16).padStart(32, '0');
 const upstream = (instance: string) => ({ instance, startedAt: 0 });
 
 /** Sends a request with these parts to an upstream, which crashes on it. */
 const crashOn = async (
-  { quarantine }: Entry,
+  { quarantine }: QuarantineNode,
   clock: ManualClock,
   n: number,
   sharedParts: readonly string[],
@@ -223,10 +199,10 @@
   await clock.advance(100);
 };
 
-const refusalOf = ({ quarantine }: Entry, sharedParts: readonly string[]) =>
+const refusalOf = ({ quarantine }: QuarantineNode, sharedParts: readonly string[]) =>
   quarantine.refusal(fingerprint(99), sharedParts)?.reason;
 
-const tell = (from: Entry, to: readonly Entry[], node: string): void =>
+const tell = (from: QuarantineNode, to: readonly QuarantineNode[], node: string): void =>
   from.updates
     .splice(0)
     .forEach((update) => to.forEach(({ quarantine }) => quarantine.handlePeerUpdate(node, update)));
@@ -235,12 +211,12 @@
   // Each entry sees one crash only.
   it('adds up the crashes that different entries have seen', async () => {
     const clock = createManualClock(5_000_000);
-    const entries = [0, 1, 2].map((n) => startEntry(clock, `e${n}`));
+    const entries = [0, 1, 2].map((n) => startQuarantineNode(clock, `e${n}`));
     for (const [n, entry] of entries.entries()) {
       await crashOn(entry, clock, n, [HARMFUL, `${n}`]);
       tell(entry, entries, `e${n}`);
     }
-    const linkedLater = startEntry(clock, 'e3');
+    const linkedLater = startQuarantineNode(clock, 'e3');
     linkedLater.quarantine.handlePeerUpdate('e0', entries[0]?.quarantine.fullUpdate());
     expect([...entries, linkedLater].map((entry) => refusalOf(entry, [HARMFUL]))).to.deep.equal(
       new Array(4).fill('part-quarantined'),
@@ -252,8 +228,8 @@
   it('survives the loss of all entries by their records', async () => {
     const clock = createManualClock(5_000_000);
     const records = new Map<string, Uint8Array | undefined>();
-    const restart = (node: string): Entry => {
-      const entry = startEntry(clock, node);
+    const restart = (node: string): QuarantineNode => {
+      const entry = startQuarantineNode(clock, node);
       records.forEach((value, key) => entry.quarantine.applyRecord({ key, value }));
       return entry;
     };
@@ -273,7 +249,10 @@
   // One entry has seen a part in crashes only; another one knows that requests with it succeed.
   it('is told of successes by the entries that know of them', async () => {
     const clock = createManualClock(5_000_000);
-    const [crashing, knowing] = [startEntry(clock, 'e0'), startEntry(clock, 'e1')];
+    const [crashing, knowing] = [
+      startQuarantineNode(clock, 'e0'),
+      startQuarantineNode(clock, 'e1'),
+    ];
     for (const n of [0, 1]) await crashOn(crashing, clock, n, [HARMLESS]);
     const attempt = knowing.quarantine.begin(fingerprint(5), upstream('ok'), [HARMLESS]);
     attempt.recordEvent();
@@ -289,7 +268,7 @@
   // A rank that crashes stops its group, and the streams of all other ranks break off though they had begun.
   it('clears the parts of a stream that had begun at an upstream that goes on running', async () => {
     const clock = createManualClock(5_000_000);
-    const entry = startEntry(clock, 'e0');
+    const entry = startQuarantineNode(clock, 'e0');
     for (const n of [0, 1, 2]) await crashOn(entry, clock, n, [HARMLESS, HARMFUL]);
     const stalled = entry.quarantine.begin(fingerprint(5), upstream('other'), [HARMLESS]);
     stalled.recordEvent();
@@ -303,7 +282,7 @@
   // An error answer or an empty stream doesn't show that the upstream begins an answer on the part.
   it('is not ended by an answer that is no success', async () => {
     const clock = createManualClock(5_000_000);
-    const entry = startEntry(clock, 'e0');
+    const entry = startQuarantineNode(clock, 'e0');
     for (const n of [0, 1]) await crashOn(entry, clock, n, [HARMFUL]);
     entry.quarantine.begin(fingerprint(5), upstream('a'), [HARMFUL]).complete(500);
     entry.quarantine.begin(fingerprint(6), upstream('b'), [HARMFUL]).complete();
@@ -315,14 +294,14 @@
   // one crash only.
   it('writes its record again when it has changed during the write', async () => {
     const clock = createManualClock(5_000_000);
-    const entry = startEntry(clock, 'e0');
+    const entry = startQuarantineNode(clock, 'e0');
     for (const n of [0, 1, 2]) {
       entry.quarantine.begin(fingerprint(n), upstream(`i${n}`), [HARMFUL]);
       entry.quarantine.handleEnd(upstream(`i${n}`), 'refused-connection');
     }
     await clock.advance(100);
     const [[key = '', value] = []] = [...entry.records];
-    const started = startEntry(clock, 'e1');
+    const started = startQuarantineNode(clock, 'e1');
     started.quarantine.applyRecord({ key, value });
     expect(started.quarantine.fullUpdate().partCrashes).to.have.lengthOf(3);
   });
@@ -330,7 +309,7 @@
   // The platform refuses larger records, and the entry would try to write it again and again.
   it('writes no record that is larger than the platform takes', async () => {
     const clock = createManualClock(5_000_000);
-    const entry = startEntry(clock, 'e0');
+    const entry = startQuarantineNode(clock, 'e0');
     const parts = Array.from({ length: 64 }, (_, n) => n.toString(16).padStart(64, '0'));
     for (let n = 0; n < 200; n += 1) {
       entry.quarantine.begin(fingerprint(n), upstream(`i${n}`), parts);
@@ -343,7 +322,7 @@
 
   it('ignores invalid reports and records, and accepts updates of earlier versions', () => {
     const clock = createManualClock(5_000_000);
-    const entry = startEntry(clock, 'e0');
+    const entry = startQuarantineNode(clock, 'e0');
     const valid = { crashes: [], quarantined: [], sound: [], tried: [] };
     const crash = { fingerprint: fingerprint(1), instance: 'a', sentAgoMs: 5, endedAgoMs: 1 };
     const report = { ...crash, sharedParts: [HARMFUL], reporter: 'e1' };
--- a/packages/gateway/test/quarantine.test.ts
+++ b/packages/gateway/test/quarantine.test.ts
@@ -1,13 +1,13 @@
 import { expect } from 'chai';
-import { createManualClock, createMetrics, silentEventLog } from '@plantaindrum/common';
+import { createManualClock } from '@plantaindrum/common';
 import {
   createCrashEvidence,
-  createQuarantine,
   fingerprintOf,
   countSuccessiveCrashes,
 } from '../src/quarantine/index.js';
-import type { CrashEvidence, RequestQuarantine } from '../src/quarantine/index.js';
-import type { QuarantineUpdate } from '../src/quarantine/quarantine-update.js';
+import type { CrashEvidence } from '../src/quarantine/index.js';
+import { startQuarantineNode } from './support/quarantine-node.js';
+import type { QuarantineNode } from './support/quarantine-node.js';
 
 const fingerprint = (n: number): string => n.toString(16).padStart(32, '0');
 const HARMFUL = fingerprint(1);
@@ -121,36 +121,19 @@
   });
 });
 
-interface Node {
-  quarantine: RequestQuarantine;
-  updates: QuarantineUpdate[];
-  records: Map<string, Uint8Array | undefined>;
-}
-
 const clockForNodes = () => createManualClock(5_000_000);
 
-const startNode = (clock = clockForNodes(), canPublish = () => true): Node => {
-  const updates: QuarantineUpdate[] = [];
-  const records = new Map<string, Uint8Array | undefined>();
-  const quarantine = createQuarantine({
-    node: 'entry',
-    broadcast: (update) => updates.push(update),
-    publish: async (key, value) => {
-      if (!canPublish()) return false;
-      records.set(key, value);
-      return true;
-    },
-    clock,
-    metrics: createMetrics(),
-    log: silentEventLog,
-  });
-  return { quarantine, updates, records };
-};
+const startNode = (clock = clockForNodes(), canPublish = () => true): QuarantineNode =>
+  startQuarantineNode(clock, 'entry', canPublish);
 
 const start = (instance: string) => ({ instance, startedAt: 0 });
 
 /** Sends the request to an upstream, whose connections are refused shortly afterwards. */
-const crashAt = async (node: Node, clock: ReturnType<typeof clockForNodes>, instance: string) => {
+const crashAt = async (
+  node: QuarantineNode,
+  clock: ReturnType<typeof clockForNodes>,
+  instance: string,
+) => {
   const attempt = node.quarantine.begin(HARMFUL, start(instance));
   await clock.advance(20);
   attempt.end();
@@ -160,7 +143,7 @@
 };
 
 /** Crashes three upstreams, then lets the node see its record written and deleted again; returns the record. */
-const recordAndDrop = async (node: Node, clock: ReturnType<typeof clockForNodes>) => {
+const recordAndDrop = async (node: QuarantineNode, clock: ReturnType<typeof clockForNodes>) => {
   for (const instance of ['a', 'b', 'c']) await crashAt(node, clock, instance);
   const value = node.records.get(HARMFUL);
   node.quarantine.applyRecord({ key: HARMFUL, value });
