--- a/packages/agent/src/core/upstream/upstream.ts
+++ b/packages/agent/src/core/upstream/upstream.ts
@@ -63,17 +63,19 @@
 /** Idle connections are closed after this, in ms, before most upstreams close them. */
 const KEEP_ALIVE_MS = 4_000;
 
-/** Address of the upstream, and whether it uses TLS. */
+/** Address of the upstream, as the Host field names it as well, and whether it uses TLS. */
 interface UpstreamTarget extends UpstreamAddress {
+  authority: string;
   isSecure: boolean;
 }
 
 const targetOf = (url: string): UpstreamTarget => {
-  const { hostname, port, protocol } = new URL(url);
+  const { host, hostname, port, protocol } = new URL(url);
   const isSecure = protocol === 'https:';
   const defaultPort = isSecure ? 443 : 80;
   return {
     instance: url,
+    authority: host,
     host: hostname.replace(/^\[|\]$/g, ''),
     port: port === '' ? defaultPort : Number(port),
     isSecure,
@@ -98,7 +100,7 @@
  */
 export const createUpstream = ({ url, clock, metrics }: UpstreamOptions): Upstream => {
   const target = targetOf(url);
-  const { host, port, isSecure } = target;
+  const { authority, host, port, isSecure } = target;
   const agentOptions = { keepAlive: true, timeout: KEEP_ALIVE_MS };
   const connections = isSecure ? new SecureAgent(agentOptions) : new Agent(agentOptions);
   const liveness = createLiveness({
@@ -142,7 +144,7 @@
     if (signal.aborted) return { outcome: 'not-sent', detail: 'the call was cancelled' };
     const { method, path, body, runsAtMostOnce } = req;
     const length = body.length > 0 ? { 'content-length': String(body.length) } : {};
-    const headers: OutgoingHttpHeaders = { ...req.headers, ...length, host: new URL(url).host };
+    const headers: OutgoingHttpHeaders = { ...req.headers, ...length, host: authority };
     const exchange = startExchange(
       {
         ...{ host, port, isSecure, method, path, headers, body },
