--- a/packages/lab/src/experiments/broken-answers.ts
+++ b/packages/lab/src/experiments/broken-answers.ts
@@ -5,7 +5,7 @@
 
 import { createSeededRandom } from '@plantaindrum/common';
 import { ENTRY_LOADS } from './broken-answers/cases.js';
-import { figuresOf, isFault } from './broken-answers/figures.js';
+import { figuresOf, isFault, looksComplete } from './broken-answers/figures.js';
 import type { EndingFigures } from './broken-answers/figures.js';
 import { startOwnSite } from './broken-answers/own-site.js';
 import { startPlatformSite } from './broken-answers/platform-site.js';
@@ -31,18 +31,15 @@
 /** Faulty answers that are printed for each interface. */
 const MAX_PRINTED_FAULTS = 20;
 
-const isComplete = ({ received }: { received: { isComplete: boolean; status: number } }): boolean =>
-  received.isComplete && received.status === 200;
-
 const allCalls = (site: PlayedSite) => site.cases.flatMap(({ calls }) => calls);
 const allTimed = (site: PlayedSite) =>
   site.cases.filter(({ name }) => name === 'complete').flatMap(({ timed }) => timed);
 
 const undecidableFigures = ({ undecidable }: PlayedSite) => ({
   ended: undecidable.ended.length,
-  endedBrokenAtCaller: undecidable.ended.filter((call) => !isComplete(call)).length,
+  endedBrokenAtCaller: undecidable.ended.filter((call) => !looksComplete(call)).length,
   cut: undecidable.cut.length,
-  cutCompleteAtCaller: undecidable.cut.filter(isComplete).length,
+  cutCompleteAtCaller: undecidable.cut.filter(looksComplete).length,
 });
 
 /** Plays the cases at both interfaces; the figures beside the list of cases are those of all answers. */
--- a/packages/lab/src/experiments/broken-answers/figures.ts
+++ b/packages/lab/src/experiments/broken-answers/figures.ts
@@ -34,13 +34,18 @@
 const isWholePlan = ({ ending }: AnswerPlan): boolean =>
   ending === 'complete' || ending === 'half-close';
 
-const isWholeAtCaller = ({ plan, received }: PlayedCall): boolean =>
-  received.isComplete && received.status === 200 && received.body === bodyOf(plan);
+/** Whether an answer looks complete to its caller. */
+export const looksComplete = ({ received }: PlayedCall): boolean =>
+  received.isComplete && received.status === 200;
 
-const isFalselyComplete = (call: PlayedCall): boolean => {
-  const { isComplete, status } = call.received;
-  return isComplete && status === 200 && !isWholeAtCaller(call);
-};
+const isWholeAtCaller = (call: PlayedCall): boolean =>
+  looksComplete(call) && call.received.body === bodyOf(call.plan);
+
+const isFalselyComplete = (call: PlayedCall): boolean =>
+  looksComplete(call) && !isWholeAtCaller(call);
+
+const isFalselyBroken = (call: PlayedCall): boolean =>
+  !call.isUndecidable && isWholePlan(call.plan) && !isWholeAtCaller(call);
 
 const delaysOf = (calls: readonly PlayedCall[], framing: AnswerPlan['framing']): number[] =>
   calls
@@ -60,9 +65,7 @@
 
 /** Whether an answer counts against the product. */
 export const isFault = (call: PlayedCall): boolean =>
-  isFalselyComplete(call) ||
-  isNotResumed(call) ||
-  (!call.isUndecidable && isWholePlan(call.plan) && !isWholeAtCaller(call));
+  isFalselyComplete(call) || isNotResumed(call) || isFalselyBroken(call);
 
 /** Computes the figures of some requests; the check is timed with the answers in `timed`. */
 export const figuresOf = (
@@ -78,8 +81,7 @@
     answers: counted.length,
     broken: broken.length,
     falselyComplete: calls.filter(isFalselyComplete).length,
-    falselyBroken: counted.filter((call) => isWholePlan(call.plan) && !isWholeAtCaller(call))
-      .length,
+    falselyBroken: calls.filter(isFalselyBroken).length,
     repeatedUnsafe: unsafeRuns.reduce((sum, { runs }) => sum + Math.max(0, runs - 1), 0),
     resumed: resumable.length === 0 ? 1 : round(resumed / resumable.length, 3),
     addedMs: { p50: addedMs(timed, 0.5), p99: addedMs(timed, 0.99) },
--- a/packages/lab/src/experiments/broken-answers/platform-site.ts
+++ b/packages/lab/src/experiments/broken-answers/platform-site.ts
@@ -6,13 +6,13 @@
 import {
   callerHeaders,
   listServer,
-  OPERATOR_HOST,
+  putRoutes,
   SETTINGS_VARIABLE,
   settingsText,
   startStoreStandIn,
   unlistServer,
 } from '@plantaindrum/stand-ins';
-import type { StoreStandIn } from '@plantaindrum/stand-ins';
+import type { OperatorRoute, OperatorRouteKind, StoreStandIn } from '@plantaindrum/stand-ins';
 import { startChild } from '../../harness/child.js';
 import { readCpuTimeMs } from '../../harness/cpu-time.js';
 import type { RequestKind } from './cases.js';
@@ -26,11 +26,12 @@
 const NETWORK = `127.${20 + (process.pid % 200)}`;
 const KEY = 'key-of-broken-answers';
 const WAIT_MS = 2_500;
+const ROUTE_LIMITS = { timeoutMs: WAIT_MS, targetMs: 500, pauseMs: 500, maxAttempts: 3 };
 const HEARTBEAT_MS = 500;
 /** Far more than the upstreams that are broken on purpose need. */
 const RETRY_ALLOWANCE = 10_000;
 
-const ROUTE_TYPES: Readonly<Record<RequestKind, string>> = {
+const ROUTE_KINDS: Readonly<Record<RequestKind, OperatorRouteKind>> = {
   'resumable-stream': 'streaming',
   'single-stream': 'streaming',
   'safe-call': 'safe',
@@ -39,28 +40,14 @@
 
 const serviceOf = (pair: number): string => `pair-${pair}`;
 
-const desiredState = (pairs: number): Record<string, unknown> => {
-  const numbers = Array.from({ length: pairs }, (_, pair) => pair);
-  const kinds = Object.entries(ROUTE_TYPES);
-  return {
-    version: 1,
-    routes: numbers.flatMap((pair) =>
-      kinds.map(([kind, type]) => ({
-        ...{ name: `${kind}-${pair}`, hostname: OPERATOR_HOST, path_prefix: `/${kind}-${pair}/` },
-        ...{ route_type: type, service: serviceOf(pair), timeout_ms: WAIT_MS, priority: 1 },
-        ...{ target_latency_ms: 500, max_attempts: 3, anonymous: false, gap_aim_ms: 500 },
-        stream_resume: kind === 'resumable-stream',
-      })),
-    ),
-    services: numbers.map((pair) => ({
-      ...{ name: serviceOf(pair), health_path: '/healthz', max_connections: 1_000 },
+const routesOf = (pairs: number): OperatorRoute[] => {
+  const kinds = Object.entries(ROUTE_KINDS);
+  return Array.from({ length: pairs }, (_, pair) =>
+    kinds.map(([name, kind]) => ({
+      ...{ name: `${name}-${pair}`, kind, service: serviceOf(pair) },
+      isResumable: name === 'resumable-stream',
     })),
-    limits: {
-      ...{ max_header_bytes: 16_384, max_body_bytes: 1_000_000 },
-      ...{ header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-    },
-    tenants: [{ name: 'dealer', api_keys: [KEY] }],
-  };
+  ).flat();
 };
 
 const startEntry = async (folder: string, store: StoreStandIn, n: number) => {
@@ -95,7 +82,7 @@
     list(upstream);
   };
 
-  store.put('keyed.op', 'config', desiredState(pairs));
+  putRoutes(store, [KEY], routesOf(pairs), ROUTE_LIMITS);
   const upstreams = await Promise.all(
     Array.from({ length: 2 * pairs }, (_, n) => {
       const service = serviceOf(Math.floor(n / 2));
--- a/packages/stand-ins/src/ending-server/ending-server.ts
+++ b/packages/stand-ins/src/ending-server/ending-server.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
+import { HEALTH_PATH } from '../users-platform/operator-stand-in.js';
 import { bodyOf, partOf, readPlan } from './answer-plan.js';
 import type { AnswerPlan, Framing } from './answer-plan.js';
 
@@ -158,7 +159,7 @@
       );
       return;
     }
-    if (req.target === '/healthz') {
+    if (req.target === HEALTH_PATH) {
       socket.end(`HTTP/1.1 200 OK\r\nX-Instance-Id: ${instance}\r\nContent-Length: 0\r\n\r\n`);
       return;
     }
--- a/packages/stand-ins/src/users-platform/operator-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/operator-stand-in.ts
@@ -8,6 +8,14 @@
 /** Host name of the routes in the desired state. */
 export const OPERATOR_HOST = 'h.example';
 
+/** Path at which servers state their instance. */
+export const HEALTH_PATH = '/healthz';
+
+const callerLimits = {
+  ...{ max_header_bytes: 16_384, max_body_bytes: 100_000 },
+  ...{ header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+};
+
 /** Dimensions of the expert group behind the streaming route. */
 export interface OperatorGroup {
   sets: number;
@@ -46,12 +54,54 @@
         engine: { slots: 8, ...group, places: 4, spare: 1, expert_mb: 1, link_mbps: 1_000 },
       },
     ],
-    limits: {
-      ...{ max_header_bytes: 16_384, max_body_bytes: 100_000 },
-      ...{ header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-    },
+    limits: callerLimits,
+    tenants: [{ name: 'dealer', api_keys: keys }],
+  });
+
+/** Kinds of routes, as the desired state names them. */
+export type OperatorRouteKind = 'streaming' | 'safe' | 'unsafe';
+
+/** A route of the desired state, at the path `/NAME/`. */
+export interface OperatorRoute {
+  name: string;
+  kind: OperatorRouteKind;
+  service: string;
+  isResumable: boolean;
+}
+
+/** What all routes of a desired state have in common; times in milliseconds. */
+export interface OperatorRouteLimits {
+  timeoutMs: number;
+  targetMs: number;
+  pauseMs: number;
+  maxAttempts: number;
+}
+
+const MAX_CONNECTIONS = 1_000;
+const MAX_BODY_BYTES = 1_000_000;
+
+/** Publishes a desired state with these routes to plain services, each with a health path. */
+export const putRoutes = (
+  store: StoreStandIn,
+  keys: readonly string[],
+  routes: readonly OperatorRoute[],
+  { timeoutMs, targetMs, pauseMs, maxAttempts }: OperatorRouteLimits,
+): void => {
+  const services = [...new Set(routes.map(({ service }) => service))];
+  store.put('keyed.op', 'config', {
+    version: 1,
+    routes: routes.map(({ name, kind, service, isResumable }) => ({
+      ...route(name, kind, service),
+      ...{ timeout_ms: timeoutMs, target_latency_ms: targetMs, gap_aim_ms: pauseMs },
+      ...{ max_attempts: maxAttempts, stream_resume: isResumable },
+    })),
+    services: services.map((name) => ({
+      ...{ name, health_path: HEALTH_PATH, max_connections: MAX_CONNECTIONS },
+    })),
+    limits: { ...callerLimits, max_body_bytes: MAX_BODY_BYTES },
     tenants: [{ name: 'dealer', api_keys: keys }],
   });
+};
 
 /** Publishes the record that a server writes about itself. */
 export const listServer = (
