--- a/review/lib/consumer.mjs
+++ b/review/lib/consumer.mjs
@@ -52,5 +52,10 @@
       req.end(body);
     });
 
-  return { send, close: () => agent.destroy() };
+  return {
+    send,
+    /** Whether a connection is open that the next request would use. */
+    hasConnection: () => Object.keys(agent.freeSockets).length > 0,
+    close: () => agent.destroy(),
+  };
 };
