--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -1,6 +1,7 @@
 // Starts the project's programs with the commands of the deploy file, on loopback addresses.
 
 import { spawn } from 'node:child_process';
+import console from 'node:console';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, get } from 'node:http';
 import { tmpdir } from 'node:os';
@@ -9,6 +10,7 @@
 import { setTimeout } from 'node:timers';
 import { fileURLToPath } from 'node:url';
 
+const EXIT_NOT_RUN = 2;
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 
 export const sleep = (ms) =>
@@ -89,7 +91,7 @@
 export const startSite = async (store) => {
   const folder = mkdtempSync(join(tmpdir(), 'plantaindrum-review-'));
   const ports = { frontend: await freePort(), readiness: await freePort() };
-  do ports.links = 1024 + Math.floor(Math.random() * 25_000);
+  do ports.links = 12_000 + Math.floor(Math.random() * 15_000);
   while (
     Object.values(ports).some((port) => Math.abs(port - ports.links) < 20 && port !== ports.links)
   );
@@ -138,6 +140,13 @@
 
   const killAll = () => running.forEach((child) => child.kill('SIGKILL'));
   process.on('exit', killAll);
+  // A case that can't run isn't a broken rule: only a verdict exits with 1.
+  const giveUp = (err) => {
+    console.error(err);
+    process.exit(EXIT_NOT_RUN);
+  };
+  process.on('uncaughtException', giveUp);
+  ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, giveUp));
 
   return {
     ports,
