Gateway: a stopping entry refuses what it can't serve before it exits

Cause: whether a request is accepted depended on the time since the signal alone (3.2 s, or half of the grace period), never on how long the request may take. The decision was made once, as the head arrived: a body that was complete later, a caller that waited for its service or for room, and a retry of an attempt that had not run were sent on whatever time was left. At the end of the grace period connections were closed without an answer, and for a grace period below 1.8 s the reserve of 300 ms lay in front of its last sixth.

Change: a lifecycle with the time of the exit. A request is accepted if its deadline lies before the exit; while the load balancer notices the stop (2.5 s) also if the longest service time of its route in the last half to whole minute, times 1.25, fits in. It is asked again when the body is complete, after each wait and before each retry of a request that has not run; waiting callers are told at the signal. What still runs at the exit gets 502 instead of a closed connection. A prober of a closed service that has gone no longer counts as one that was not refused.

--- a/packages/gateway/src/admission/service-outages.ts
+++ b/packages/gateway/src/admission/service-outages.ts
@@ -43,6 +43,8 @@
   isLastAttempt: boolean;
   /** End of the wait (monotonic, ms). */
   until: number;
+  /** Whether it needn't wait any longer, and can't probe the service. */
+  isGone: () => boolean;
   /** Order in which waiting callers proceed: lower values first, from 0. */
   urgency: number;
   /** Max callers that may wait for the service at this entry. */
@@ -111,8 +113,9 @@
       return;
     }
     const now = clock.monotonic();
-    const expired = outage.queue.filter(({ until }) => until <= now);
-    const remaining = outage.queue.filter(({ until }) => until > now).sort(byUrgencyAndAge);
+    const isOver = ({ until, isGone }: QueuedCaller): boolean => until <= now || isGone();
+    const expired = outage.queue.filter(isOver);
+    const remaining = outage.queue.filter((each) => !isOver(each)).sort(byUrgencyAndAge);
     const prober = remaining.shift();
     Object.assign(outage, {
       queue: remaining,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,8 @@
 import { createIntentWait } from './intent/intent-wait.js';
 import { createRouteTable } from './intent/route-table.js';
 import type { RouteTable } from './intent/route-table.js';
+import { createLifecycle } from './lifecycle/lifecycle.js';
+import { shutDown } from './lifecycle/shutdown.js';
 import { followEntryTopics } from './mesh/entry-topics.js';
 import { createAgentRelay } from './mesh/agent-relay.js';
 import { createFollowedTopics } from './mesh/followed-topics.js';
@@ -22,7 +24,6 @@
 import { createQuarantine } from './quarantine/index.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudget } from './retry/budget.js';
-import { shutDown } from './shutdown.js';
 import { createRequestHandler } from './serving/serve-request.js';
 import type { UpstreamRecord } from './types.js';
 import { createDirectory } from './upstreams/directory.js';
@@ -42,8 +43,7 @@
   let { bounds } = options;
   let routeTable: RouteTable | undefined;
   const startedAt = clock.monotonic();
-  let isStopping = false;
-  let isClosing = false;
+  const lifecycle = createLifecycle(clock);
 
   // The followed topics call the mesh, and the mesh reads from their mirrors; the mesh is created last.
   let mesh: Mesh | undefined;
@@ -164,8 +164,7 @@
     random,
     ...observers,
     isStarting: () => clock.monotonic() - startedAt < START_MS,
-    isStopping: () => isStopping,
-    isClosing: () => isClosing,
+    lifecycle,
     routeTable: () => routeTable,
     waitForIntent: createIntentWait(() => routeTable !== undefined, clock),
     intentAgeMs,
@@ -256,7 +255,7 @@
   });
 
   const isReady = (): boolean =>
-    !isStopping && routeTable !== undefined && entryTopics.hasUpstreams();
+    !lifecycle.isStopping() && routeTable !== undefined && entryTopics.hasUpstreams();
   const { path } = options.addresses.metrics;
   const readinessServers = await Promise.all(
     [options.addresses.readiness, options.addresses.metrics].map((address) =>
@@ -277,14 +276,9 @@
     void mesh?.close();
   };
   const stop = (): Promise<void> => {
-    isStopping = true;
-    const stopListening = (): void => {
-      isClosing = true;
-      callerServer.stopListening();
-    };
     const { graceMs } = bounds;
-    const { openRequests } = callerServer;
-    return shutDown({ graceMs, openRequests, stopListening, closeAll, clock, log });
+    const { openRequests, stopListening } = callerServer;
+    return shutDown({ graceMs, lifecycle, openRequests, stopListening, closeAll, clock, log });
   };
 
   return {
--- a/packages/gateway/src/serving/admit.ts
+++ b/packages/gateway/src/serving/admit.ts
@@ -86,10 +86,13 @@
 ): Promise<AdmitOutcome> =>
   new Promise((resolve) => {
     const { route, organisation, fields, res, id, arrivedAt, deadlineAt } = request;
+    const { lifecycle, random } = deps;
     let verdict: AdmissionVerdict | undefined;
     let ticket: AdmissionTicket | undefined;
+    let stopListening = (): void => {};
     const settle = (settled: AdmissionVerdict): void => {
       verdict = settled;
+      stopListening();
       if (ticket) resolve(toOutcome(request, settled, ticket, deps));
     };
     ticket = admission.offer(
@@ -108,9 +111,15 @@
       return;
     }
     const { cancel } = ticket;
-    onCallerDisconnected(res, () => {
+    const withdraw = (outcome: AdmitOutcome): void => {
+      stopListening();
       cancel();
-      resolve({ outcome: 'caller-gone' });
+      resolve(outcome);
+    };
+    onCallerDisconnected(res, () => withdraw({ outcome: 'caller-gone' }));
+    stopListening = lifecycle.onChange(() => {
+      if (lifecycle.canServe(request)) return;
+      withdraw(refused(request, notRun('stopping', random), deps));
     });
   });
 
--- a/packages/gateway/src/serving/refuse.ts
+++ b/packages/gateway/src/serving/refuse.ts
@@ -2,6 +2,7 @@
 
 import type { ServerResponse } from 'node:http';
 import { abortResponse } from '@plantaindrum/common';
+import { endAfterBody } from './end-after-body.js';
 import type { QuarantineRefusal } from '../quarantine/index.js';
 import type { RefusalReason, ServiceWait, ServingDeps } from './types.js';
 
@@ -21,7 +22,7 @@
  */
 const FORMING_RETRY_DELAY = { minMs: 900, spreadMs: 1_300 };
 /** Delay before a caller retries at another entry, in ms; short, as that entry can serve it at once. */
-const STOPPING_RETRY_DELAY = { minMs: 50, spreadMs: 150 };
+const STOPPING_RETRY_DELAY = { minMs: 10, spreadMs: 90 };
 /** Reasons that apply while a group re-forms, an entry starts or a data centre is evacuated: others won't end them. */
 const FORMING_REASONS: ReadonlySet<RefusalReason> = new Set([
   'upstreams-refusing',
@@ -92,7 +93,7 @@
   res: ServerResponse,
   refusal: Refusal,
   context: RefusalContext,
-  deps: Pick<ServingDeps, 'metrics' | 'log' | 'isStopping'>,
+  deps: Pick<ServingDeps, 'clock' | 'metrics' | 'log' | 'lifecycle'>,
 ): void => {
   const { reason, status, retryAfterMs } = refusal;
   const { inputs, ...request } = context;
@@ -106,8 +107,8 @@
   if (retryAfterMs !== undefined) {
     headers['Retry-After'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
   }
-  if (deps.isStopping()) headers.Connection = 'close';
+  if (deps.lifecycle.isStopping()) headers.Connection = 'close';
   const body = `${reason}\n`;
   res.writeHead(status, { ...headers, 'Content-Length': String(body.length) });
-  res.end(body);
+  endAfterBody(res, body, deps.clock);
 };
--- a/packages/gateway/src/serving/request-completion.ts
+++ b/packages/gateway/src/serving/request-completion.ts
@@ -50,12 +50,13 @@
   deps: ServingDeps,
 ): RequestCompletion => {
   const { route, res } = request;
-  const { clock, metrics, log } = deps;
+  const { clock, lifecycle, metrics, log } = deps;
 
   const elapsedMs = (): number => Math.round(clock.monotonic() - request.arrivedAt);
 
   const recordAnswered = (status: number | undefined): void => {
     const { runs, notRuns } = progress;
+    lifecycle.recordServed(route.name, elapsedMs());
     metrics.record('gateway_answer_ms', elapsedMs(), { kind: route.kind });
     log.event('answered', {
       id: request.id,
@@ -74,7 +75,7 @@
     if (!isFramed) res.removeHeader('Transfer-Encoding');
     const length = ['Content-Length', String(body.length)];
     const isSized = !isFramed || hasField(headers, 'content-length');
-    sendHead(res, status, isSized ? headers : [...headers, ...length], deps.isStopping());
+    sendHead(res, status, isSized ? headers : [...headers, ...length], lifecycle.isStopping());
     res.end(body);
     recordAnswered(status);
   };
--- a/packages/gateway/src/serving/retry-loop.ts
+++ b/packages/gateway/src/serving/retry-loop.ts
@@ -56,12 +56,13 @@
   deps: ServingDeps,
 ): RetryLoop => {
   const { route, res, service } = request;
-  const { clock, directory, budget, outages, groups, quarantine, metrics, log } = deps;
+  const { clock, lifecycle, directory, budget, outages, groups, quarantine, metrics, log } = deps;
   const { mayRepeat } = options;
   const tried = new Set<string>();
   let current: Attempt | undefined;
   let isDisconnected = false;
-  let isExpired = false;
+  /** Why the request is ended without waiting for its attempt. */
+  let cutOffBy: 'deadline' | 'stopping' | undefined;
   let isMoving = false;
   let probes = 0;
   /** The rank group that refused the last attempt. */
@@ -84,7 +85,7 @@
 
   const tryMove: TryMove = () => {
     const isLast = progress.runs + 1 >= route.maxAttempts;
-    if (!current || !mayRepeat || isMoving || isDisconnected || isExpired || isLast) return false;
+    if (!current || !mayRepeat || isMoving || isDisconnected || cutOffBy || isLast) return false;
     const next = directory.select(service, tried);
     if (!next || directory.isStraggler(next) || !budget.take(service)) return false;
     isMoving = true;
@@ -122,7 +123,7 @@
     stopWatch();
     if (outcome.outcome === 'whole') attempt.run.complete(outcome.status);
     if (outcome.outcome === 'streamed') attempt.run.complete();
-    const isAbandoned = isDisconnected || isExpired || isMoving;
+    const isAbandoned = isDisconnected || cutOffBy !== undefined || isMoving;
     const hasFailed = !isAbandoned && !attempt.run.hasSurvived();
     attempt.end();
     // A suspect request is retried only once it is known whether it has crashed this upstream as well.
@@ -168,7 +169,8 @@
 
   /** Returns why no further attempt is made; undefined when a retry is allowed. */
   const stopReason = (): RefusalReason | undefined => {
-    if (isExpired) return 'deadline';
+    if (cutOffBy) return cutOffBy;
+    if (progress.runs === 0 && !lifecycle.canServe(request)) return 'stopping';
     if (progress.runs > 0 && !mayRepeat) return 'upstream-failed';
     const refusal = quarantine.refusal(request.fingerprint, request.sharedParts);
     if (refusal) return refusal.reason;
@@ -203,9 +205,9 @@
     log.event('caller-gone', { id: request.id, runs, notRuns, ms: elapsedMs() });
   };
 
-  /** Ends the request after the caller disconnected or the deadline passed between two attempts. */
+  /** Ends the request after the caller disconnected or it was cut off between two attempts. */
   const endBetweenAttempts = (): void => {
-    if (isExpired && !isDisconnected) endWithFailure('deadline');
+    if (cutOffBy && !isDisconnected) endWithFailure(cutOffBy);
     else logCallerDisconnected();
   };
 
@@ -222,10 +224,14 @@
   const runAll = async (loop: RetryLoop, handleResponse: HandleResponse): Promise<void> => {
     for (;;) {
       const held = await waitUntilAvailable(loop);
-      if (isDisconnected || isExpired) {
+      if (isDisconnected || cutOffBy) {
         endBetweenAttempts();
         return;
       }
+      if (progress.runs === 0 && !lifecycle.canServe(request)) {
+        endWithFailure('stopping');
+        return;
+      }
       if (held.outcome === 'refused') {
         endWithFailure(held.reason, held.retryAfterMs);
         return;
@@ -275,12 +281,17 @@
         isDisconnected = true;
         current?.abort();
       });
-      const stopDeadline = clock.after(loop.remainingMs(), () => {
-        isExpired = true;
+      const cutOff = (reason: 'deadline' | 'stopping'): void => {
+        cutOffBy ??= reason;
         current?.abort();
+      };
+      const stopDeadline = clock.after(loop.remainingMs(), () => cutOff('deadline'));
+      const stopListening = lifecycle.onChange((phase) => {
+        if (phase === 'exiting') cutOff('stopping');
       });
       await runAll(loop, handleResponse);
       stopDeadline();
+      stopListening();
     },
   };
   return loop;
--- a/packages/gateway/src/serving/serve-request.ts
+++ b/packages/gateway/src/serving/serve-request.ts
@@ -24,8 +24,6 @@
   waitForIntent: (timeoutMs: number) => Promise<void>;
   /** Milliseconds since this entry's intent was last confirmed to be the latest. */
   intentAgeMs: () => number;
-  /** Whether the entry exits soon: a request accepted now might be cut off. */
-  isClosing: () => boolean;
 }
 
 /**
@@ -81,7 +79,7 @@
 
 /** Creates the handler of callers' requests. */
 export const createRequestHandler = (context: RequestContext) => {
-  const { clock, dialect, budget, random, metrics, log } = context;
+  const { clock, dialect, budget, lifecycle, random, metrics, log } = context;
   const timeSinceFirstAttempt = createReturnDetector();
 
   const rejectUnknown = (reason: RefusalReason, status: 401 | 404): { refusal: Refusal } =>
@@ -164,9 +162,8 @@
       const id = fields.requestId;
       refuse(res, refusal, { id, route: route?.name, heldMs, attempts: 0, inputs }, context);
     };
-    if (context.isClosing()) {
+    if (lifecycle.phase() === 'closing' || lifecycle.phase() === 'exiting') {
       sendRefusal(notRun('stopping', random));
-      req.resume();
       return;
     }
     if (!context.routeTable()) await context.waitForIntent(FIRST_INTENT_TIMEOUT_MS);
@@ -175,10 +172,16 @@
       const routeTable = context.routeTable();
       const age = Math.round(context.intentAgeMs());
       sendRefusal(identified.refusal, undefined, { intent: routeTable?.intent.version, age });
-      req.resume();
       return;
     }
     const request = createCallerRequest(req, res, fields, identified, arrivedAt);
+    const refuseIfStopping = (): boolean => {
+      if (lifecycle.canServe(request)) return false;
+      const neededMs = Math.round(request.deadlineAt - clock.monotonic());
+      sendRefusal(notRun('stopping', random), request.route, { neededMs });
+      return true;
+    };
+    if (refuseIfStopping()) return;
     const body = await readCallerBody(req, identified.routeTable.intent.limits.bodyBytes);
     if (body.outcome === 'broken') {
       log.event('caller-gone', { id: request.id, route: request.route.name });
@@ -190,6 +193,7 @@
       sendRefusal({ reason: 'body-too-large', status: 413 }, request.route);
       return;
     }
+    if (refuseIfStopping()) return;
     budget.recordRequest(request.service);
     const fullRequest = {
       ...request,
@@ -212,6 +216,7 @@
       log.event('caller-gone', { id: request.id, route: request.route.name });
       return;
     }
+    if (refuseIfStopping()) return;
     const refusal = heldRefusal(held, random);
     if (refusal) {
       sendRefusal(refusal, request.route, { isReturn: request.isReturn });
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -123,7 +123,9 @@
     attempt.run.recordEvent();
     if (event.id !== undefined) loop.resumeAfter = event.id;
     // The head is sent with the first event only: until then a failure can be answered with an error status.
-    if (!res.headersSent) sendHead(res, response.status, endToEnd(response.res), deps.isStopping());
+    if (!res.headersSent) {
+      sendHead(res, response.status, endToEnd(response.res), deps.lifecycle.isStopping());
+    }
     res.write(event.bytes);
     return true;
   };
@@ -161,7 +163,9 @@
     const fault = await forwardEvents(attempt, response);
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
     // A stream that is resumed after its last event has no event left, so its head has not been forwarded yet.
-    if (!res.headersSent) sendHead(res, response.status, endToEnd(response.res), deps.isStopping());
+    if (!res.headersSent) {
+      sendHead(res, response.status, endToEnd(response.res), deps.lifecycle.isStopping());
+    }
     return { outcome: 'streamed' };
   });
 };
--- a/packages/gateway/src/serving/types.ts
+++ b/packages/gateway/src/serving/types.ts
@@ -8,6 +8,7 @@
 import type { AnswerSurvival } from '../attempts/survival.js';
 import type { GroupDirectory } from '../groups/group-directory.js';
 import type { TakeUpQueue } from '../groups/take-up-queue.js';
+import type { Lifecycle } from '../lifecycle/lifecycle.js';
 import type { RouteTable } from '../intent/route-table.js';
 import type { RequestQuarantine } from '../quarantine/index.js';
 import type { RetryBudget } from '../retry/budget.js';
@@ -38,8 +39,8 @@
   log: EventLog;
   /** Whether the entry has just started, so that upstreams may be missing from its list. */
   isStarting: () => boolean;
-  /** Whether the entry is stopping: responses then close the caller's connection. */
-  isStopping: () => boolean;
+  /** While the entry stops, responses close the caller's connection. */
+  lifecycle: Lifecycle;
 }
 
 /** A caller's request with what is needed to serve it. */
--- a/packages/gateway/src/serving/wait-for-service.ts
+++ b/packages/gateway/src/serving/wait-for-service.ts
@@ -40,14 +40,28 @@
   return groups.hasSeveral() || new Set(routes.map(({ priority }) => priority)).size > 1;
 };
 
+/** Whether a request needn't wait: its caller has disconnected, or this entry exits before it can be served. */
+const isWithdrawn = (
+  request: CallerRequest,
+  { hasRun }: EarlierAttempts,
+  { lifecycle }: ServingDeps,
+): boolean =>
+  request.res.destroyed ||
+  lifecycle.phase() === 'exiting' ||
+  (!hasRun && !lifecycle.canServe(request));
+
 /** Waits until an upstream of the service is listed, if this entry has just started. */
-const waitForList = async (request: CallerRequest, deps: ServingDeps): Promise<void> => {
+const waitForList = async (
+  request: CallerRequest,
+  attempts: EarlierAttempts,
+  deps: ServingDeps,
+): Promise<void> => {
   const { clock, directory } = deps;
   const until = Math.min(request.arrivedAt + MAX_LIST_WAIT_MS, request.deadlineAt);
   const isMissing = (): boolean =>
     deps.isStarting() && directory.unavailableReason(request.service) === 'no-upstream';
   if (!isMissing() || !mayHaveGroups(request, deps)) return;
-  while (isMissing() && clock.monotonic() < until && !request.res.destroyed) {
+  while (isMissing() && clock.monotonic() < until && !isWithdrawn(request, attempts, deps)) {
     await sleep(clock, LIST_CHECK_INTERVAL_MS);
   }
 };
@@ -56,10 +70,11 @@
 const waitForGroup = async (
   request: CallerRequest,
   waitStartedAt: number,
-  { wasSent, hasRun }: EarlierAttempts,
+  attempts: EarlierAttempts,
   deps: ServingDeps,
 ): Promise<ServiceWait> => {
-  const { res, service, deadlineAt, fields } = request;
+  const { wasSent, hasRun } = attempts;
+  const { service, deadlineAt, fields } = request;
   // A request that may have run can't be refused as one that has not, so its caller won't return either.
   const isLastAttempt = request.isReturn || fields.lastEventId !== undefined || hasRun;
   const maxWaitMs = isLastAttempt ? MAX_RETURN_WAIT_MS : MAX_GROUP_WAIT_MS;
@@ -73,7 +88,9 @@
     urgency: urgencyOf(request),
     isReturn: isLastAttempt,
     wasSent,
-    isGone: () => res.destroyed || deps.directory.excludedReason(service) === 'evacuated',
+    isGone: () =>
+      isWithdrawn(request, attempts, deps) ||
+      deps.directory.excludedReason(service) === 'evacuated',
   });
   if (outcome.outcome !== 'refused') return outcome;
   const { groups } = deps;
@@ -91,7 +108,7 @@
 ): Promise<ServiceWait> => {
   const { outages, directory, groups } = deps;
   const { service } = request;
-  await waitForList(request, deps);
+  await waitForList(request, attempts, deps);
   if (groups.groupsOf(service).length > 0) {
     return waitForGroup(request, waitStartedAt, attempts, deps);
   }
@@ -99,6 +116,7 @@
   const outcome = await outages.wait(service, {
     isLastAttempt: request.isReturn || request.fields.lastEventId !== undefined,
     until: Math.min(waitStartedAt + MAX_WAIT_MS, request.deadlineAt),
+    isGone: () => isWithdrawn(request, attempts, deps),
     urgency: urgencyOf(request),
     // One prompt per engine, over all entries, is processed within one pass. More at once, with the unbalanced
     // expert map that a group starts with, caused passes of 200 ms for three seconds.
--- a/packages/gateway/test/service-outages.test.ts
+++ b/packages/gateway/test/service-outages.test.ts
@@ -10,6 +10,8 @@
   const clock = createManualClock();
   const outages = createServiceOutages({ clock, metrics: createMetrics(), log: silentEventLog });
   const ended: [name: string, outcome: WaitOutcome][] = [];
+  /** Callers that needn't wait any longer. */
+  const gone = new Set<string>();
   const enqueue = (
     name: string,
     urgency = 1,
@@ -23,10 +25,11 @@
         urgency,
         maxWaiting,
         isLastAttempt,
+        isGone: () => gone.has(name),
       })
       .then((outcome) => ended.push([name, outcome]));
   };
-  return { clock, outages, ended, enqueue };
+  return { clock, outages, ended, enqueue, gone };
 };
 
 describe('waiting for a group that re-forms', () => {
@@ -81,6 +84,20 @@
     ]);
   });
 
+  // Guards against an outage that counts as over because its prober, which had gone, was never refused.
+  it('lets no caller probe that need not wait any longer', async () => {
+    const { clock, outages, ended, enqueue, gone } = startOutages();
+    outages.recordRefusal('s');
+    enqueue('first');
+    enqueue('second');
+    gone.add('first');
+    await clock.advance(120);
+    expect(ended).to.deep.equal([
+      ['first', 'too-long'],
+      ['second', 'ask'],
+    ]);
+  });
+
   // With an unlimited wait queue, the last callers would queue at the upstreams until they are late. Callers beyond
   // the limit are refused at once, and waits end in time for the caller to retry.
   it('limits the number of waiting callers and the time that they wait', async () => {
--- a/packages/gateway/test/serving.test.ts
+++ b/packages/gateway/test/serving.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { systemClock } from '@plantaindrum/common';
+import { createLifecycle } from '../src/lifecycle/lifecycle.js';
 import { startEntry } from './support/entry.js';
 import type { EntryOptions } from './support/entry.js';
 import {
@@ -226,7 +227,9 @@
   // The grace period is nearly over. A request accepted now would be cut off, and the caller could not know whether it
   // ran. If it is told that it did not run, it retries at another entry at once.
   it('an entry that exits soon: 503, and nothing reaches an upstream', async () => {
-    await withEntry([answerOk()], { isClosing: true }, async (entry, upstreams) => {
+    const lifecycle = createLifecycle(systemClock);
+    lifecycle.enter('closing');
+    await withEntry([answerOk()], { lifecycle }, async (entry, upstreams) => {
       const response = await entry.send();
       expect(response).to.include({ status: 503, body: 'stopping\n' });
       expect(Number(response.headers['retry-after'])).to.be.below(0.3);
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -20,6 +20,8 @@
 import { createRankGroups } from '../../src/groups/index.js';
 import type { GroupUpdate } from '../../src/groups/group-report.js';
 import { createRouteTable } from '../../src/intent/route-table.js';
+import { createLifecycle } from '../../src/lifecycle/lifecycle.js';
+import type { Lifecycle } from '../../src/lifecycle/lifecycle.js';
 import { createQuarantine } from '../../src/quarantine/index.js';
 import type { QuarantineUpdate } from '../../src/quarantine/quarantine-update.js';
 import { createRetryBudget } from '../../src/retry/budget.js';
@@ -53,8 +55,8 @@
   withoutIntent?: boolean;
   /** The entry has just started. */
   isStarting?: boolean;
-  /** The entry exits soon and accepts no more requests. */
-  isClosing?: boolean;
+  /** Phase of the entry; it serves by default. */
+  lifecycle?: Lifecycle;
   /** Called with what the entry broadcasts about requests that crash upstreams. */
   onCrashUpdate?: (update: QuarantineUpdate) => void;
   /** Called with what the entry broadcasts about rate limits of upstreams. */
@@ -234,8 +236,8 @@
     metrics,
     log,
     isStarting: () => options.isStarting ?? false,
-    isStopping: () => false,
-    isClosing: () => options.isClosing ?? false,
+
+    lifecycle: options.lifecycle ?? createLifecycle(clock),
     outages,
     groups,
     takeUp,
@@ -295,6 +297,7 @@
     });
 
   return {
+    port,
     send,
     metrics,
     directory,
