Exchange: every exchange settles by its deadline, whatever the upstream sends

What callers saw: a request whose upstream answers with the head of a protocol switch (101) was never answered, and the upstream's place never freed; an upstream that sends bytes without end kept its connection, and the entry busy, until the deadline.

Cause: an exchange waited for one of Node.js's events 'response' and 'error'. A protocol switch that nobody asked for ends with neither; and aborting the exchange at the deadline waited for the same events. Bytes that are neither head nor body (interim responses, line breaks before the head, digits of the size of a chunk) had no limit but the deadline.

Evidence: packages/gateway/test/endless-answers (17 endings of an answer, for safe and unsafe requests and streams) on: 'a protocol switch' and 'a protocol switch, then bytes' never settle (10 s), the 15 others pass.

Change: aborting settles head and body itself, for all endings; the end of the request settles the head; a connection that has delivered over 128 KiB and sixteen times its content besides the content is closed.

--- a/packages/exchange/src/exchange.ts
+++ b/packages/exchange/src/exchange.ts
@@ -5,6 +5,7 @@
 import type { Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '@plantaindrum/common';
+import { limitOverhead } from './overhead-limit.js';
 
 /** The request of an exchange and where it is sent. */
 export interface ExchangeRequest {
@@ -40,11 +41,14 @@
 /** An exchange in flight. */
 export interface Exchange {
   head: Promise<HeadOutcome>;
-  /** Resolves when the body has ended. It is `whole` if its framing says so, or if the upstream closed the connection. */
+  /**
+   * Resolves when the body has ended. It is `whole` if its framing says so, or if the upstream closed the connection. The
+   * body is read from then on.
+   */
   bodyEnd(res: IncomingMessage): Promise<BodyEnd>;
   /** Buffers a body; undefined when it broke off or is larger than `maxBytes`. */
   readBody(res: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined>;
-  /** Aborts the exchange by closing its connection. */
+  /** Aborts the exchange by closing its connection; what is awaited of it settles now, whatever the upstream sends. */
   abort(): void;
 }
 
@@ -75,6 +79,10 @@
   let hasFailed = false;
   let hasUpstreamClosed = false;
   let req: ClientRequest | undefined;
+  let response: IncomingMessage | undefined;
+  let receivedBytes = 0;
+  let settleAborted = (): void => {};
+  let endBody = (): void => {};
 
   const observeEnd = (socket: Socket, clientRequest: ClientRequest): void => {
     // A connection that was reset has no peer address. It is first read here, as Node.js keeps what it has read.
@@ -111,6 +119,11 @@
     };
     clientRequest.on('socket', (socket) => {
       socket.setNoDelay(true);
+      const contentBytes = (): number => receivedBytes + (response?.readableLength ?? 0);
+      const endCheck = limitOverhead(socket, contentBytes, () => {
+        clientRequest.destroy(new Error('excess-bytes'));
+      });
+      clientRequest.once('close', endCheck);
       observeEnd(socket, clientRequest);
       if (socket.connecting) socket.once('connect', handleConnected);
       else handleConnected();
@@ -120,7 +133,19 @@
       hasFailed = true;
       if (!isSettled) fail(codeOf(err));
     });
-    clientRequest.on('response', (res) => settle({ outcome: 'head', res }));
+    clientRequest.on('response', (res) => {
+      response = res;
+      settle({ outcome: 'head', res });
+    });
+    // Node.js reports a protocol switch that nobody asked for neither as a response nor as an error.
+    clientRequest.once('close', () => {
+      stopTimer();
+      if (!isSettled) fail('closed');
+    });
+    settleAborted = () => {
+      stopTimer();
+      if (!isSettled) fail('aborted');
+    };
     clientRequest.end(body);
   });
 
@@ -132,6 +157,10 @@
     new Promise((resolve) => {
       res.once('error', () => resolve('broken'));
       res.once('close', () => resolve(isWhole(res) ? 'whole' : 'broken'));
+      res.on('data', ({ length }: Uint8Array) => {
+        receivedBytes += length;
+      });
+      endBody = () => resolve('broken');
     });
 
   return {
@@ -152,6 +181,8 @@
     },
     abort: () => {
       req?.destroy();
+      settleAborted();
+      endBody();
     },
   };
 };
