Entry: a request whose body is complete after the stop is refused

What callers saw: nothing broken, as an entry of our own interface waits for each request that it has accepted; but one whose caller sends its body slowly was sent to an upstream long after the entry had stopped accepting requests, and is cut when the supervisor's patience ends.

Evidence: the new test in draining.test on the code before: 200, kept alive, dispatched; now 503 "not-run" with Retry-After, the connection is closed, and nothing is dispatched.

--- a/packages/plantaindrum/src/core/callers/caller-server.ts
+++ b/packages/plantaindrum/src/core/callers/caller-server.ts
@@ -95,13 +95,17 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     if (connections > limits.connections * CROWDED_FRACTION) res.setHeader('connection', 'close');
-    const refusal = overLimit.has(req.socket) ? tooManyConnections : newRequestRefusal();
-    if (refusal) {
+    const refuseAndClose = (refusal: Refusal | undefined): boolean => {
+      if (!refusal || res.destroyed) return false;
       res.setHeader('connection', 'close');
       refuse(res, refusal);
-      return;
-    }
+      return true;
+    };
+    if (refuseAndClose(overLimit.has(req.socket) ? tooManyConnections : newRequestRefusal()))
+      {return;}
     const read = await readRequest(req);
+    // The entry may have begun to stop while the body arrived.
+    if (refuseAndClose(newRequestRefusal())) return;
     if (!read) {
       metrics.count('requests_broken_off');
       return;
--- a/packages/plantaindrum/test/draining.test.ts
+++ b/packages/plantaindrum/test/draining.test.ts
@@ -1,10 +1,12 @@
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { expect } from 'chai';
 import type { Dispatch, Link, PeerFrame } from '@plantaindrum/link';
 import { runCli } from '../src/index.js';
 import type { FakeAgent } from './support/fake-agent.js';
 import { idleLoad, sendAnswer, startFakeAgent } from './support/fake-agent.js';
 import type { TestSite } from './support/site.js';
-import { startSite, TOKEN, upstreamVm } from './support/site.js';
+import { KEY, startSite, TOKEN, upstreamVm } from './support/site.js';
 
 const body = JSON.stringify({ model: 'lot-writer', prompt: 'a car' });
 const inLynnwood = { kind: 'model', model: 'lot-writer', data_centre: 'lynnwood' };
@@ -162,4 +164,33 @@
     expect((await slow).text).to.equal('{"whole":true}');
     await drained;
   });
+
+  // Guards against a request that is sent to an upstream by an entry that stops, because its body was complete late.
+  it('refuses a request whose body is complete after the entry has stopped accepting requests', async () => {
+    await start(answerAll);
+    const headers = { authorization: `Bearer ${KEY}`, 'content-length': String(body.length) };
+    const url = `${site.entry.callers}/v1/completions`;
+    const req = request(url, { method: 'POST', headers });
+    const answer = new Promise<IncomingMessage>((resolve, reject) => {
+      req.on('response', resolve);
+      req.on('error', reject);
+    });
+    req.write(body.slice(0, 10));
+    const drained = site.drain();
+    const isListening = (): Promise<boolean> =>
+      site.call('/v1/completions', { body }).then(
+        ({ status }) => status === 200,
+        () => false,
+      );
+    while (await isListening());
+    const before = dispatches(kent).length + dispatches(lynnwood).length;
+    req.end(body.slice(10));
+    const { statusCode, headers: received } = await answer;
+    expect([statusCode, received['x-plantaindrum-outcome'], received.connection]).to.deep.equal([
+      ...[503, 'not-run', 'close'],
+    ]);
+    expect(received['retry-after']).to.equal('1');
+    expect(dispatches(kent).length + dispatches(lynnwood).length).to.equal(before);
+    await drained;
+  });
 });
