Soak: calls on kept connections and calls that last, while entries are stopped

The soak didn't show that stopping entries accept what they can't finish: each call had a connection of its own and lasted some milliseconds, and only those sent up to 0.2 s after the signal were looked at. Half of the calls now use connections that are kept until the entry closes them, a tenth is held for 0.3 to 2.5 s by its server, and every call that ran at a stopping entry must be whole.

--- a/packages/lab/src/soak/callers.ts
+++ b/packages/lab/src/soak/callers.ts
@@ -1,8 +1,8 @@
 /** Callers of the soak, with their requests and results. */
 
-import { request } from 'node:http';
+import { Agent, request } from 'node:http';
 import type { Random } from '@plantaindrum/common';
-import { callerHeaders, hasServerStamp, promptHeaders } from '@plantaindrum/stand-ins';
+import { callerHeaders, hasServerStamp, HOLD_HEADER, promptHeaders } from '@plantaindrum/stand-ins';
 import { CRASH_PART, SOAK_PORTS } from './soak-site.js';
 import type { Vm, SoakSite } from './soak-site.js';
 
@@ -29,6 +29,8 @@
   isConnected: boolean;
   /** Whether its prompt has the part on which servers crash. */
   isHarmful: boolean;
+  /** Time for which the server works on it, in ms. */
+  holdMs: number;
 }
 
 /** Parts of prompts that calls share. */
@@ -40,13 +42,26 @@
 const DECLARED_WAIT_MS = 3_010;
 const TIMEOUT_MS = 6_000;
 const MS_PER_S = 1_000;
+/** Fraction of the calls on connections that callers keep open until the entry closes them. */
+const KEPT_FRACTION = 0.5;
+/** Fraction of the calls that last long, and the time for which the server holds them, in ms. */
+const HELD_FRACTION = 0.1;
+const HOLD = { minMs: 300, spreadMs: 2_200 };
+
+/** What the requests of one call have besides its kind and key. */
+interface CallOptions {
+  parts: readonly string[];
+  holdMs: number;
+  /** Connections of the caller; a new one without them. */
+  agent: Agent | undefined;
+}
 
 const sendRequest = (
   vm: Vm,
   kind: CallKind,
   id: string,
   key: string,
-  parts: readonly string[],
+  { parts, holdMs, agent }: CallOptions,
 ): Promise<SoakCall> =>
   new Promise((resolve) => {
     const sentAt = performance.now();
@@ -54,12 +69,14 @@
       ...{ id, kind, key, entry: vm.name, boot: vm.boot, sentAt, endedAt: sentAt },
       ...{ status: 0, hasReceipt: false, body: '', isWhole: false, isConnected: false },
       isHarmful: parts.includes(CRASH_PART),
+      holdMs,
     };
     const end = (response: Partial<SoakCall>): void =>
       resolve({ ...call, ...response, endedAt: performance.now() });
     const headers = {
       ...callerHeaders(id, key, DECLARED_WAIT_MS),
       ...(parts.length > 0 ? promptHeaders(parts) : {}),
+      ...(holdMs > 0 ? { [HOLD_HEADER]: String(holdMs) } : {}),
     };
     const target = {
       host: vm.ip,
@@ -67,7 +84,8 @@
       path: `/${kind}/${id}`,
       method: 'POST',
     };
-    const req = request({ ...target, headers, agent: false, timeout: TIMEOUT_MS }, (res) => {
+    const connection = { agent: agent ?? false, timeout: TIMEOUT_MS };
+    const req = request({ ...target, headers, ...connection }, (res) => {
       const chunks: Buffer[] = [];
       res.on('data', (chunk: Buffer) => chunks.push(chunk));
       res.on('error', () => {});
@@ -83,9 +101,12 @@
     });
     let isConnected = false;
     req.on('socket', (socket) => {
-      socket.on('connect', () => {
-        isConnected = true;
-      });
+      isConnected = !socket.connecting;
+      if (socket.connecting) {
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      }
     });
     req.on('timeout', () => req.destroy());
     req.on('error', () => end({ isConnected }));
@@ -95,7 +116,7 @@
 /** Running callers. */
 export interface Callers {
   calls: readonly SoakCall[];
-  /** Makes one call in addition to the regular ones. */
+  /** Makes one call in addition to the regular ones, on a connection of its own. */
   sendCall(vm: Vm, kind: CallKind, key: string): Promise<SoakCall>;
   /** Changes the number of calls a second. */
   setRate(perSecond: number): void;
@@ -120,6 +141,7 @@
   let n = 0;
   let harmfulFraction = 0;
   let hotFraction = 0;
+  const agents = new Map(entries.map(({ name }) => [name, new Agent({ keepAlive: true })]));
 
   const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(random() * from.length)];
   /** A prompt of two shared parts and one of its own, or in a few requests of three shared ones. */
@@ -130,9 +152,15 @@
     n.toString(16).padStart(OWN_PART_DIGITS, '0'),
   ];
 
-  const sendCall = async (vm: Vm, kind: CallKind, key: string): Promise<SoakCall> => {
+  const sendCall = async (
+    vm: Vm,
+    kind: CallKind,
+    key: string,
+    options: Pick<CallOptions, 'holdMs' | 'agent'> = { holdMs: 0, agent: undefined },
+  ): Promise<SoakCall> => {
     n += 1;
-    const call = await sendRequest(vm, kind, `c${n}`, key, kind === 'gen' ? drawParts() : []);
+    const parts = kind === 'gen' ? drawParts() : [];
+    const call = await sendRequest(vm, kind, `c${n}`, key, { parts, ...options });
     calls.push(call);
     return call;
   };
@@ -142,7 +170,10 @@
     const kind = pick(KINDS);
     const key = pick(keys);
     if (!vm || !kind || key === undefined) return;
-    const sent = sendCall(vm, kind, key);
+    const sent = sendCall(vm, kind, key, {
+      holdMs: random() < HELD_FRACTION ? HOLD.minMs + random() * HOLD.spreadMs : 0,
+      agent: random() < KEPT_FRACTION ? agents.get(vm.name) : undefined,
+    });
     pending.add(sent);
     void sent.then(() => pending.delete(sent));
   };
@@ -164,6 +195,7 @@
     stop: async () => {
       clearInterval(timer);
       await Promise.all(pending);
+      agents.forEach((agent) => agent.destroy());
     },
   };
 };
--- a/packages/lab/src/soak/checks.ts
+++ b/packages/lab/src/soak/checks.ts
@@ -13,8 +13,10 @@
 /** Statuses which state that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: t\n\n`).join('');
-/** Calls sent up to this time after the signal must survive a planned stop. */
+/** Calls sent up to this time after the signal must be answered; later ones if they ran. */
 const STOP_WINDOW_MS = 200;
+/** A call may end this long after the crash of a server, in ms, on account of the crash. */
+const CRASH_MARGIN_MS = 200;
 
 const describeCall = ({ id, kind, entry, boot, sentAt, endedAt, status, body }: SoakCall): string =>
   `${id} ${kind} at ${entry} (boot ${boot}), ${Math.round(sentAt)} to ${Math.round(endedAt)} ms: ` +
@@ -47,12 +49,21 @@
   return found;
 };
 
-/** Finds connected calls that were open during a planned stop of their entry and got no complete response. */
+/** Finds connected calls that were open during a planned stop of their entry and got no complete response, though due. */
 const findCallsCutByStop = (
   calls: readonly SoakCall[],
   faults: readonly InjectedFault[],
-): Violation[] =>
-  faults
+  runs: ReadonlyMap<string, number>,
+  crashes: readonly number[],
+): Violation[] => {
+  /** Whether its server may have crashed while it worked on the call. */
+  const mayHaveCrashed = ({ sentAt, endedAt }: SoakCall): boolean =>
+    crashes.some((at) => at > sentAt && at < endedAt + CRASH_MARGIN_MS);
+  const isDue = (call: SoakCall, stoppedAt: number): boolean => {
+    const isAtOnce = call.holdMs === 0 && call.sentAt < stoppedAt + STOP_WINDOW_MS;
+    return isAtOnce || (runs.has(call.id) && !mayHaveCrashed(call));
+  };
+  return faults
     .filter(({ what }) => what === 'planned-stop')
     .flatMap((stop) =>
       calls
@@ -62,12 +73,13 @@
             call.entry === stop.on &&
             call.boot === stop.boot &&
             call.isConnected &&
-            call.sentAt < stop.fromMs + STOP_WINDOW_MS &&
+            isDue(call, stop.fromMs) &&
             call.endedAt > stop.fromMs &&
             (call.status === 0 || !call.isWhole),
         )
         .map((call) => ({ guarantee: 'a planned stop cuts nothing', details: describeCall(call) })),
     );
+};
 
 /** Checks all calls of a finished soak. */
 export const findSoakViolations = (
@@ -84,7 +96,12 @@
   const mixedPasses = site.group.mixedPasses();
   return [
     ...calls.flatMap((call) => findAnswerViolations(call, runs.get(call.id) ?? 0)),
-    ...findCallsCutByStop(calls, faults),
+    ...findCallsCutByStop(
+      calls,
+      faults,
+      runs,
+      site.servers.flatMap(({ crashes }) => crashes),
+    ),
     ...(mixedPasses > 0
       ? [{ guarantee: 'one map in every pass', details: `${mixedPasses} passes mixed` }]
       : []),
--- a/packages/plantaindrum/src/core/callers/caller-server.ts
+++ b/packages/plantaindrum/src/core/callers/caller-server.ts
@@ -101,8 +101,9 @@
       refuse(res, refusal);
       return true;
     };
-    if (refuseAndClose(overLimit.has(req.socket) ? tooManyConnections : newRequestRefusal()))
-      {return;}
+    if (refuseAndClose(overLimit.has(req.socket) ? tooManyConnections : newRequestRefusal())) {
+      return;
+    }
     const read = await readRequest(req);
     // The entry may have begun to stop while the body arrived.
     if (refuseAndClose(newRequestRefusal())) return;
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -5,6 +5,9 @@
 import { promptPartsOf } from './prompt-headers.js';
 import { evaluateRankOrder } from './rank-orders.js';
 
+/** Header field with the time after which the server ends its answer to a request, in ms. */
+export const HOLD_HEADER = 'X-Hold-Ms';
+
 /** State of the rank that the stand-in simulates. */
 export interface RankState {
   epoch: number;
@@ -266,13 +269,23 @@
     }
     if (isFramingOmitted()) res.useChunkedEncodingByDefault = false;
     const successHeaders = { 'X-Request-Id': id, 'X-Server-Stamp': `stamp-${instance}`, ...limit };
+    const holdMs = Number(req.headers[HOLD_HEADER.toLowerCase()] ?? 0);
+    const afterHold = (end: () => void): void => {
+      if (holdMs === 0) end();
+      else setTimeout(end, holdMs);
+    };
     if (!group) {
-      res.writeHead(200, { ...successHeaders, 'X-Server-Load': '1,0,6' }).end('done');
+      const headers = { ...successHeaders, 'X-Server-Load': '1,0,6' };
+      afterHold(() => res.writeHead(200, headers).end('done'));
       return;
     }
     res.writeHead(200, { ...successHeaders, 'Content-Type': 'text/event-stream' });
-    [1, 2, 3].forEach((event) => res.write(`id: ${event}\ndata: t\n\n`));
-    res.end();
+    const writeEvent = (event: number): boolean => res.write(`id: ${event}\ndata: t\n\n`);
+    [1, 2].forEach(writeEvent);
+    afterHold(() => {
+      writeEvent(3);
+      res.end();
+    });
   };
 
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
