Gateway: plain answers always have a length

Cause: no length was added to such an answer, as its body might have been cut by a crash of its upstream. Since it is only passed on once its upstream is proved to have lived through its end, so its end is known.

--- a/packages/gateway/src/serving/full-response.ts
+++ b/packages/gateway/src/serving/full-response.ts
@@ -42,6 +42,5 @@
     status: response.status,
     headers: endToEnd(response.res),
     body,
-    isFramed,
   };
 };
--- a/packages/gateway/src/serving/request-completion.ts
+++ b/packages/gateway/src/serving/request-completion.ts
@@ -10,8 +10,6 @@
   status: number;
   headers: string[];
   body: Uint8Array;
-  /** Whether its end is marked by a length or by chunks, and not only by the end of the connection. */
-  isFramed: boolean;
 }
 
 /** Counts and results of a request's attempts so far. */
@@ -68,13 +66,10 @@
     });
   };
 
-  const sendResponse = ({ status, headers, body, isFramed }: FullResponse): void => {
-    // An upstream that crashes in the middle of a response without a length may still close its connection
-    // cleanly, so a truncated body can't be detected. With a length added here the caller would be certain
-    // that it is complete, so the response ends as the upstream's did: with its connection.
-    if (!isFramed) res.removeHeader('Transfer-Encoding');
+  const sendResponse = ({ status, headers, body }: FullResponse): void => {
+    // The body is known to be complete, so its end is marked: without that, the end of this process would look like it.
     const length = ['Content-Length', String(body.length)];
-    const isSized = !isFramed || hasField(headers, 'content-length');
+    const isSized = hasField(headers, 'content-length');
     sendHead(res, status, isSized ? headers : [...headers, ...length], lifecycle.isStopping());
     res.end(body);
     recordAnswered(status);
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -306,6 +306,8 @@
     streamAdmission,
     quarantine,
     outages,
+    /** Closes all callers' connections, as when the process is killed. */
+    closeConnections: () => server.closeAllConnections(),
     /** Evacuates a data centre, or takes it back. */
     setEvacuated: (dataCentre: string, isEvacuated: boolean): void =>
       evacuations.apply({ key: dataCentre, value: isEvacuated ? encode({}) : undefined }),
