--- a/packages/lab/src/soak/soak.ts
+++ b/packages/lab/src/soak/soak.ts
@@ -65,31 +65,37 @@
 /** Revoked by the last change, after the store was restored from an older copy. */
 const LAST_REVOKED_KEY = 'key-c';
 
-/** Whether every entry serves each kind of call again and refuses the revoked keys. */
-const hasRecovered = async (site: SoakSite, callers: Callers): Promise<boolean> => {
+/** Calls that show that an entry doesn't serve each kind of call yet, or doesn't refuse the revoked keys. */
+const findUnrecovered = async (site: SoakSite, callers: Callers): Promise<string[]> => {
   const entries = site.vms.filter(({ role }) => role === 'entry');
   const pendingCalls = entries.flatMap((vm) =>
     (['safe', 'once', 'gen'] as const).map((kind) => callers.sendCall(vm, kind, KEPT_KEY)),
   );
-  const served = (await Promise.all(pendingCalls)).every(
-    ({ status, isWhole }) => status === 200 && isWhole,
+  const unserved = (await Promise.all(pendingCalls)).filter(
+    ({ status, isWhole }) => status !== 200 || !isWhole,
   );
   const revoked = await Promise.all(
     entries.flatMap((vm) =>
       [REVOKED_KEY, LAST_REVOKED_KEY].map((key) => callers.sendCall(vm, 'safe', key)),
     ),
   );
-  return served && revoked.every(({ status }) => status === 401);
+  return [...unserved, ...revoked.filter(({ status }) => status !== 401)].map(
+    ({ kind, entry, key, status, body }) =>
+      `${kind} at ${entry}, ${key}: ${status} ${body.slice(0, 40).trim()}`,
+  );
 };
 
 const findRecoveryViolations = async (site: SoakSite, callers: Callers): Promise<Violation[]> => {
   const endAt = performance.now() + RECOVERY_TIMEOUT_MS;
+  let unrecovered: string[] = [];
   while (performance.now() < endAt) {
-    if (await hasRecovered(site, callers)) return [];
+    unrecovered = await findUnrecovered(site, callers);
+    if (unrecovered.length === 0) return [];
     await delay(200);
   }
   const guarantee = 'serves again after the faults, with the current intent';
-  return [{ guarantee, details: `not within ${RECOVERY_TIMEOUT_MS} ms` }];
+  const details = `not within ${RECOVERY_TIMEOUT_MS} ms, at last ${unrecovered.join('; ')}`;
+  return [{ guarantee, details }];
 };
 
 const trafficOf = (
