Exchange, gateway: less state, one place for a stream's head

From a last read of the change; behaviour is the same. A stream's head is sent from one function instead of two copies, and the time of an answered request is computed once instead of three times. The tests' head of a protocol switch stands once.

--- a/packages/exchange/src/exchange.ts
+++ b/packages/exchange/src/exchange.ts
@@ -75,7 +75,6 @@
 export const startExchange = (options: ExchangeRequest, clock: Clock): Exchange => {
   const { host, port, method, path, headers, body, connectTimeoutMs, connections } = options;
   let isConnected = false;
-  let isSettled = false;
   let hasFailed = false;
   let hasUpstreamClosed = false;
   let req: ClientRequest | undefined;
@@ -94,12 +93,9 @@
   };
 
   const head = new Promise<HeadOutcome>((resolve) => {
-    const settle = (outcome: HeadOutcome): void => {
-      isSettled = true;
-      resolve(outcome);
-    };
+    // Only the first outcome counts.
     const fail = (why: string): void =>
-      settle(isConnected ? { outcome: 'unknown', why } : { outcome: 'not-sent', why });
+      resolve(isConnected ? { outcome: 'unknown', why } : { outcome: 'not-sent', why });
     try {
       const target = { host, port, method, path, setHost: false, agent: connections ?? false };
       const send = options.isSecure ? secureRequest : request;
@@ -131,20 +127,20 @@
     clientRequest.on('error', (err) => {
       stopTimer();
       hasFailed = true;
-      if (!isSettled) fail(codeOf(err));
+      fail(codeOf(err));
     });
     clientRequest.on('response', (res) => {
       response = res;
-      settle({ outcome: 'head', res });
+      resolve({ outcome: 'head', res });
     });
     // Node.js reports a protocol switch that nobody asked for neither as a response nor as an error.
     clientRequest.once('close', () => {
       stopTimer();
-      if (!isSettled) fail('closed');
+      fail('closed');
     });
     settleAborted = () => {
       stopTimer();
-      if (!isSettled) fail('aborted');
+      fail('aborted');
     };
     clientRequest.end(body);
   });
--- a/packages/gateway/src/serving/request-completion.ts
+++ b/packages/gateway/src/serving/request-completion.ts
@@ -54,15 +54,16 @@
 
   const recordAnswered = (status: number | undefined): void => {
     const { runs, notRuns } = progress;
-    lifecycle.recordServed(route.name, elapsedMs());
-    metrics.record('gateway_answer_ms', elapsedMs(), { kind: route.kind });
+    const ms = elapsedMs();
+    lifecycle.recordServed(route.name, ms);
+    metrics.record('gateway_answer_ms', ms, { kind: route.kind });
     log.event('answered', {
       id: request.id,
       route: route.name,
       status,
       runs,
       notRuns,
-      ms: elapsedMs(),
+      ms,
     });
   };
 
--- a/packages/gateway/src/serving/serve-stream.ts
+++ b/packages/gateway/src/serving/serve-stream.ts
@@ -108,6 +108,10 @@
     lastEventAt = now;
   };
 
+  const sendHeadOnce = ({ status, res: answer }: AttemptResponse): void => {
+    if (!res.headersSent) sendHead(res, status, endToEnd(answer), deps.lifecycle.isStopping());
+  };
+
   /** Forwards one event; false when events are missing between the last one and this one. */
   const forward = (event: StreamEvent, attempt: Attempt, response: AttemptResponse): boolean => {
     const lastEventId = loop.resumeAfter;
@@ -123,9 +127,7 @@
     attempt.run.recordEvent();
     if (event.id !== undefined) loop.resumeAfter = event.id;
     // The head is sent with the first event only: until then a failure can be answered with an error status.
-    if (!res.headersSent) {
-      sendHead(res, response.status, endToEnd(response.res), deps.lifecycle.isStopping());
-    }
+    sendHeadOnce(response);
     res.write(event.bytes);
     return true;
   };
@@ -163,9 +165,7 @@
     const fault = await forwardEvents(attempt, response);
     if (fault !== undefined) return { outcome: 'unknown', why: fault };
     // A stream that is resumed after its last event has no event left, so its head has not been forwarded yet.
-    if (!res.headersSent) {
-      sendHead(res, response.status, endToEnd(response.res), deps.lifecycle.isStopping());
-    }
+    sendHeadOnce(response);
     return { outcome: 'streamed' };
   });
 };
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -6,16 +6,17 @@
 import { streamRoute, unsafeRoute, wait } from './support/with-entry.js';
 
 const OK = 'HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Receipt: r\r\n';
+const SWITCH = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n';
 const EVENTS = `${OK}Content-Type: text/event-stream\r\n\r\n`;
 
 const answers: Record<string, RawAnswer> = {
   nothing: { first: '', rest: '' },
   'a protocol switch': {
-    first: 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+    first: SWITCH,
     rest: '',
   },
   'a protocol switch, then bytes': {
-    first: 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+    first: SWITCH,
     rest: 'x',
   },
   'interim responses': { first: '', rest: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
--- a/packages/gateway/test/support/entry.ts
+++ b/packages/gateway/test/support/entry.ts
@@ -236,7 +236,6 @@
     metrics,
     log,
     isStarting: () => options.isStarting ?? false,
-
     lifecycle: options.lifecycle ?? createLifecycle(clock),
     outages,
     groups,
